--- /dev/null
+++ b/src/pollenloom/__init__.py
@@ -0,0 +1,1 @@
+"""Router fleet that shares model and application capacity fairly."""
--- /dev/null
+++ b/src/pollenloom/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Fair admission of requests to backend servers."""
--- /dev/null
+++ b/src/pollenloom/admission/admission.py
@@ -0,0 +1,40 @@
+"""Interface of the admission policies."""
+
+from abc import abstractmethod
+from typing import ClassVar
+
+from expression import Result
+
+from pollenloom.admission.admission_status import AdmissionStatus
+from pollenloom.admission.grant import Grant
+from pollenloom.admission.settlement import Settlement
+from pollenloom.admission.ticket import Ticket
+from pollenloom.core.failure import Failure
+from pollenloom.kernel.kernel_service import KernelService
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+
+
+class Admission(KernelService):
+    """Decides which waiting request is sent where, and when."""
+
+    name: ClassVar[KernelServiceName] = KernelServiceName.ADMISSION
+
+    @abstractmethod
+    async def acquire(self, ticket: Ticket) -> Result[Grant, Failure]:
+        """Wait for a grant.
+
+        Cancelling the call withdraws the request. Each grant must be given
+        back by `settle` exactly once.
+
+        Errors:
+            QUEUE_FULL, DEADLINE_UNREACHABLE, DEADLINE_EXCEEDED, NO_CAPACITY,
+            SHUTTING_DOWN; none of them ran the request.
+        """
+
+    @abstractmethod
+    def settle(self, settlement: Settlement) -> None:
+        """Report the use of a grant and correct its charge."""
+
+    @abstractmethod
+    def status(self, now: float) -> AdmissionStatus:
+        """Queues, pools and shares as this router knows them."""
--- /dev/null
+++ b/src/pollenloom/admission/admission_status.py
@@ -0,0 +1,64 @@
+"""Status of admission, for operators."""
+
+from typing import Any
+
+import msgspec
+
+from pollenloom.core.ids import (
+    AccountId,
+    DataCentreId,
+    PoolId,
+    ServerId,
+    ServiceId,
+    VersionId,
+    VmId,
+)
+
+
+class ServerStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """A backend server as its pool owner sees it."""
+
+    server: ServerId
+    version: VersionId
+    in_flight: int
+    limit: int
+    slots: int
+    cold: bool
+    leaving: bool
+
+
+class PoolStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """A pool as its owner sees it."""
+
+    pool: PoolId
+    service: ServiceId
+    data_centre: DataCentreId
+    owner: VmId
+    epoch: int
+    waiting: int
+    servers: tuple[ServerStatus, ...] = ()
+
+
+class AccountStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """A client account; costs in the unit of the service's resource."""
+
+    account: AccountId
+    service: ServiceId
+    share: float
+    served: float
+    virtual_time: float
+    waiting: int
+
+
+class AdmissionStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """What one router knows about queues, pools and shares."""
+
+    policy: str
+    waiting: int = 0
+    pools: tuple[PoolStatus, ...] = ()
+    accounts: tuple[AccountStatus, ...] = ()
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the status as JSON types."""
+        converted: dict[str, Any] = msgspec.to_builtins(self)
+        return converted
--- /dev/null
+++ b/src/pollenloom/admission/settlement.py
@@ -0,0 +1,29 @@
+"""Report of how a grant was used."""
+
+from dataclasses import dataclass
+
+from pollenloom.admission.grant import Grant
+from pollenloom.core.states import Outcome
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Settlement:
+    """What the holder of a grant reports at its end.
+
+    Attributes:
+        grant: The grant.
+        outcome: How its use ended.
+        cost: Real cost in the unit of the resource; 0 if not run.
+        first_byte_seconds: Time from sending to the first byte of the answer.
+        duration_seconds: Time from sending to the end of the answer.
+        server_cold: Whether the server said that it is cold.
+        server_leaving: Whether the server said that it is leaving.
+    """
+
+    grant: Grant
+    outcome: Outcome
+    cost: float = 0
+    first_byte_seconds: float | None = None
+    duration_seconds: float | None = None
+    server_cold: bool = False
+    server_leaving: bool = False
--- /dev/null
+++ b/src/pollenloom/admission/ticket.py
@@ -0,0 +1,41 @@
+"""What admission needs to know of a request."""
+
+from dataclasses import dataclass
+
+from pollenloom.core.ids import (
+    AccountId,
+    RequestId,
+    RouteId,
+    ServerId,
+    ServiceId,
+)
+from pollenloom.core.states import Resource
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ticket:
+    """A request that waits for capacity.
+
+    Attributes:
+        request_id: Id of the request.
+        account: Client account charged for it.
+        service: Service that runs it.
+        route: Route of the service.
+        resource: Resource it consumes.
+        cost_hint: Rough cost, in the unit of the resource.
+        deadline: Monotonic time in seconds; no grant is used after it.
+        prefix_hashes: Hashes of growing prompt prefixes, longest last.
+        excluded: Servers that already refused or failed this request.
+        retry: Whether the request was sent before; retries go first.
+    """
+
+    request_id: RequestId
+    account: AccountId
+    service: ServiceId
+    route: RouteId
+    resource: Resource
+    cost_hint: float
+    deadline: float
+    prefix_hashes: tuple[int, ...] = ()
+    excluded: frozenset[ServerId] = frozenset()
+    retry: bool = False
--- /dev/null
+++ b/src/pollenloom/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration of services: files, rules and the revision in force."""
--- /dev/null
+++ b/src/pollenloom/configuration/configuration.py
@@ -0,0 +1,35 @@
+"""The configuration in force."""
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from pollenloom.core.ids import AccountId, Revision, ServiceId
+
+if TYPE_CHECKING:
+    from pollenloom.configuration.service_file import ServiceFile
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """All services of one revision.
+
+    Attributes:
+        revision: Number of accepted changes so far; 0 is the empty start.
+        services: Files by service id.
+        publish_id: Id of the accepted publish that made this revision.
+        publisher: Who published it.
+    """
+
+    revision: Revision
+    services: 'dict[ServiceId, ServiceFile]'
+    publish_id: str = ''
+    publisher: str = ''
+    account_by_key_hash: dict[str, AccountId] = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Index the client accounts by the hashes of their API keys."""
+        index: dict[str, AccountId] = {}
+        for service in self.services.values():
+            for account in service.accounts:
+                index.update(dict.fromkeys(account.key_hashes, account.name))
+        object.__setattr__(self, 'account_by_key_hash', index)
--- /dev/null
+++ b/src/pollenloom/console/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/src/pollenloom/console/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command."""
--- /dev/null
+++ b/src/pollenloom/core/__init__.py
@@ -0,0 +1,1 @@
+"""Ids, states, error kinds and value types shared by all services."""
--- /dev/null
+++ b/src/pollenloom/core/error_answers.py
@@ -0,0 +1,177 @@
+"""The table from error kind to answer."""
+
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Final
+
+from pollenloom.core.error_answer import ErrorAnswer
+from pollenloom.core.error_kind import ErrorKind
+from pollenloom.core.states import RunStatus
+
+ERROR_ANSWERS: Final = MappingProxyType(
+    {
+        ErrorKind.UNAUTHENTICATED: ErrorAnswer(
+            HTTPStatus.UNAUTHORIZED,
+            'The API key is missing or unknown',
+        ),
+        ErrorKind.FORBIDDEN: ErrorAnswer(
+            HTTPStatus.FORBIDDEN,
+            'The client account may not use this service',
+        ),
+        ErrorKind.INVALID_REQUEST: ErrorAnswer(
+            HTTPStatus.BAD_REQUEST,
+            'The request is malformed',
+        ),
+        ErrorKind.BODY_TOO_LARGE: ErrorAnswer(
+            HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            'The request body is too large',
+        ),
+        ErrorKind.UNKNOWN_ROUTE: ErrorAnswer(
+            HTTPStatus.NOT_FOUND,
+            'No service has this route',
+        ),
+        ErrorKind.UNKNOWN_MODEL: ErrorAnswer(
+            HTTPStatus.NOT_FOUND,
+            'No service offers this model',
+        ),
+        ErrorKind.SERVICE_ENDED: ErrorAnswer(
+            HTTPStatus.GONE,
+            'The service has been shut down',
+        ),
+        ErrorKind.QUEUE_FULL: ErrorAnswer(
+            HTTPStatus.TOO_MANY_REQUESTS,
+            'Too many requests of the client account are waiting',
+            retryable=True,
+        ),
+        ErrorKind.DEADLINE_UNREACHABLE: ErrorAnswer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'The request cannot start before its deadline',
+            retryable=True,
+        ),
+        ErrorKind.DEADLINE_EXCEEDED: ErrorAnswer(
+            HTTPStatus.GATEWAY_TIMEOUT,
+            'The deadline passed before the request was sent',
+            retryable=True,
+        ),
+        ErrorKind.NO_CAPACITY: ErrorAnswer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'No backend server is available',
+            retryable=True,
+        ),
+        ErrorKind.RETRIES_EXHAUSTED: ErrorAnswer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'Every attempt was refused by the backend servers',
+            retryable=True,
+        ),
+        ErrorKind.BACKEND_REFUSED: ErrorAnswer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'The backend server refused the request',
+            retryable=True,
+        ),
+        ErrorKind.BACKEND_FAILED: ErrorAnswer(
+            HTTPStatus.BAD_GATEWAY,
+            'The backend server failed while it ran the request',
+            run=RunStatus.UNKNOWN,
+        ),
+        ErrorKind.ANSWER_CUT: ErrorAnswer(
+            HTTPStatus.BAD_GATEWAY,
+            'The answer was cut and could not be completed',
+            run=RunStatus.YES,
+        ),
+        ErrorKind.CALLER_LEFT: ErrorAnswer(
+            HTTPStatus.REQUEST_TIMEOUT,
+            'The caller closed the connection',
+            run=RunStatus.UNKNOWN,
+        ),
+        ErrorKind.SHUTTING_DOWN: ErrorAnswer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'This router is shutting down',
+            retryable=True,
+        ),
+        ErrorKind.IDEMPOTENCY_KEY_REQUIRED: ErrorAnswer(
+            HTTPStatus.BAD_REQUEST,
+            'This call needs an Idempotency-Key header',
+        ),
+        ErrorKind.IDEMPOTENCY_KEY_INVALID: ErrorAnswer(
+            HTTPStatus.BAD_REQUEST,
+            'The Idempotency-Key is not a UUID version 7',
+        ),
+        ErrorKind.IDEMPOTENCY_KEY_EXPIRED: ErrorAnswer(
+            HTTPStatus.CONFLICT,
+            'The Idempotency-Key is older than the records of earlier calls',
+            run=RunStatus.UNKNOWN,
+        ),
+        ErrorKind.IDEMPOTENCY_KEY_REUSED: ErrorAnswer(
+            HTTPStatus.UNPROCESSABLE_ENTITY,
+            'The Idempotency-Key was used with another body',
+        ),
+        ErrorKind.ORDER_IN_PROGRESS: ErrorAnswer(
+            HTTPStatus.CONFLICT,
+            'An earlier call with this Idempotency-Key is still running',
+            run=RunStatus.UNKNOWN,
+            retryable=True,
+        ),
+        ErrorKind.ORDER_OUTCOME_UNKNOWN: ErrorAnswer(
+            HTTPStatus.BAD_GATEWAY,
+            'It is not known whether the order was run',
+            run=RunStatus.UNKNOWN,
+        ),
+        ErrorKind.ORDERS_UNAVAILABLE: ErrorAnswer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'Orders cannot be recorded at present',
+            retryable=True,
+        ),
+        ErrorKind.PLATFORM_UNAVAILABLE: ErrorAnswer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'The platform did not take the request',
+            retryable=True,
+        ),
+        ErrorKind.PLATFORM_UNKNOWN: ErrorAnswer(
+            HTTPStatus.GATEWAY_TIMEOUT,
+            'The platform did not answer; the write may have taken effect',
+            run=RunStatus.UNKNOWN,
+        ),
+        ErrorKind.PEER_UNAVAILABLE: ErrorAnswer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'Another router could not be reached',
+            retryable=True,
+        ),
+        ErrorKind.PEER_TIMEOUT: ErrorAnswer(
+            HTTPStatus.GATEWAY_TIMEOUT,
+            'Another router did not answer in time',
+            run=RunStatus.UNKNOWN,
+        ),
+        ErrorKind.NOT_OWNER: ErrorAnswer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'This router does not own the pool',
+            retryable=True,
+        ),
+        ErrorKind.PROTOCOL_ERROR: ErrorAnswer(
+            HTTPStatus.BAD_GATEWAY,
+            'A peer or backend server broke its protocol',
+            run=RunStatus.UNKNOWN,
+        ),
+        ErrorKind.SETTINGS_INVALID: ErrorAnswer(
+            HTTPStatus.BAD_REQUEST,
+            'The settings file is not valid',
+        ),
+        ErrorKind.CONFIGURATION_INVALID: ErrorAnswer(
+            HTTPStatus.BAD_REQUEST,
+            'The configuration is not valid',
+        ),
+        ErrorKind.CONFIGURATION_CONFLICT: ErrorAnswer(
+            HTTPStatus.CONFLICT,
+            'Another operator published first',
+        ),
+        ErrorKind.NOT_CONFIGURED: ErrorAnswer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'This router has no configuration yet',
+            retryable=True,
+        ),
+        ErrorKind.INTERNAL: ErrorAnswer(
+            HTTPStatus.INTERNAL_SERVER_ERROR,
+            'An unexpected fault occurred',
+            run=RunStatus.UNKNOWN,
+        ),
+    }
+)
--- /dev/null
+++ b/src/pollenloom/core/error_kind.py
@@ -0,0 +1,44 @@
+"""The closed list of error kinds."""
+
+from enum import Enum, unique
+
+
+@unique
+class ErrorKind(Enum):
+    """Every kind of failure that a caller, operator or peer can be told."""
+
+    UNAUTHENTICATED = 'unauthenticated'
+    FORBIDDEN = 'forbidden'
+    INVALID_REQUEST = 'invalid_request'
+    BODY_TOO_LARGE = 'body_too_large'
+    UNKNOWN_ROUTE = 'unknown_route'
+    UNKNOWN_MODEL = 'unknown_model'
+    SERVICE_ENDED = 'service_ended'
+    QUEUE_FULL = 'queue_full'
+    DEADLINE_UNREACHABLE = 'deadline_unreachable'
+    DEADLINE_EXCEEDED = 'deadline_exceeded'
+    NO_CAPACITY = 'no_capacity'
+    RETRIES_EXHAUSTED = 'retries_exhausted'
+    BACKEND_REFUSED = 'backend_refused'
+    BACKEND_FAILED = 'backend_failed'
+    ANSWER_CUT = 'answer_cut'
+    CALLER_LEFT = 'caller_left'
+    SHUTTING_DOWN = 'shutting_down'
+    IDEMPOTENCY_KEY_REQUIRED = 'idempotency_key_required'
+    IDEMPOTENCY_KEY_INVALID = 'idempotency_key_invalid'
+    IDEMPOTENCY_KEY_EXPIRED = 'idempotency_key_expired'
+    IDEMPOTENCY_KEY_REUSED = 'idempotency_key_reused'
+    ORDER_IN_PROGRESS = 'order_in_progress'
+    ORDER_OUTCOME_UNKNOWN = 'order_outcome_unknown'
+    ORDERS_UNAVAILABLE = 'orders_unavailable'
+    PLATFORM_UNAVAILABLE = 'platform_unavailable'
+    PLATFORM_UNKNOWN = 'platform_unknown'
+    PEER_UNAVAILABLE = 'peer_unavailable'
+    PEER_TIMEOUT = 'peer_timeout'
+    NOT_OWNER = 'not_owner'
+    PROTOCOL_ERROR = 'protocol_error'
+    SETTINGS_INVALID = 'settings_invalid'
+    CONFIGURATION_INVALID = 'configuration_invalid'
+    CONFIGURATION_CONFLICT = 'configuration_conflict'
+    NOT_CONFIGURED = 'not_configured'
+    INTERNAL = 'internal'
--- /dev/null
+++ b/src/pollenloom/core/ids.py
@@ -0,0 +1,19 @@
+"""Identifiers, distinct to the type checker."""
+
+from typing import NewType
+
+AccountId = NewType('AccountId', str)
+ClaimId = NewType('ClaimId', str)
+DataCentreId = NewType('DataCentreId', str)
+GrantId = NewType('GrantId', str)
+MoveId = NewType('MoveId', str)
+Offset = NewType('Offset', int)
+PoolId = NewType('PoolId', str)
+PublishId = NewType('PublishId', str)
+RequestId = NewType('RequestId', str)
+Revision = NewType('Revision', int)
+RouteId = NewType('RouteId', str)
+ServerId = NewType('ServerId', str)
+ServiceId = NewType('ServiceId', str)
+VersionId = NewType('VersionId', str)
+VmId = NewType('VmId', str)
--- /dev/null
+++ b/src/pollenloom/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Sending requests to backend servers and relaying answers."""
--- /dev/null
+++ b/src/pollenloom/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Micro-kernel: services found by name, life cycle and supervised tasks."""
--- /dev/null
+++ b/src/pollenloom/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of the fleet and registers replicated over it."""
--- /dev/null
+++ b/src/pollenloom/membership/membership.py
@@ -0,0 +1,44 @@
+"""Interface of the membership service."""
+
+from abc import abstractmethod
+from collections.abc import Callable
+from typing import ClassVar
+
+from pollenloom.core.ids import DataCentreId, VmId
+from pollenloom.kernel.kernel_service import KernelService
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.membership.member import Member
+
+
+class Membership(KernelService):
+    """Which routers are part of the fleet now."""
+
+    name: ClassVar[KernelServiceName] = KernelServiceName.MEMBERSHIP
+
+    @property
+    @abstractmethod
+    def own(self) -> Member:
+        """Entry of this VM."""
+
+    @abstractmethod
+    def members(self) -> tuple[Member, ...]:
+        """All known members, the dead ones not, sorted by VM id."""
+
+    @abstractmethod
+    def live(self, data_centre: DataCentreId | None = None) -> tuple[VmId, ...]:
+        """Ids of live VMs, of one data centre or of all, sorted."""
+
+    @abstractmethod
+    def ranked(
+        self,
+        key: str,
+        data_centre: DataCentreId | None = None,
+    ) -> tuple[VmId, ...]:
+        """Live VMs by rendezvous hash of `key`; the first one owns it.
+
+        With a data centre that has no live VM, VMs of the others rank.
+        """
+
+    @abstractmethod
+    def watch(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after each change of the set of live VMs."""
--- /dev/null
+++ b/src/pollenloom/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Moves of traffic from one version to the next."""
--- /dev/null
+++ b/src/pollenloom/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and event records."""
--- /dev/null
+++ b/src/pollenloom/observability/event_log.py
@@ -0,0 +1,85 @@
+"""Event records of decisions, for logs and for `explain`."""
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import TYPE_CHECKING, ClassVar
+
+import msgspec
+from absl import logging
+
+from pollenloom.kernel.kernel_service import KernelService
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+
+if TYPE_CHECKING:
+    from pollenloom.kernel.clock import Clock
+
+EventValue = str | int | float | bool | None
+
+# Enough for some minutes at 18 requests/s a router, at about 300 bytes each.
+KEPT_EVENTS = 20_000
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One event record.
+
+    Attributes:
+        at: Wall time, seconds since the Unix epoch.
+        name: Stable name of the event.
+        subject: Id that `explain` looks for: request, move, data centre.
+        fields: Details.
+    """
+
+    at: float
+    name: str
+    subject: str
+    fields: Mapping[str, EventValue]
+
+
+class EventLog(KernelService):
+    """Keeps recent event records and writes them to the log."""
+
+    name: ClassVar[KernelServiceName] = KernelServiceName.EVENTS
+
+    def __init__(self, clock: 'Clock', kept_events: int = KEPT_EVENTS) -> None:
+        self.clock = clock
+        self.events: deque[Event] = deque(maxlen=kept_events)
+
+    async def start(self) -> None:
+        """Nothing to start."""
+
+    async def stop(self) -> None:
+        """Nothing to stop."""
+
+    def record(
+        self,
+        event_name: str,
+        subject: str,
+        **fields: EventValue,
+    ) -> None:
+        """Record an event and log it as a JSON line."""
+        event = Event(
+            at=self.clock.wall(),
+            name=event_name,
+            subject=subject,
+            fields=MappingProxyType(fields),
+        )
+        self.events.append(event)
+        logging.info('%s', render_event(event))
+
+    def about(self, subject: str) -> tuple[Event, ...]:
+        """Return the kept events of one subject, oldest first."""
+        return tuple(event for event in self.events if event.subject == subject)
+
+
+def render_event(event: Event) -> str:
+    """Return an event as one JSON object."""
+    return msgspec.json.encode(
+        {
+            'event': event.name,
+            'subject': event.subject,
+            **event.fields,
+        }
+    ).decode()
--- /dev/null
+++ b/src/pollenloom/operations/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface for operators."""
--- /dev/null
+++ b/src/pollenloom/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Execution of non-repeatable calls at most once."""
--- /dev/null
+++ b/src/pollenloom/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Connections and messages between routers."""
--- /dev/null
+++ b/src/pollenloom/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Process settings of one router."""
--- /dev/null
+++ b/src/pollenloom_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, for development and tests only."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the packages mirror `src`."""
