--- a/src/pollenloom/kernel/kernel_service_name.py
+++ b/src/pollenloom/kernel/kernel_service_name.py
@@ -12,6 +12,7 @@
     DISPATCH = 'dispatch'
     EVENTS = 'events'
     FRONTEND = 'frontend'
+    LOG = 'log'
     MEMBERSHIP = 'membership'
     MOVES = 'moves'
     OPERATIONS = 'operations'
