Load service files and decide which changes are accepted

Operators' mistakes are listed at once, each with file, key path, what was expected and what was found.

Key hashes, versions and data centre ids now have patterns.

--- a/src/pollenloom/configuration/account_entry.py
+++ b/src/pollenloom/configuration/account_entry.py
@@ -1,5 +1,7 @@
 """A client account in a service's file."""
 
+from typing import Annotated
+
 from pydantic import BaseModel, ConfigDict, Field
 
 from pollenloom.core.ids import AccountId
@@ -7,6 +9,8 @@
 NAME_PATTERN = '^[a-z0-9][a-z0-9-]{0,62}$'
 KEY_HASH_PATTERN = '^[0-9a-f]{64}$'
 
+KeyHash = Annotated[str, Field(pattern=KEY_HASH_PATTERN)]
+
 
 class AccountEntry(BaseModel):
     """Share and keys of one client account for one service.
@@ -22,5 +26,5 @@
 
     name: AccountId = Field(pattern=NAME_PATTERN)
     share: float = Field(gt=0, le=1_000_000)
-    key_hashes: tuple[str, ...] = Field(default=())
+    key_hashes: tuple[KeyHash, ...] = Field(default=())
     max_waiting: int = Field(default=64, ge=1, le=10_000)
--- /dev/null
+++ b/src/pollenloom/configuration/file_checks.py
@@ -0,0 +1,111 @@
+"""Checks that need several service files or the present time."""
+
+from collections.abc import Iterator, Mapping
+from datetime import UTC, datetime
+from types import MappingProxyType
+
+from pollenloom.configuration.service_file import ServiceFile
+from pollenloom.core.ids import AccountId, ServiceId
+from pollenloom.validation.file_problem import FileProblem
+
+Services = Mapping[str, ServiceFile]
+NO_DATES: Mapping[ServiceId, datetime] = MappingProxyType({})
+
+
+def check_services(
+    services: Services,
+    now: float,
+    dates_in_force: Mapping[ServiceId, datetime] = NO_DATES,
+) -> list[FileProblem]:
+    """Return the problems of files that are valid one by one.
+
+    Args:
+        services: Service files by file name.
+        now: Wall time, seconds since the Unix epoch.
+        dates_in_force: Shutdown dates already accepted. A service that has
+            ended stays in the configuration to be answered as ended, so its
+            unchanged date is accepted.
+    """
+    return [
+        *check_service_ids(services),
+        *check_key_hashes(services),
+        *check_lists(services),
+        *check_dates(services, now, dates_in_force),
+    ]
+
+
+def check_service_ids(services: Services) -> Iterator[FileProblem]:
+    """Find services with more than one file."""
+    owners: dict[ServiceId, str] = {}
+    for file, service in services.items():
+        owner = owners.setdefault(service.service, file)
+        if owner != file:
+            yield FileProblem(
+                file,
+                'service',
+                'an id that no other file has',
+                f'{service.service!r}, which is also in {owner}',
+            )
+
+
+def check_key_hashes(services: Services) -> Iterator[FileProblem]:
+    """Find API keys that would stand for two client accounts."""
+    owners: dict[str, tuple[AccountId, str]] = {}
+    for file, service in services.items():
+        for number, account in enumerate(service.accounts):
+            for index, key_hash in enumerate(account.key_hashes):
+                owner, owner_file = owners.setdefault(
+                    key_hash,
+                    (account.name, file),
+                )
+                if owner != account.name:
+                    yield FileProblem(
+                        file,
+                        f'accounts[{number}].key_hashes[{index}]',
+                        f'a key of {account.name!r} alone',
+                        f'a key of {owner!r} in {owner_file}, too',
+                    )
+
+
+def check_lists(services: Services) -> Iterator[FileProblem]:
+    """Find versions and data centres that are listed twice."""
+    for file, service in services.items():
+        lists = (
+            ('versions', service.versions),
+            ('data_centres', service.data_centres),
+        )
+        for key, names in lists:
+            for index, name in enumerate(names):
+                if name in names[:index]:
+                    yield FileProblem(
+                        file,
+                        f'{key}[{index}]',
+                        'each name once',
+                        f'{name!r} again',
+                    )
+
+
+def check_dates(
+    services: Services,
+    now: float,
+    dates_in_force: Mapping[ServiceId, datetime],
+) -> Iterator[FileProblem]:
+    """Find shutdown dates in the past and moves that end after them."""
+    present = datetime.fromtimestamp(now, UTC)
+    for file, service in services.items():
+        date = service.shutdown_date
+        in_force = dates_in_force.get(service.service)
+        if date <= present and date != in_force:
+            yield FileProblem(
+                file,
+                'shutdown_date',
+                f'a time after {present.isoformat(timespec="seconds")}',
+                date.isoformat(),
+            )
+        if service.move is not None and service.move.finish_by > date:
+            yield FileProblem(
+                file,
+                'move.finish_by',
+                f'a time up to the shutdown date {date.isoformat()}',
+                service.move.finish_by.isoformat(),
+            )
--- /dev/null
+++ b/src/pollenloom/configuration/file_collector.py
@@ -0,0 +1,81 @@
+"""Finds the service files below directories."""
+
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+from typing import NamedTuple
+
+from pollenloom.validation.file_problem import FileProblem
+
+FILE_NAME = 'pollenloom.toml'
+
+
+class CollectedFiles(NamedTuple):
+    """Texts by file name, and the problems met on the way."""
+
+    files: dict[str, str]
+    problems: tuple[FileProblem, ...]
+
+
+def collect_files(directories: Sequence[Path]) -> CollectedFiles:
+    """Read all service files below the directories, hidden ones left out.
+
+    A file is named by its path from the given directory on, with that
+    directory's name, so that all operators use the same names.
+    """
+    files: dict[str, str] = {}
+    problems: list[FileProblem] = []
+    for path, name in name_files(directories, problems).items():
+        text, problem = read_text(path, name)
+        if problem is None:
+            files[name] = text
+        else:
+            problems.append(problem)
+    return CollectedFiles(files, tuple(problems))
+
+
+def name_files(
+    directories: Sequence[Path],
+    problems: list[FileProblem],
+) -> dict[Path, str]:
+    """Return the name of each file; add a problem for an empty directory."""
+    names: dict[Path, str] = {}
+    for directory in directories:
+        paths = list(find_files(directory))
+        if not paths:
+            expected = f'a directory with a {FILE_NAME} in or below it'
+            problems.append(
+                FileProblem(str(directory), '', expected, 'none'),
+            )
+        for path in paths:
+            name = name_file(directory, path)
+            # Two directories of one name: the full path tells them apart.
+            taken = name in names.values()
+            names.setdefault(path, str(path) if taken else name)
+    return names
+
+
+def find_files(directory: Path) -> Iterator[Path]:
+    """Return resolved paths of the service files, sorted."""
+    root = directory.resolve()
+    for path in sorted(root.rglob(FILE_NAME)):
+        parents = path.relative_to(root).parts[:-1]
+        if not any(part.startswith('.') for part in parents):
+            yield path
+
+
+def name_file(directory: Path, path: Path) -> str:
+    """Return the name of a file in the configuration."""
+    root = directory.resolve()
+    return (Path(root.name) / path.relative_to(root)).as_posix()
+
+
+def read_text(path: Path, name: str) -> tuple[str, FileProblem | None]:
+    """Return the text of a file, or the problem that kept it unread."""
+    try:
+        return path.read_text(encoding='utf-8'), None
+    except UnicodeDecodeError as error:
+        found = f'byte {error.object[error.start]:#04x} at {error.start}'
+        return '', FileProblem(name, '', 'UTF-8 text', found)
+    except OSError as error:
+        found = str(error.strerror)
+        return '', FileProblem(name, '', 'a readable file', found)
--- /dev/null
+++ b/src/pollenloom/configuration/file_loader.py
@@ -0,0 +1,67 @@
+"""Turns the texts of service files into checked services."""
+
+from collections.abc import Mapping
+from datetime import datetime
+from functools import lru_cache
+from typing import NamedTuple
+
+from pollenloom.configuration.file_checks import NO_DATES, check_services
+from pollenloom.configuration.service_file import ServiceFile
+from pollenloom.core.ids import ServiceId
+from pollenloom.validation.file_problem import FileProblem
+from pollenloom.validation.toml_file import CheckedFile, check_text
+
+# A change usually touches one file, and parsing is the costly part of
+# accepting it. Twice the number of services at the target size.
+KEPT_FILES = 32
+
+
+class LoadedServices(NamedTuple):
+    """Services by id; only complete without problems."""
+
+    services: dict[ServiceId, ServiceFile]
+    problems: tuple[FileProblem, ...]
+
+
+@lru_cache(maxsize=KEPT_FILES)
+def load_file(file: str, text: str) -> CheckedFile[ServiceFile]:
+    """Check one file; results of recent texts are kept."""
+    return check_text(ServiceFile, file, text)
+
+
+def load_services(
+    files: Mapping[str, str],
+    now: float,
+    dates_in_force: Mapping[ServiceId, datetime] = NO_DATES,
+) -> LoadedServices:
+    """Check all files, one by one and as a whole.
+
+    Args:
+        files: Texts by file name.
+        now: Wall time, seconds since the Unix epoch.
+        dates_in_force: Shutdown dates that are already accepted.
+    """
+    problems: list[FileProblem] = []
+    valid: dict[str, ServiceFile] = {}
+    for file, text in sorted(files.items()):
+        checked = load_file(file, text)
+        problems.extend(checked.problems)
+        if checked.model is not None:
+            valid[file] = checked.model
+    problems.extend(check_services(valid, now, dates_in_force))
+    services = {service.service: service for service in valid.values()}
+    return LoadedServices(services, tuple(sorted(problems)))
+
+
+def load_accepted(files: Mapping[str, str]) -> dict[ServiceId, ServiceFile]:
+    """Return the services of files that were already accepted.
+
+    They are not judged again: the date may have passed since. A file that
+    this version cannot read is left out.
+    """
+    services = {}
+    for file, text in sorted(files.items()):
+        model = load_file(file, text).model
+        if model is not None:
+            services[model.service] = model
+    return services
--- /dev/null
+++ b/src/pollenloom/configuration/log_entries.py
@@ -0,0 +1,84 @@
+"""Records of the configuration in the platform's log."""
+
+import msgspec
+
+from pollenloom.core.ids import DataCentreId, Offset, PublishId, Revision, VmId
+from pollenloom.core.states import DataCentreState
+from pollenloom.platform.log_entry import LogEntry
+
+
+class ConfigurationChange(
+    LogEntry,
+    frozen=True,
+    kw_only=True,
+    tag='configuration_change',
+):
+    """What an operator publishes.
+
+    Attributes:
+        publish_id: Unique id, the same in all copies of a repeated append.
+        base_revision: Revision that the files were based on.
+        publisher: Who publishes.
+        files: Texts by file name; all files of the configuration.
+    """
+
+    publish_id: PublishId
+    base_revision: Revision
+    publisher: str
+    files: dict[str, str]
+
+
+class AcceptedPublish(msgspec.Struct, frozen=True, kw_only=True):
+    """An accepted change without its files."""
+
+    publish_id: PublishId
+    revision: Revision
+    publisher: str
+
+
+class ConfigurationSnapshot(
+    LogEntry,
+    frozen=True,
+    kw_only=True,
+    tag='configuration_snapshot',
+):
+    """The configuration in force, repeated before its change is trimmed.
+
+    Also the payload of the register `configuration`.
+
+    Attributes:
+        position: It includes all changes at lower offsets.
+        revision: Number of accepted changes; 0 is the empty start.
+        publish_id: Publish that made the revision.
+        publisher: Who published it.
+        files: Texts by file name.
+        recent: Latest accepted publishes, oldest first.
+    """
+
+    position: Offset
+    revision: Revision = Revision(0)
+    publish_id: PublishId = PublishId('')
+    publisher: str = ''
+    files: dict[str, str] = msgspec.field(default_factory=dict)
+    recent: tuple[AcceptedPublish, ...] = ()
+
+
+class DataCentreChange(
+    LogEntry,
+    frozen=True,
+    kw_only=True,
+    tag='data_centre_change',
+):
+    """State of a data centre as the operators set it.
+
+    Attributes:
+        data_centre: The data centre.
+        state: Whether it may receive new work.
+        counter: Version of the register, compared first.
+        origin: VM that the state was set on; breaks ties.
+    """
+
+    data_centre: DataCentreId
+    state: DataCentreState
+    counter: int
+    origin: VmId
--- a/src/pollenloom/configuration/service_file.py
+++ b/src/pollenloom/configuration/service_file.py
@@ -1,6 +1,7 @@
 """The short file beside a service's code."""
 
-from typing import Self
+from collections import Counter
+from typing import Annotated, Self
 
 from pydantic import (
     AwareDatetime,
@@ -16,6 +17,11 @@
 from pollenloom.core.ids import DataCentreId, ServiceId, VersionId
 from pollenloom.core.states import Resource
 
+VERSION_PATTERN = '^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$'
+
+DataCentreName = Annotated[DataCentreId, Field(pattern=NAME_PATTERN)]
+VersionName = Annotated[VersionId, Field(pattern=VERSION_PATTERN)]
+
 
 class ServiceFile(BaseModel):
     """What operators state about one service.
@@ -38,8 +44,8 @@
     service: ServiceId = Field(pattern=NAME_PATTERN)
     resource: Resource
     shutdown_date: AwareDatetime
-    data_centres: tuple[DataCentreId, ...] = Field(min_length=1)
-    versions: tuple[VersionId, ...] = Field(min_length=1)
+    data_centres: tuple[DataCentreName, ...] = Field(min_length=1)
+    versions: tuple[VersionName, ...] = Field(min_length=1)
     cross_data_centre: bool = True
     deduplicates: bool = False
     accounts: tuple[AccountEntry, ...] = Field(min_length=1)
@@ -49,9 +55,10 @@
     @model_validator(mode='after')
     def check_consistency(self) -> Self:
         """Reject doubled names and versions that a move does not find."""
-        names = [account.name for account in self.accounts]
-        if len(set(names)) < len(names):
-            raise ValueError('a client account is listed twice')
+        counts = Counter(account.name for account in self.accounts)
+        doubled = sorted(name for name, count in counts.items() if count > 1)
+        if doubled:
+            raise ValueError(f'accounts listed twice: {", ".join(doubled)}')
         if self.resource is Resource.APPLICATION and not self.routes:
             raise ValueError('an application needs at least one route')
         if self.move is None:
