--- a/src/pollenloom/platform/log_tail.py
+++ b/src/pollenloom/platform/log_tail.py
@@ -39,6 +39,15 @@
         was read before is not handed out again.
         """
 
+    @abstractmethod
+    def watch_gaps(self, listener: Callable[[Offset], None]) -> None:
+        """Call `listener(earliest)` when records were missed.
+
+        That is when all records below `earliest` were trimmed before this
+        VM had read them, also at its first read of a trimmed log. The next
+        record handed out is at `earliest` or above.
+        """
+
     @abstractmethod
     async def read_until(self, offset: Offset) -> Result[Offset, Failure]:
         """Read until the record at `offset` has been handed out.
@@ -65,8 +74,8 @@
     def earliest_retained_at(self) -> float | None:
         """Platform time since which no record has been missed.
 
-        That is the time of the earliest retained record, at second
-        resolution rounded up, or 0 if the log still has all its records.
+        That is the time of the earliest retained record, rounded up
+        to 5 s, or 0 if the log still has all its records.
         None before the first read and if all records have been trimmed.
         """
 
--- /dev/null
+++ b/tests/fakes/memory_platform.py
@@ -0,0 +1,109 @@
+"""The platform in memory, with the faults that it may show."""
+
+from collections import deque
+from enum import Enum, auto
+
+from expression import Error, Ok, Result
+
+from pollenloom.core.error_kind import ErrorKind
+from pollenloom.core.failure import Failure
+from pollenloom.core.ids import Offset
+from pollenloom.kernel.clock import Clock
+from pollenloom.platform.log_page import LogPage, LogRecord
+from pollenloom.platform.platform import Platform
+from pollenloom.platform.vm_entry import VmEntry, VmList
+
+
+class AppendFault(Enum):
+    """What happens to an append."""
+
+    NONE = auto()
+    REFUSED = auto()
+    LOST_BEFORE = auto()
+    LOST_AFTER = auto()
+
+
+class MemoryPlatform(Platform):
+    """A log and a VM list shared by the clients of a test.
+
+    Attributes:
+        down: Whether all calls fail without effect.
+        faults: Faults of the next appends; none once they are used up.
+    """
+
+    def __init__(self, clock: Clock, retention_seconds: float = 3600) -> None:
+        self.clock = clock
+        self.retention_seconds = retention_seconds
+        self.down = False
+        self.faults: deque[AppendFault] = deque()
+        self.records: list[LogRecord] = []
+        self.end = Offset(0)
+        self.vms: tuple[VmEntry, ...] = ()
+        self.reads = 0
+
+    async def start(self) -> None:
+        """Nothing to start."""
+
+    async def stop(self) -> None:
+        """Nothing to stop."""
+
+    async def append(self, payload: bytes) -> Result[Offset, Failure]:
+        """Append a record, or show the next fault."""
+        fault = self.faults.popleft() if self.faults else AppendFault.NONE
+        if self.down or fault is AppendFault.REFUSED:
+            return Error(Failure(ErrorKind.PLATFORM_UNAVAILABLE, 'down'))
+        if fault is AppendFault.LOST_BEFORE:
+            return Error(Failure(ErrorKind.PLATFORM_UNKNOWN, 'lost'))
+        offset = self.add(payload)
+        if fault is AppendFault.LOST_AFTER:
+            return Error(Failure(ErrorKind.PLATFORM_UNKNOWN, 'lost'))
+        return Ok(offset)
+
+    async def read(
+        self,
+        start: Offset,
+        limit: int,
+    ) -> Result[LogPage, Failure]:
+        """Return retained records."""
+        self.reads += 1
+        if self.down:
+            return Error(Failure(ErrorKind.PLATFORM_UNAVAILABLE, 'down'))
+        self.trim()
+        found = [record for record in self.records if record.offset >= start][
+            :limit
+        ]
+        following = Offset(found[-1].offset + 1) if found else self.end
+        return Ok(
+            LogPage(
+                records=tuple(found),
+                earliest=self.records[0].offset if self.records else self.end,
+                next=following,
+                end=self.end,
+                retention_seconds=self.retention_seconds,
+            )
+        )
+
+    async def list_vms(self) -> Result[VmList, Failure]:
+        """Return the list as the test set it."""
+        if self.down:
+            return Error(Failure(ErrorKind.PLATFORM_UNAVAILABLE, 'down'))
+        return Ok(VmList(as_of=self.clock.wall(), vms=self.vms))
+
+    def add(self, payload: bytes) -> Offset:
+        """Append a record without faults."""
+        offset = self.end
+        record = LogRecord(
+            offset=offset,
+            appended_at=self.clock.wall(),
+            payload=payload,
+        )
+        self.records.append(record)
+        self.end = Offset(offset + 1)
+        return offset
+
+    def trim(self) -> None:
+        """Drop records that are older than the retention time."""
+        oldest = self.clock.wall() - self.retention_seconds
+        self.records = [
+            record for record in self.records if record.appended_at >= oldest
+        ]
--- /dev/null
+++ b/tests/fakes/router.py
@@ -0,0 +1,97 @@
+"""Router processes of a test, on one event loop and one platform."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from pollenloom.kernel.kernel import Kernel
+from pollenloom.kernel.kernel_service import KernelService
+from pollenloom.membership.member import Member
+from pollenloom.observability.event_log import EventLog
+from pollenloom.platform.log_reader import LogReader
+from tests.fakes.memory_membership import MemoryMembership, make_member
+from tests.fakes.memory_platform import MemoryPlatform
+from tests.fakes.memory_registers import MemoryRegisters
+from tests.manual_clock import ManualClock
+
+POLL_SECONDS = 0.01
+WAIT_SECONDS = 20
+
+
+@dataclass
+class Router:
+    """Services of one VM."""
+
+    kernel: Kernel
+    registers: MemoryRegisters
+    log: LogReader
+
+    @property
+    def event_names(self) -> list[str]:
+        """Names of the recorded events, oldest first."""
+        events = self.kernel.find(EventLog.name, EventLog).events
+        return [event.name for event in events]
+
+
+@dataclass
+class Fleet:
+    """Routers that share a clock and a platform."""
+
+    clock: ManualClock
+    platform: MemoryPlatform
+    members: list[Member] = field(default_factory=list)
+    routers: list[Router] = field(default_factory=list)
+
+    async def start(
+        self,
+        vm: str,
+        data_centre: str = 'enschede',
+        more: Sequence[Callable[[Kernel], KernelService]] = (),
+    ) -> Router:
+        """Start a router that all others are connected to."""
+        member = make_member(vm, data_centre)
+        self.members.append(member)
+        kernel = Kernel(self.clock)
+        registers = MemoryRegisters()
+        log = LogReader(kernel, POLL_SECONDS)
+        services = (
+            EventLog(self.clock),
+            MemoryMembership(member, self.members),
+            registers,
+            self.platform,
+            log,
+            *(make(kernel) for make in more),
+        )
+        for service in services:
+            kernel.register(service)
+        await kernel.start()
+        for other in self.routers:
+            registers.connect(other.registers)
+        router = Router(kernel, registers, log)
+        self.routers.append(router)
+        return router
+
+    async def kill(self, router: Router) -> None:
+        """End a router; the others notice at once."""
+        position = self.routers.index(router)
+        self.routers.pop(position)
+        self.members.pop(position)
+        for other in self.routers:
+            other.registers.links.remove(router.registers)
+        await router.kernel.stop()
+
+    async def stop(self) -> None:
+        """End all routers."""
+        for router in tuple(self.routers):
+            await self.kill(router)
+
+
+async def until(condition: Callable[[], object]) -> None:
+    """Wait for a condition.
+
+    Raises:
+        TimeoutError: If it does not hold in time.
+    """
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not condition():
+            await asyncio.sleep(POLL_SECONDS)
