--- a/src/pollenloom/platform/log_reader.py
+++ b/src/pollenloom/platform/log_reader.py
@@ -16,6 +16,7 @@
 from pollenloom.platform.log_subscribers import LogSubscribers
 from pollenloom.platform.log_tail import EntryT, LogTail
 from pollenloom.platform.platform import Platform
+from pollenloom.platform.reachability import Reachability
 from pollenloom.platform.reader_group import ReaderGroup
 from pollenloom.platform.retained_time import RetainedTime
 from pollenloom.platform.vm_list_reader import VmListReader
@@ -37,7 +38,6 @@
         self.subscribers = LogSubscribers()
         self.next_offset = Offset(0)
         self.at_end = False
-        self.reachable = True
         self.retained = RetainedTime()
         self.reading = asyncio.Lock()
 
@@ -58,6 +58,7 @@
         )
         self.events = self.kernel.find(KernelServiceName.EVENTS, EventLog)
         self.group = ReaderGroup.from_kernel(self.kernel)
+        self.reachability = Reachability(self.events, self.group.own)
         vm_lists = VmListReader(self.platform, self.group)
         self.kernel.spawn('log reader', self.follow())
         self.kernel.spawn('VM list reader', vm_lists.follow())
@@ -145,12 +146,11 @@
     async def read_page(self) -> Result[LogPage, Failure]:
         """Read one page and hand out its records."""
         answer = await self.platform.read(self.next_offset, PAGE_RECORDS)
+        self.reachability.note(reachable=answer.is_ok())
         if answer.is_ok():
-            self.note_reachable('platform_reachable', reachable=True)
             self.take_page(answer.ok)
         else:
             self.at_end = False
-            self.note_reachable('platform_unreachable', reachable=False)
         return answer
 
     def take_page(self, page: LogPage) -> None:
@@ -171,9 +171,3 @@
         self.next_offset = max(self.next_offset, page.next)
         self.retained.trim(page.earliest)
         self.at_end = self.next_offset >= page.end
-
-    def note_reachable(self, event_name: str, *, reachable: bool) -> None:
-        """Record when the platform goes and when it comes back."""
-        if reachable is not self.reachable:
-            self.reachable = reachable
-            self.events.record(event_name, self.group.own)
