Add stand-ins for the platform, engines and applications

The end-to-end path needs outside systems that can fail on demand. Each stand-in is a kernel with an HTTP listener and services: the platform has the log, the VM list and lost answers; the engine has the OpenAI form with tokens computed from the prompt, a batching model, a prefix cache, fencing and resume; the application lists every order it runs. The stand-in names join KernelServiceName.

--- a/src/pollenloom/kernel/kernel_service_name.py
+++ b/src/pollenloom/kernel/kernel_service_name.py
@@ -19,3 +19,9 @@
     PEERS = 'peers'
     PLATFORM = 'platform'
     REGISTERS = 'registers'
+    # Services of the stand-ins in `pollenloom_standins`.
+    STANDIN_BACKEND = 'standin_backend'
+    STANDIN_CONTROL = 'standin_control'
+    STANDIN_HTTP = 'standin_http'
+    STANDIN_PLATFORM = 'standin_platform'
+    STANDIN_RELAY = 'standin_relay'
--- /dev/null
+++ b/src/pollenloom_standins/__main__.py
@@ -0,0 +1,34 @@
+"""Command line of the stand-ins."""
+
+from dataclasses import dataclass
+
+import cappa
+
+from pollenloom_standins.commands.application_command import (
+    ApplicationCommand,
+)
+from pollenloom_standins.commands.engine_command import EngineCommand
+from pollenloom_standins.commands.platform_command import PlatformCommand
+
+
+@cappa.command(name='pollenloom-standins')
+@dataclass
+class StandinsCommand:
+    """Stand-ins for outside systems, for development and tests.
+
+    Attributes:
+        command: The stand-in to run.
+    """
+
+    command: cappa.Subcommands[
+        PlatformCommand | EngineCommand | ApplicationCommand
+    ]
+
+
+def main() -> None:
+    """Run a stand-in until it is terminated."""
+    cappa.invoke(StandinsCommand)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/pollenloom_standins/application/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for an application's backend server."""
--- /dev/null
+++ b/src/pollenloom_standins/application/application_answer.py
@@ -0,0 +1,23 @@
+"""Answers of the application stand-in."""
+
+import msgspec
+
+
+class ApplicationAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Echo of a request.
+
+    Attributes:
+        request_id: Value of `X-Request-Id`.
+        method: Method of the request.
+        path: Path of the request with its query.
+        body: Body of the request as text; other bytes are replaced.
+        run: Number of the run on this server.
+        version: Version of the service.
+    """
+
+    request_id: str
+    method: str
+    path: str
+    body: str
+    run: int
+    version: str
--- /dev/null
+++ b/src/pollenloom_standins/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity, faults and records shared by both backend stand-ins."""
--- /dev/null
+++ b/src/pollenloom_standins/backend/backend_control.py
@@ -0,0 +1,106 @@
+"""Load report, cancelling and control of a backend server's stand-in."""
+
+from typing import TYPE_CHECKING, ClassVar
+
+from aiohttp import web
+
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom_standins.backend.backend_reports import (
+    CancelReport,
+    HistoryReport,
+    StateReport,
+)
+from pollenloom_standins.backend.backend_service import BackendService
+from pollenloom_standins.serving.json_answers import json_answer, read_changes
+from pollenloom_standins.serving.route_source import RouteSource
+
+if TYPE_CHECKING:
+    from pollenloom.kernel.kernel import Kernel
+
+
+class BackendControl(RouteSource):
+    """Answers calls about a backend server, not for its service."""
+
+    name: ClassVar[KernelServiceName] = KernelServiceName.STANDIN_CONTROL
+
+    def __init__(self, kernel: 'Kernel') -> None:
+        self.kernel = kernel
+
+    @property
+    def backend(self) -> BackendService:
+        """The service that this controls."""
+        return self.kernel.find(
+            KernelServiceName.STANDIN_BACKEND,
+            BackendService,  # type: ignore[type-abstract]
+        )
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes that both kinds of backend server have."""
+        return [
+            web.get('/load', self.report_load),
+            web.post('/cancel/{request_id}', self.cancel),
+            web.get('/control/faults', self.report_faults),
+            web.put('/control/faults', self.change_faults),
+            web.get('/control/history', self.report_history),
+            web.get('/control/state', self.report_state),
+        ]
+
+    async def report_load(self, _request: web.Request) -> web.Response:
+        """Return the load as it was some time ago."""
+        backend = self.backend
+        await backend.switches.thawed.wait()
+        report = backend.meter.report(
+            self.kernel.clock.monotonic(),
+            self.kernel.clock.wall(),
+            backend.switches.faults.load_lag_seconds,
+        )
+        return json_answer(report)
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Cancel the runs of a request id."""
+        backend = self.backend
+        await backend.switches.thawed.wait()
+        tasks = backend.history.tasks_of(request.match_info['request_id'])
+        cancelled = sum(task.cancel() for task in tasks)
+        return json_answer(CancelReport(cancelled))
+
+    async def report_faults(self, _request: web.Request) -> web.Response:
+        """Return the faults in force."""
+        return json_answer(self.backend.switches.faults)
+
+    async def change_faults(self, request: web.Request) -> web.Response:
+        """Change the faults that the body names."""
+        backend = self.backend
+        faults = await read_changes(request, backend.switches.faults)
+        now = self.kernel.clock.monotonic()
+        if faults.turn_cold:
+            backend.capacity.turn_cold(now)
+        backend.switches.put(faults)
+        backend.meter.leaving = faults.leaving
+        backend.meter.note(now)
+        return json_answer(backend.switches.faults)
+
+    async def report_history(self, request: web.Request) -> web.Response:
+        """Return the runs, all or those of one request id."""
+        wanted = request.query.get('request_id')
+        runs = tuple(
+            record
+            for record in self.backend.history.records
+            if wanted in {None, record.request_id}
+        )
+        return json_answer(HistoryReport(runs))
+
+    async def report_state(self, _request: web.Request) -> web.Response:
+        """Return the load without lag, and counts."""
+        backend = self.backend
+        clock = self.kernel.clock
+        return json_answer(
+            StateReport(
+                load=backend.meter.report(clock.monotonic(), clock.wall(), 0),
+                runs=len(backend.history.records),
+                peak_running=backend.capacity.peak_running,
+                peak_running_cold=backend.capacity.peak_running_cold,
+                cold_overloads=backend.capacity.cold_overloads,
+                refusals=dict(backend.refusals),
+            ),
+        )
--- /dev/null
+++ b/src/pollenloom_standins/backend/run_history.py
@@ -0,0 +1,82 @@
+"""Records of what a backend server ran."""
+
+import asyncio
+from collections import deque
+from enum import Enum, unique
+from typing import Any, Final
+
+import msgspec
+
+RunTask = asyncio.Task[Any]
+
+KEPT_RECORDS: Final = 200_000
+
+
+@unique
+class RunOutcome(Enum):
+    """How a run ended."""
+
+    RUNNING = 'running'
+    SERVED = 'served'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+    CUT = 'cut'
+
+
+class RunRecord(msgspec.Struct, kw_only=True):
+    """One run of a request; a repeated request has several.
+
+    Attributes:
+        request_id: Value of `X-Request-Id`.
+        account: Value of `X-Account`, if given.
+        path: Path of the request.
+        fencing_number: Value of `X-Fencing-Number`, 0 without.
+        started: Wall time, seconds since the Unix epoch.
+        ended: Wall time, 0 while it runs.
+        outcome: How it ended.
+        tokens: Tokens generated; 0 for an application.
+        cold: Whether the server was cold when it started.
+        running: Requests in progress when it started, with this one.
+    """
+
+    request_id: str
+    account: str
+    path: str
+    fencing_number: int
+    started: float
+    ended: float = 0
+    outcome: RunOutcome = RunOutcome.RUNNING
+    tokens: int = 0
+    cold: bool = False
+    running: int = 0
+
+    def end(self, outcome: RunOutcome, wall: float) -> None:
+        """Set the end, unless an injected fault has set it before."""
+        if self.outcome is RunOutcome.RUNNING:
+            self.outcome = outcome
+        self.ended = wall
+
+
+class RunHistory:
+    """Keeps the latest runs and the tasks of those in progress."""
+
+    def __init__(self) -> None:
+        self.records: deque[RunRecord] = deque(maxlen=KEPT_RECORDS)
+        self.tasks: dict[str, set[RunTask]] = {}
+
+    def add_task(self, request_id: str, task: RunTask | None) -> None:
+        """Add a task that runs a request."""
+        if task is not None:
+            self.tasks.setdefault(request_id, set()).add(task)
+
+    def tasks_of(self, request_id: str) -> tuple[RunTask, ...]:
+        """Return the tasks that run a request."""
+        return tuple(self.tasks.get(request_id, ()))
+
+    def forget_task(self, request_id: str, task: RunTask | None) -> None:
+        """Forget a task that ended."""
+        tasks = self.tasks.get(request_id, set())
+        if task is not None:
+            tasks.discard(task)
+        if not tasks:
+            self.tasks.pop(request_id, None)
--- /dev/null
+++ b/src/pollenloom_standins/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of the stand-ins."""
--- /dev/null
+++ b/src/pollenloom_standins/commands/backend_options.py
@@ -0,0 +1,84 @@
+"""Options that both kinds of backend server have."""
+
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+
+from pollenloom_standins.backend.backend_settings import BackendSettings
+from pollenloom_standins.backend.capacity_model import (
+    CapacityLimits,
+    ColdOverload,
+)
+from pollenloom_standins.backend.fencing import FencingMode
+from pollenloom_standins.backend.version_behaviour import (
+    BadKind,
+    VersionFaults,
+)
+
+
+@dataclass
+class BackendOptions:
+    """Address, capacity and version of a backend server.
+
+    Attributes:
+        listen: Address to listen on.
+        slots: Requests that it bears when warm.
+        cold_slots: Requests that it bears when cold.
+        cold_seconds: Length of a cold start; 0 starts warm.
+        cold_overload: What it does above the cold slots.
+        full_at: Requests in progress at which it refuses more.
+        fencing: Whether old fencing numbers are refused.
+        load_lag_seconds: Age of the load report.
+        version: Version of the service.
+        bad_kind: How the version goes wrong.
+        bad_after: Requests that the version handles well first.
+        bad_route: Text in the path of requests that go wrong.
+        bad_above_load: Requests in progress above which it goes wrong.
+        bad_fraction: Fraction of such requests that go wrong.
+        slow_factor: Factor on the time of requests with `bad-kind slow`.
+        seed: Seed of faults given as fractions.
+    """
+
+    listen: Annotated[str, cappa.Arg(long=True)] = '127.0.0.1:0'
+    slots: Annotated[int, cappa.Arg(long=True)] = 8
+    cold_slots: Annotated[int, cappa.Arg(long=True)] = 2
+    cold_seconds: Annotated[float, cappa.Arg(long=True)] = 0
+    cold_overload: Annotated[ColdOverload, cappa.Arg(long=True)] = (
+        ColdOverload.FAIL
+    )
+    full_at: Annotated[int, cappa.Arg(long=True)] = 64
+    fencing: Annotated[FencingMode, cappa.Arg(long=True)] = FencingMode.REFUSE
+    load_lag_seconds: Annotated[float, cappa.Arg(long=True)] = 0.5
+    version: Annotated[str, cappa.Arg(long=True)] = 'v1'
+    bad_kind: Annotated[BadKind, cappa.Arg(long=True)] = BadKind.NONE
+    bad_after: Annotated[int, cappa.Arg(long=True)] = 0
+    bad_route: Annotated[str, cappa.Arg(long=True)] = ''
+    bad_above_load: Annotated[int, cappa.Arg(long=True)] = 0
+    bad_fraction: Annotated[float, cappa.Arg(long=True)] = 1
+    slow_factor: Annotated[float, cappa.Arg(long=True)] = 5
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+
+    def backend_settings(self) -> BackendSettings:
+        """Return the options as settings of the service."""
+        return BackendSettings(
+            version=self.version,
+            limits=CapacityLimits(
+                slots=self.slots,
+                cold_slots=self.cold_slots,
+                cold_seconds=self.cold_seconds,
+                full_at=self.full_at,
+                cold_overload=self.cold_overload,
+            ),
+            fencing=self.fencing,
+            version_faults=VersionFaults(
+                kind=self.bad_kind,
+                after=self.bad_after,
+                route=self.bad_route,
+                above_load=self.bad_above_load,
+                fraction=self.bad_fraction,
+                slow_factor=self.slow_factor,
+            ),
+            load_lag_seconds=self.load_lag_seconds,
+            seed=self.seed,
+        )
--- /dev/null
+++ b/src/pollenloom_standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for a model engine."""
--- /dev/null
+++ b/src/pollenloom_standins/engine/cache_events.py
@@ -0,0 +1,99 @@
+"""Cache events, published late and with gaps."""
+
+import random
+from collections import deque
+from enum import Enum, unique
+from typing import Final
+
+import msgspec
+
+from pollenloom_standins.engine.prefix_cache import CacheChange
+
+KEPT_EVENTS: Final = 10_000
+
+
+@unique
+class CacheEventKind(Enum):
+    """What happened to prefixes."""
+
+    STORED = 'stored'
+    EVICTED = 'evicted'
+
+
+class CacheEvent(msgspec.Struct, frozen=True, kw_only=True):
+    """One event; lost events leave a gap in the sequence.
+
+    Attributes:
+        sequence: Number of the event.
+        at: Monotonic seconds of the engine.
+        kind: What happened.
+        hashes: 64-bit hashes of prefixes.
+    """
+
+    sequence: int
+    at: float
+    kind: CacheEventKind
+    hashes: tuple[int, ...]
+
+
+class CacheEventPage(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to `GET /cache-events?from=n`.
+
+    Attributes:
+        events: Events from `n` on that are old enough.
+        next: Number to ask for next.
+    """
+
+    events: tuple[CacheEvent, ...]
+    next: int
+
+
+class CacheEventLog:
+    """Keeps the latest cache events."""
+
+    def __init__(
+        self,
+        lag_seconds: float,
+        lost_fraction: float,
+        seed: int = 1,
+    ) -> None:
+        self.lag_seconds = lag_seconds
+        self.lost_fraction = lost_fraction
+        self.random = random.Random(seed)
+        self.events: deque[CacheEvent] = deque(maxlen=KEPT_EVENTS)
+        self.sequence = 0
+
+    def add(self, change: CacheChange, now: float) -> None:
+        """Add the events of a change."""
+        self.add_event(CacheEventKind.STORED, change.stored, now)
+        self.add_event(CacheEventKind.EVICTED, change.evicted, now)
+
+    def add_event(
+        self,
+        kind: CacheEventKind,
+        hashes: tuple[int, ...],
+        now: float,
+    ) -> None:
+        """Add an event, or lose it."""
+        if not hashes:
+            return
+        event = CacheEvent(
+            sequence=self.sequence,
+            at=now,
+            kind=kind,
+            hashes=hashes,
+        )
+        self.sequence += 1
+        if self.random.random() >= self.lost_fraction:
+            self.events.append(event)
+
+    def page(self, start: int, now: float) -> CacheEventPage:
+        """Return events from a number on that readers can see by now."""
+        limit = now - self.lag_seconds
+        events = tuple(
+            event
+            for event in self.events
+            if event.sequence >= start and event.at <= limit
+        )
+        following = events[-1].sequence + 1 if events else start
+        return CacheEventPage(events=events, next=following)
--- /dev/null
+++ b/src/pollenloom_standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the platform's log and VM list."""
--- /dev/null
+++ b/src/pollenloom_standins/relay/__init__.py
@@ -0,0 +1,1 @@
+"""TCP forwarder that simulates network partitions."""
--- /dev/null
+++ b/src/pollenloom_standins/serving/listen_address.py
@@ -0,0 +1,28 @@
+"""Addresses given on the command line."""
+
+from dataclasses import dataclass
+from typing import Self
+
+
+@dataclass(frozen=True, slots=True)
+class ListenAddress:
+    """An IP number and a port; port 0 lets the system choose."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> Self:
+        """Parse `host:port`.
+
+        Raises:
+            ValueError: If the text has another form.
+        """
+        host, separator, port = text.rpartition(':')
+        if not separator or not host or not port.isdecimal():
+            raise ValueError(f'{text!r} is not host:port')
+        return cls(host, int(port))
+
+    def __str__(self) -> str:
+        """Return `host:port`."""
+        return f'{self.host}:{self.port}'
