--- /dev/null
+++ b/src/pollenloom/dispatch/dispatch.py
@@ -0,0 +1,52 @@
+"""Interface of the service that sends requests to backend servers."""
+
+from abc import abstractmethod
+from typing import ClassVar
+
+from expression import Result
+
+from pollenloom.core.caller_request import CallerRequest
+from pollenloom.core.failure import Failure
+from pollenloom.dispatch.backend_answer import BackendAnswer
+from pollenloom.dispatch.event_sink import EventSink
+from pollenloom.kernel.kernel_service import KernelService
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+
+
+class Dispatch(KernelService):
+    """Sends requests under grants and retries where that is safe."""
+
+    name: ClassVar[KernelServiceName] = KernelServiceName.DISPATCH
+
+    @abstractmethod
+    async def call(
+        self,
+        request: CallerRequest,
+    ) -> Result[BackendAnswer, Failure]:
+        """Return the whole answer to a request, kept in memory.
+
+        A request with `repeatable` false is sent a second time only if the
+        first attempt was proven not run. Cancelling the call cancels the
+        request at the backend server.
+
+        Errors:
+            ORDER_OUTCOME_UNKNOWN if a request that may not be repeated may
+            have been run; RETRIES_EXHAUSTED, BACKEND_FAILED, ANSWER_CUT,
+            DEADLINE_EXCEEDED and the errors of `Admission.acquire`.
+        """
+
+    @abstractmethod
+    async def stream(
+        self,
+        request: CallerRequest,
+        sink: EventSink,
+    ) -> Result[BackendAnswer, Failure]:
+        """Relay an event stream to `sink`; resume it if it is cut.
+
+        The sink gets nothing if the backend server answers without a stream,
+        such as with 400: the answer is then returned with its body. After a
+        complete stream the returned body is empty.
+
+        Errors:
+            As `call`. Events may have been relayed before the failure.
+        """
