Serve callers' HTTP and send requests to backend servers

Cause: the end-to-end demo needs a path from a caller to a backend server. Change: CallerServer on Sanic with model routes and applications, Dispatcher with the retry loop and resumed streams, HttpBackendClient on aiohttp, retry budget, and settings for dispatch and graceful shutdown.

--- a/src/pollenloom/core/caller_request.py
+++ b/src/pollenloom/core/caller_request.py
@@ -2,13 +2,10 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from types import MappingProxyType
 
 from pollenloom.core.ids import AccountId, RequestId, RouteId, ServiceId
 from pollenloom.core.states import Resource
 
-NO_HEADERS: Mapping[str, str] = MappingProxyType({})
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallerRequest:
@@ -43,7 +40,7 @@
     method: str
     path: str
     body: bytes = b''
-    headers: Mapping[str, str] = field(default=NO_HEADERS)
+    headers: Mapping[str, str] = field(default_factory=dict)
     idempotency_key: str | None = None
     streaming: bool = False
     prefix_hashes: tuple[int, ...] = ()
--- /dev/null
+++ b/src/pollenloom/dispatch/backend_client.py
@@ -0,0 +1,49 @@
+"""Interface of the clients of backend servers."""
+
+from abc import ABC, abstractmethod
+
+from expression import Result
+
+from pollenloom.dispatch.attempt_failure import AttemptFailure
+from pollenloom.dispatch.backend_answer import BackendAnswer
+from pollenloom.dispatch.backend_call import BackendCall
+from pollenloom.dispatch.event_relay import EventRelay
+from pollenloom.dispatch.grant_use import GrantUse
+
+
+class BackendClient(ABC):
+    """Sends one request to one backend server, once."""
+
+    @abstractmethod
+    async def fetch(
+        self,
+        call: BackendCall,
+        use: GrantUse,
+    ) -> Result[BackendAnswer, AttemptFailure]:
+        """Send a request and read the whole answer.
+
+        Cancelling the call closes the connection to the server.
+        """
+
+    @abstractmethod
+    async def relay(
+        self,
+        call: BackendCall,
+        use: GrantUse,
+        relay: EventRelay,
+    ) -> Result[BackendAnswer, AttemptFailure]:
+        """Send a request and relay the events of its answer.
+
+        An answer that is no event stream is returned with its body.
+
+        Raises:
+            CallerLeftError: If the caller no longer reads the events.
+        """
+
+    @abstractmethod
+    async def cancel(self, call: BackendCall) -> None:
+        """Tell the server to give up a request; failures are ignored."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close all connections."""
--- /dev/null
+++ b/src/pollenloom/dispatch/dispatcher.py
@@ -0,0 +1,287 @@
+"""Sending of requests under grants, with retries and resumed streams."""
+
+import asyncio
+from contextlib import ExitStack
+from typing import Final
+
+from expression import Error, Ok, Result
+
+from pollenloom.admission.admission import Admission
+from pollenloom.admission.grant import Grant
+from pollenloom.core.caller_request import CallerRequest
+from pollenloom.core.error_kind import ErrorKind
+from pollenloom.core.failure import Failure
+from pollenloom.core.states import Outcome, Resource, RunStatus
+from pollenloom.dispatch.attempt_failure import AttemptFailure
+from pollenloom.dispatch.backend_answer import BackendAnswer
+from pollenloom.dispatch.backend_call import BackendCall
+from pollenloom.dispatch.backend_client import BackendClient
+from pollenloom.dispatch.caller_left_error import CallerLeftError
+from pollenloom.dispatch.delivery import Delivery
+from pollenloom.dispatch.delivery_cost import served_cost, unserved_cost
+from pollenloom.dispatch.dispatch import Dispatch
+from pollenloom.dispatch.event_relay import EventRelay
+from pollenloom.dispatch.event_sink import EventSink
+from pollenloom.dispatch.grant_use import GrantUse
+from pollenloom.dispatch.http_backend_client import HttpBackendClient
+from pollenloom.dispatch.retry_budget import RetryBudget
+from pollenloom.kernel.kernel import Kernel
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.observability.event_log import EventLog
+from pollenloom.settings.router_settings import (
+    DispatchSettings,
+    RouterSettings,
+)
+
+# Pause before a server that refused is tried again because there is no other.
+BACKOFF_SECONDS: Final = 0.05
+
+# Several grants in a row that come too late show a router that is too slow.
+MAX_UNUSED_GRANTS: Final = 8
+
+AttemptResult = Result[BackendAnswer, AttemptFailure]
+
+
+class Dispatcher(Dispatch):
+    """Retry loop between admission and the backend servers."""
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        client: BackendClient,
+        budget: RetryBudget,
+        settings: DispatchSettings,
+    ) -> None:
+        self.kernel = kernel
+        self.client = client
+        self.budget = budget
+        self.settings = settings
+
+    @classmethod
+    def from_config(
+        cls,
+        kernel: Kernel,
+        settings: RouterSettings,
+    ) -> 'Dispatcher':
+        """Make a dispatcher that sends over HTTP."""
+        dispatch = settings.dispatch
+        return cls(
+            kernel,
+            HttpBackendClient(kernel.clock, dispatch),
+            RetryBudget(dispatch.retry_ratio, dispatch.retry_reserve),
+            dispatch,
+        )
+
+    async def start(self) -> None:
+        """Find the services that every request needs."""
+        self.admission = self.kernel.find(
+            KernelServiceName.ADMISSION,
+            Admission,
+        )
+        self.events = self.kernel.find(KernelServiceName.EVENTS, EventLog)
+
+    async def stop(self) -> None:
+        """Close the connections to the backend servers."""
+        await self.client.close()
+
+    async def call(
+        self,
+        request: CallerRequest,
+    ) -> Result[BackendAnswer, Failure]:
+        """Return the whole answer to a request."""
+        return await self.deliver(Delivery(request, None))
+
+    async def stream(
+        self,
+        request: CallerRequest,
+        sink: EventSink,
+    ) -> Result[BackendAnswer, Failure]:
+        """Relay an event stream; resume it if it is cut."""
+        delivery = Delivery(request, EventRelay(sink))
+        try:
+            return await self.deliver(delivery)
+        except CallerLeftError:
+            return Error(Failure(ErrorKind.CALLER_LEFT, 'the caller left'))
+
+    async def deliver(
+        self,
+        delivery: Delivery,
+    ) -> Result[BackendAnswer, Failure]:
+        """Acquire grants and send until there is an answer or no hope."""
+        self.budget.count_request(self.kernel.clock.monotonic())
+        while True:
+            acquired = await self.admission.acquire(delivery.ticket())
+            if acquired.is_error():
+                if await self.wait_for_refusers(delivery, acquired.error):
+                    continue
+                return delivery.give_up(acquired.error)
+            grant = acquired.ok
+            attempt = await self.attempt(delivery, grant)
+            if attempt.is_ok():
+                return Ok(attempt.ok)
+            failure = attempt.error
+            delivery.note_failure(grant.server.server, failure)
+            if not self.take_retry(delivery, failure):
+                return delivery.finish(failure)
+
+    async def wait_for_refusers(
+        self,
+        delivery: Delivery,
+        failure: Failure,
+    ) -> bool:
+        """Allow the servers that refused again if there are no others."""
+        if failure.kind is not ErrorKind.NO_CAPACITY or not delivery.excluded:
+            return False
+        delivery.excluded.clear()
+        await asyncio.sleep(BACKOFF_SECONDS * delivery.attempts)
+        return True
+
+    async def attempt(
+        self,
+        delivery: Delivery,
+        grant: Grant,
+    ) -> AttemptResult:
+        """Use a grant for one attempt and settle it, whatever happens."""
+        use = GrantUse(
+            grant,
+            self.kernel.clock.monotonic(),
+            delivery.relayed_events,
+        )
+        with ExitStack() as stack:
+            stack.callback(self.settle, delivery, use)
+            return await self.send(delivery, use)
+
+    def settle(self, delivery: Delivery, use: GrantUse) -> None:
+        """Settle a grant and cancel the request if it is still running."""
+        now = self.kernel.clock.monotonic()
+        if use.outcome is not Outcome.SERVED:
+            use.cost = unserved_cost(delivery, use)
+        self.admission.settle(use.settlement(now))
+        self.cancel_unanswered(delivery, use, now)
+
+    async def send(self, delivery: Delivery, use: GrantUse) -> AttemptResult:
+        """Check that the grant may still be used, then send."""
+        now = self.kernel.clock.monotonic()
+        unused = find_obstacle(delivery, use.grant, now)
+        if unused is not None:
+            use.outcome = Outcome.UNUSED
+            return Error(unused)
+        call = make_call(delivery, use.grant, now)
+        delivery.attempts += 1
+        if delivery.relay is None:
+            attempt = await self.client.fetch(call, use)
+        else:
+            attempt = await self.client.relay(call, use, delivery.relay)
+        if attempt.is_error():
+            note_failure(use, attempt.error)
+            return attempt
+        return judge_answer(delivery, use, attempt.ok)
+
+    def take_retry(self, delivery: Delivery, failure: AttemptFailure) -> bool:
+        """Whether a further attempt is safe, in time and in the budget."""
+        now = self.kernel.clock.monotonic()
+        if failure.outcome is Outcome.UNUSED:
+            in_time = now < delivery.request.deadline
+            return in_time and delivery.unused_grants < MAX_UNUSED_GRANTS
+        if not delivery.may_send_again(failure, now, self.settings.attempts):
+            return False
+        if not self.budget.take(now):
+            self.record('retry_denied', delivery, failure)
+            return False
+        resumed = delivery.relayed_events > 0
+        self.record('resume' if resumed else 'retry', delivery, failure)
+        return True
+
+    def cancel_unanswered(
+        self,
+        delivery: Delivery,
+        use: GrantUse,
+        now: float,
+    ) -> None:
+        """Tell a model engine to give up a request nobody waits for."""
+        if use.answered or not use.connected:
+            return
+        if delivery.request.resource is not Resource.MODEL:
+            return
+        call = make_call(delivery, use.grant, now)
+        self.kernel.spawn('cancel request', self.client.cancel(call))
+
+    def record(
+        self,
+        event_name: str,
+        delivery: Delivery,
+        failure: AttemptFailure,
+    ) -> None:
+        """Record why a request is or is not sent again."""
+        self.events.record(
+            event_name,
+            delivery.request.request_id,
+            service=delivery.request.service,
+            account=delivery.request.account,
+            attempt=delivery.attempts,
+            events=delivery.relayed_events,
+            run=failure.run.value,
+            detail=failure.detail,
+        )
+
+
+def make_call(delivery: Delivery, grant: Grant, now: float) -> BackendCall:
+    """Return the call that a grant allows."""
+    return BackendCall(
+        request=delivery.request,
+        server=grant.server,
+        fencing_number=grant.epoch,
+        timeout_seconds=max(delivery.request.deadline - now, 0),
+        resume_from=delivery.relayed_events,
+    )
+
+
+def find_obstacle(
+    delivery: Delivery,
+    grant: Grant,
+    now: float,
+) -> AttemptFailure | None:
+    """Return why a grant may not be used any more, if so."""
+    if now >= delivery.request.deadline:
+        kind = ErrorKind.DEADLINE_EXCEEDED
+        detail = 'the deadline passed while the request waited'
+    elif grant.is_expired(now):
+        kind = ErrorKind.NO_CAPACITY
+        detail = 'the grant expired before it was used'
+    else:
+        return None
+    return AttemptFailure(
+        kind=kind,
+        detail=detail,
+        run=RunStatus.NO,
+        outcome=Outcome.UNUSED,
+        exclude_server=False,
+    )
+
+
+def note_failure(use: GrantUse, failure: AttemptFailure) -> None:
+    """Note in the use of a grant how the attempt failed."""
+    use.outcome = failure.outcome
+    use.server_cold = failure.server_cold
+    use.server_leaving = failure.server_leaving
+
+
+def judge_answer(
+    delivery: Delivery,
+    use: GrantUse,
+    answer: BackendAnswer,
+) -> AttemptResult:
+    """Tell answers from server errors, which may be tried elsewhere."""
+    if not delivery.is_fault(answer):
+        use.outcome = Outcome.SERVED
+        use.cost = served_cost(delivery, use, answer)
+        return Ok(answer)
+    use.outcome = Outcome.FAILED
+    delivery.failed_answer = answer
+    return Error(
+        AttemptFailure(
+            kind=ErrorKind.BACKEND_FAILED,
+            detail=f'the backend server answered {answer.status}',
+            run=RunStatus.UNKNOWN,
+        )
+    )
--- /dev/null
+++ b/src/pollenloom/dispatch/event_relay.py
@@ -0,0 +1,95 @@
+"""Relay of an event stream, in complete events."""
+
+from typing import Final
+
+from pollenloom.dispatch.caller_left_error import CallerLeftError
+from pollenloom.dispatch.event_sink import EventSink
+
+EVENT_ENDS: Final = (b'\n\n', b'\r\n\r\n')
+LAST_EVENT: Final = frozenset((b'data: [DONE]', b'data:[DONE]'))
+# Longer than the last event with its line ends.
+LAST_EVENT_WINDOW: Final = 32
+COMMENT: Final = b':'
+
+# An event holds one token or one usage record; whole answers of 1 MiB in a
+# single event are no longer a stream.
+MAX_EVENT_BYTES: Final = 1_048_576
+
+
+class EventRelay:
+    """Passes complete events on and counts them, across resumed attempts.
+
+    Attributes:
+        sink: Where complete events go.
+        events: Complete events relayed so far; comments are not counted.
+        finished: Whether the last event, `[DONE]`, was relayed.
+        partial: Start of an event whose end has not arrived.
+        recent: The last two relayed pieces, where a usage record would be.
+    """
+
+    def __init__(self, sink: EventSink) -> None:
+        self.sink = sink
+        self.events = 0
+        self.finished = False
+        self.partial = b''
+        self.recent: tuple[bytes, bytes] = (b'', b'')
+
+    async def feed(self, piece: bytes) -> None:
+        """Relay the events that `piece` completes.
+
+        Raises:
+            CallerLeftError: If the sink is closed.
+            ValueError: If an event is too long.
+        """
+        buffered = self.partial + piece
+        end = find_last_end(buffered)
+        self.partial = buffered[end:]
+        if len(self.partial) > MAX_EVENT_BYTES:
+            raise ValueError('an event is longer than 1 MiB')
+        if not end:
+            return
+        complete = buffered[:end]
+        try:
+            await self.sink.write(complete)
+        except ConnectionError as error:
+            raise CallerLeftError from error
+        self.events += count_events(complete)
+        self.finished = is_last(complete)
+        self.recent = (self.recent[1], complete)
+
+    def drop_partial(self) -> None:
+        """Forget the incomplete event of an attempt that was cut."""
+        self.partial = b''
+
+
+def find_last_end(buffered: bytes) -> int:
+    """Return the number of bytes up to the end of the last whole event."""
+    ends = [buffered.rfind(mark) + len(mark) for mark in EVENT_ENDS]
+    found = [
+        end
+        for end, mark in zip(ends, EVENT_ENDS, strict=True)
+        if end >= len(mark)
+    ]
+    return max(found, default=0)
+
+
+def is_last(complete: bytes) -> bool:
+    """Whether `complete` ends with the last event of a stream."""
+    tail = complete[-LAST_EVENT_WINDOW:].rstrip()
+    return tail.rpartition(b'\n')[2] in LAST_EVENT
+
+
+def count_events(complete: bytes) -> int:
+    """Count the events in `complete`, without comments such as pings."""
+    ends = sum(complete.count(mark) for mark in EVENT_ENDS)
+    if not complete.startswith(COMMENT) and b'\n:' not in complete:
+        return ends
+    blocks = complete.replace(b'\r\n', b'\n').split(b'\n\n')
+    return sum(has_fields(block) for block in blocks)
+
+
+def has_fields(block: bytes) -> bool:
+    """Whether a block of lines is more than comments."""
+    return any(
+        line and not line.startswith(COMMENT) for line in block.split(b'\n')
+    )
--- /dev/null
+++ b/src/pollenloom/dispatch/refusal.py
@@ -0,0 +1,47 @@
+"""Refusals by which a backend server proves that it ran nothing."""
+
+from http import HTTPStatus
+from typing import Final
+
+import msgspec
+
+from pollenloom.core.error_kind import ErrorKind
+from pollenloom.core.states import Outcome, RunStatus
+from pollenloom.dispatch.attempt_failure import AttemptFailure
+
+REFUSAL_STATUSES: Final = frozenset(
+    (
+        HTTPStatus.SERVICE_UNAVAILABLE.value,
+        HTTPStatus.CONFLICT.value,
+        HTTPStatus.TOO_MANY_REQUESTS.value,
+    )
+)
+
+
+class RefusalBody(msgspec.Struct, frozen=True):
+    """JSON body of a refusal."""
+
+    run: str
+    reason: str = ''
+
+
+def read_refusal(status: int, body: bytes) -> AttemptFailure | None:
+    """Return the failure if an answer proves that nothing was run."""
+    if status not in REFUSAL_STATUSES:
+        return None
+    try:
+        refusal = msgspec.json.decode(body, type=RefusalBody)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    if refusal.run != RunStatus.NO.value:
+        return None
+    return AttemptFailure(
+        kind=ErrorKind.BACKEND_REFUSED,
+        detail=f'the backend server refused: {refusal.reason or status}',
+        run=RunStatus.NO,
+        outcome=Outcome.REFUSED,
+        # 409 refuses the fencing number, not the request.
+        exclude_server=status != HTTPStatus.CONFLICT,
+        server_cold=refusal.reason == 'cold',
+        server_leaving=refusal.reason == 'leaving',
+    )
--- /dev/null
+++ b/src/pollenloom/dispatch/request_headers.py
@@ -0,0 +1,65 @@
+"""Headers that the router sends to backend servers and passes on."""
+
+from collections.abc import Mapping
+from typing import Final
+
+from pollenloom.dispatch.backend_call import BackendCall
+
+REQUEST_ID: Final = 'x-request-id'
+
+# Headers that belong to one connection (RFC 9110, 7.6.1), that the client
+# library sets, or that only the router may set.
+NOT_PASSED_ON: Final = frozenset(
+    (
+        'accept-encoding',
+        'authorization',
+        'connection',
+        'content-length',
+        'date',
+        'expect',
+        'host',
+        'idempotency-key',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'server',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'x-account',
+        'x-fencing-number',
+        'x-prefix-hashes',
+        REQUEST_ID,
+        'x-resume-from',
+        'x-timeout-seconds',
+    )
+)
+
+
+def pass_on(headers: Mapping[str, str]) -> dict[str, str]:
+    """Return the headers to pass on, with lower-case names."""
+    lowered = {name.lower(): text for name, text in headers.items()}
+    named = lowered.get('connection', '').lower().split(',')
+    dropped = NOT_PASSED_ON.union(name.strip() for name in named)
+    return {name: text for name, text in lowered.items() if name not in dropped}
+
+
+def build_headers(call: BackendCall) -> dict[str, str]:
+    """Return the headers of a request to a backend server."""
+    request = call.request
+    headers = pass_on(request.headers)
+    headers['X-Request-Id'] = request.request_id
+    headers['X-Fencing-Number'] = str(call.fencing_number)
+    headers['X-Account'] = request.account
+    headers['X-Timeout-Seconds'] = f'{call.timeout_seconds:.3f}'
+    if request.prefix_hashes:
+        headers['X-Prefix-Hashes'] = ','.join(
+            str(prefix_hash) for prefix_hash in request.prefix_hashes
+        )
+    if request.idempotency_key is not None:
+        headers['Idempotency-Key'] = request.idempotency_key
+    if call.resume_from:
+        headers['X-Resume-From'] = str(call.resume_from)
+    return headers
--- /dev/null
+++ b/src/pollenloom/dispatch/retry_budget.py
@@ -0,0 +1,67 @@
+"""Limit on retries, so that a failing fleet is not flooded."""
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Final
+
+WINDOW_SECONDS: Final = 60
+RETRY_RATIO: Final = 0.1
+RETRY_RESERVE: Final = 10
+
+
+@dataclass(slots=True)
+class BudgetSlot:
+    """Counts of one second."""
+
+    second: int
+    requests: int = 0
+    retries: int = 0
+
+
+class RetryBudget:
+    """Allows retries up to a share of the requests plus a reserve.
+
+    Counts cover the last minute, so that an incident of yesterday neither
+    uses up nor fills the budget of today.
+    """
+
+    def __init__(
+        self,
+        ratio: float = RETRY_RATIO,
+        reserve: int = RETRY_RESERVE,
+        window_seconds: int = WINDOW_SECONDS,
+    ) -> None:
+        self.ratio = ratio
+        self.reserve = reserve
+        self.window_seconds = window_seconds
+        self.slots: deque[BudgetSlot] = deque()
+        self.requests = 0
+        self.retries = 0
+
+    def count_request(self, now: float) -> None:
+        """Count a first attempt at `now` (monotonic seconds)."""
+        self.current_slot(now).requests += 1
+        self.requests += 1
+
+    def take(self, now: float) -> bool:
+        """Take one retry at `now`; return whether it is allowed."""
+        slot = self.current_slot(now)
+        if self.retries + 1 > self.reserve + self.ratio * self.requests:
+            return False
+        slot.retries += 1
+        self.retries += 1
+        return True
+
+    def current_slot(self, now: float) -> BudgetSlot:
+        """Return the slot of `now` after dropping those out of the window."""
+        second = int(now)
+        while self.slots:
+            oldest = self.slots[0]
+            if oldest.second > second - self.window_seconds:
+                break
+            self.slots.popleft()
+            self.requests -= oldest.requests
+            self.retries -= oldest.retries
+        if not self.slots or self.slots[-1].second < second:
+            self.slots.append(BudgetSlot(second))
+        return self.slots[-1]
--- /dev/null
+++ b/src/pollenloom/frontend/caller_protocol.py
@@ -0,0 +1,31 @@
+"""Limit on the connections of callers."""
+
+import asyncio
+from typing import Any, Final
+
+from sanic.server import HttpProtocol
+
+TOO_MANY_CONNECTIONS: Final = (
+    b'HTTP/1.1 503 Service Unavailable\r\n'
+    b'Content-Type: application/problem+json\r\n'
+    b'Connection: close\r\n'
+    b'Retry-After: 1\r\n'
+)
+
+
+class CallerProtocol(HttpProtocol):
+    """Refuses connections above the limit of the settings."""
+
+    __slots__ = ()
+
+    def connection_made(self, transport: Any) -> None:
+        """Accept a connection or refuse it with a problem."""
+        if len(self.connections) < self.app.ctx.connection_limit:
+            super().connection_made(transport)  # type: ignore[no-untyped-call]
+            return
+        # This protocol was not set up, so it may get no further calls.
+        transport.set_protocol(asyncio.Protocol())
+        body: bytes = self.app.ctx.refuse_connection()
+        transport.write(TOO_MANY_CONNECTIONS)
+        transport.write(b'Content-Length: %d\r\n\r\n%b' % (len(body), body))
+        transport.close()
--- /dev/null
+++ b/src/pollenloom/frontend/caller_server.py
@@ -0,0 +1,161 @@
+"""HTTP server for callers."""
+
+import socket
+from typing import ClassVar, Final
+
+import msgspec
+from sanic import Request
+from sanic.response import HTTPResponse
+
+from pollenloom.configuration.configuration_service import ConfigurationService
+from pollenloom.core.error_kind import ErrorKind
+from pollenloom.core.failure import Failure
+from pollenloom.frontend.answers import json_answer, new_request_id
+from pollenloom.frontend.application_handler import ApplicationHandler
+from pollenloom.frontend.call_handler import CallHandler
+from pollenloom.frontend.caller_protocol import CallerProtocol
+from pollenloom.frontend.drain_gate import DrainGate
+from pollenloom.frontend.guarded_route import GuardedRoute
+from pollenloom.frontend.model_handler import ModelHandler
+from pollenloom.frontend.model_list_handler import ModelListHandler
+from pollenloom.frontend.problem import make_problem
+from pollenloom.frontend.request_reader import ModelRoute
+from pollenloom.frontend.sanic_app import make_app
+from pollenloom.kernel.kernel import Kernel
+from pollenloom.kernel.kernel_service import KernelService
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.settings.router_settings import LimitSettings, RouterSettings
+
+METHODS: Final = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE')
+BACKLOG: Final = 512
+
+
+class CallerServer(KernelService):
+    """Listens on the callers' address and ties routes to handlers."""
+
+    name: ClassVar[KernelServiceName] = KernelServiceName.FRONTEND
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        address: str,
+        limits: LimitSettings,
+    ) -> None:
+        self.kernel = kernel
+        self.address = address
+        self.limits = limits
+        self.gate = DrainGate()
+
+    @classmethod
+    def from_config(
+        cls,
+        kernel: Kernel,
+        settings: RouterSettings,
+    ) -> 'CallerServer':
+        """Make a server on the callers' address of the settings."""
+        return cls(kernel, settings.callers, settings.limits)
+
+    @property
+    def port(self) -> int:
+        """Port that the server listens on."""
+        port: int = self.listener.getsockname()[1]
+        return port
+
+    async def start(self) -> None:
+        """Find the services below and listen."""
+        self.configuration = self.kernel.find(
+            KernelServiceName.CONFIGURATION,
+            ConfigurationService,
+        )
+        self.app = make_app(self.limits)
+        self.app.ctx.refuse_connection = refuse_connection
+        self.add_routes()
+        host, _, port = self.address.rpartition(':')
+        # Sanic takes port 0 for its default port, so it gets a socket.
+        self.listener = socket.create_server(
+            (host, int(port)),
+            backlog=BACKLOG,
+        )
+        server = await self.app.create_server(
+            sock=self.listener,
+            protocol=CallerProtocol,
+            backlog=BACKLOG,
+            return_asyncio_server=True,
+            asyncio_server_kwargs={'start_serving': False},
+        )
+        if server is None:
+            raise OSError(f'cannot listen on {self.address}')
+        await server.startup()  # type: ignore[no-untyped-call]
+        await server.start_serving()  # type: ignore[no-untyped-call]
+        self.server = server
+        self.gate.ready = True
+
+    async def drain(self) -> None:
+        """Refuse new requests and finish the accepted ones."""
+        await self.gate.close(self.limits.drain_grace_seconds)
+
+    async def stop(self) -> None:
+        """Close the listener and all connections."""
+        self.gate.ready = False
+        self.server.close()  # type: ignore[no-untyped-call]
+        for connection in tuple(self.server.connections):
+            connection.close()
+        self.app.unregister_app(self.app)
+
+    def add_routes(self) -> None:
+        """Tie paths to handlers."""
+        chat = ModelHandler(self.kernel, self.limits, ModelRoute.CHAT)
+        completions = ModelHandler(
+            self.kernel,
+            self.limits,
+            ModelRoute.COMPLETIONS,
+        )
+        models = ModelListHandler(self.kernel, self.limits)
+        applications = ApplicationHandler(
+            self.kernel,
+            self.limits,
+            self.gate,
+        )
+        self.add_route('chat', chat, '/v1/chat/completions', 'POST')
+        self.add_route('completions', completions, '/v1/completions', 'POST')
+        self.add_route('models', models, '/v1/models', 'GET')
+        self.add_route(
+            'applications',
+            applications,
+            '/<service:str>/<path:path>',
+            *METHODS,
+        )
+        self.app.add_route(self.health, '/healthz', methods=['GET'])
+        self.app.add_route(self.readiness, '/readyz', methods=['GET'])
+
+    def add_route(
+        self,
+        route_name: str,
+        handler: CallHandler,
+        path: str,
+        *methods: str,
+    ) -> None:
+        """Tie a path to a handler, behind the gate for shutdowns."""
+        self.app.add_route(
+            GuardedRoute(self.gate, handler).serve,
+            path,
+            methods=methods,
+            name=route_name,
+        )
+
+    async def health(self, _request: Request) -> HTTPResponse:
+        """Tell that the process answers."""
+        return json_answer({'status': 'ok'}, {})
+
+    async def readiness(self, _request: Request) -> HTTPResponse:
+        """Tell whether new requests should be sent here."""
+        known = bool(self.configuration.current.revision)
+        ready = self.gate.ready and known
+        return json_answer({'ready': ready}, {}, 200 if ready else 503)
+
+
+def refuse_connection() -> bytes:
+    """Return the problem for a connection above the limit."""
+    failure = Failure(ErrorKind.QUEUE_FULL, 'too many open connections')
+    problem = make_problem(failure, new_request_id(), for_model=True)
+    return msgspec.json.encode(problem)
--- /dev/null
+++ b/src/pollenloom/frontend/guarded_route.py
@@ -0,0 +1,60 @@
+"""Entry of calls from Sanic to a handler."""
+
+from sanic import Request
+from sanic.http import Http
+from sanic.response import HTTPResponse
+
+from pollenloom.core.error_kind import ErrorKind
+from pollenloom.core.failure import Failure
+from pollenloom.frontend.answers import new_request_id
+from pollenloom.frontend.call_handler import CallHandler
+from pollenloom.frontend.drain_gate import DrainGate
+from pollenloom.frontend.raw_call import RawCall
+
+
+class GuardedRoute:
+    """Runs a handler unless this router is shutting down."""
+
+    def __init__(self, gate: DrainGate, handler: CallHandler) -> None:
+        self.gate = gate
+        self.handler = handler
+
+    async def serve(
+        self,
+        request: Request,
+        **_path_parts: str,
+    ) -> HTTPResponse | None:
+        """Serve one request of a connection."""
+        call = read_raw(request)
+        if not self.gate.ready:
+            close_after_answer(request)
+        if self.gate.refusing:
+            return self.handler.refuse(
+                Failure(ErrorKind.SHUTTING_DOWN, 'try another router'),
+                call,
+            )
+        with self.gate:
+            return await self.handler.handle(request, call)
+
+
+def close_after_answer(request: Request) -> None:
+    """Make the caller connect anew, to a router that goes on."""
+    if isinstance(request.stream, Http):
+        request.stream.keep_alive = False
+
+
+def read_raw(request: Request) -> RawCall:
+    """Return a request without the server library's types."""
+    headers: dict[str, str] = {}
+    for name, text in request.headers.items():
+        lowered = name.lower()
+        earlier = headers.setdefault(lowered, text)
+        if earlier is not text:
+            headers[lowered] = f'{earlier}, {text}'
+    return RawCall(
+        request_id=new_request_id(),
+        method=request.method,
+        target=request.raw_url.decode('ascii', errors='replace'),
+        headers=headers,
+        body=request.body,
+    )
--- /dev/null
+++ b/src/pollenloom/frontend/order_run.py
@@ -0,0 +1,40 @@
+"""Execution of an order, apart from the caller's connection."""
+
+from typing import TYPE_CHECKING
+
+from expression import Error, Result
+
+from pollenloom.core.caller_request import CallerRequest
+from pollenloom.core.error_kind import ErrorKind
+from pollenloom.core.failure import Failure
+from pollenloom.frontend.drain_gate import DrainGate
+from pollenloom.orders.order_service import OrderService
+
+if TYPE_CHECKING:
+    from pollenloom.orders.order_answer import OrderAnswer
+
+
+class OrderRun:
+    """Runs an order to its end even if the caller leaves before.
+
+    Otherwise an order that the application runs would have no recorded
+    outcome, and a repeat could only be answered "unknown".
+    """
+
+    def __init__(
+        self,
+        orders: OrderService,
+        request: CallerRequest,
+        gate: DrainGate,
+    ) -> None:
+        self.orders = orders
+        self.request = request
+        self.gate = gate
+        self.outcome: Result[OrderAnswer, Failure] = Error(
+            Failure(ErrorKind.ORDER_OUTCOME_UNKNOWN, 'the order was stopped')
+        )
+
+    async def run(self) -> None:
+        """Execute the order; a graceful shutdown waits for it."""
+        with self.gate:
+            self.outcome = await self.orders.execute(self.request)
--- /dev/null
+++ b/src/pollenloom/frontend/problem.py
@@ -0,0 +1,73 @@
+"""Problem details (RFC 9457) of failed calls."""
+
+import math
+from typing import Final
+
+import msgspec
+
+from pollenloom.core.failure import Failure
+from pollenloom.core.ids import RequestId
+
+PROBLEM_TYPE: Final = 'application/problem+json'
+DEFAULT_RETRY_SECONDS: Final = 1
+
+
+class ModelError(msgspec.Struct, frozen=True):
+    """The `error` object that clients of model routes read."""
+
+    message: str
+    type: str
+    code: str
+    param: str | None = None
+
+
+class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Body of an error answer."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    kind: str
+    run: str
+    request_id: RequestId
+    error: ModelError | None = None
+
+
+def make_problem(
+    failure: Failure,
+    request_id: RequestId,
+    *,
+    for_model: bool,
+) -> Problem:
+    """Return the problem details of a failure."""
+    answer = failure.answer
+    kind = failure.kind.value
+    message = f'{answer.title}: {failure.detail}'
+    return Problem(
+        type=f'urn:pollenloom:error:{kind}',
+        title=answer.title,
+        status=answer.status.value,
+        detail=failure.detail,
+        kind=kind,
+        run=answer.run.value,
+        request_id=request_id,
+        error=ModelError(message, kind, kind) if for_model else None,
+    )
+
+
+def encode_error_event(failure: Failure, request_id: RequestId) -> bytes:
+    """Return the event that ends a stream which cannot be completed."""
+    problem = make_problem(failure, request_id, for_model=False)
+    error = msgspec.to_builtins(problem)
+    error['message'] = f'{problem.title}: {problem.detail}'
+    error['code'] = problem.kind
+    return b'data: %b\n\n' % msgspec.json.encode({'error': error})
+
+
+def retry_after(failure: Failure) -> int | None:
+    """Return the seconds to wait before a retry, if one may succeed."""
+    if not failure.answer.retryable:
+        return None
+    seconds = failure.retry_after_seconds or DEFAULT_RETRY_SECONDS
+    return max(math.ceil(seconds), 1)
--- /dev/null
+++ b/src/pollenloom/frontend/raw_call.py
@@ -0,0 +1,39 @@
+"""A call as it arrived, before anything in it is trusted."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from pollenloom.core.ids import RequestId
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RawCall:
+    """HTTP request of a caller, free of the server library's types.
+
+    Attributes:
+        request_id: Id that the router gave it.
+        method: HTTP method.
+        target: Path and query as sent.
+        headers: Headers with lower-case names; repeated ones are joined.
+        body: Body bytes.
+    """
+
+    request_id: RequestId
+    method: str
+    target: str
+    headers: Mapping[str, str]
+    body: bytes
+
+    @property
+    def path(self) -> str:
+        """Path as sent, without the query."""
+        return self.target.partition('?')[0]
+
+    @property
+    def is_model_call(self) -> bool:
+        """Whether its client expects errors in the published model form."""
+        return self.target.startswith('/v1/')
+
+    def header(self, name: str) -> str:
+        """Return a header's text, empty if it is missing."""
+        return self.headers.get(name, '')
--- a/src/pollenloom/settings/router_settings.py
+++ b/src/pollenloom/settings/router_settings.py
@@ -81,6 +81,10 @@
         connections: Open connections.
         request_seconds: Deadline of a request without `X-Timeout-Seconds`.
         shutdown_seconds: Longest graceful shutdown.
+        drain_grace_seconds: Time from the end of readiness to the first
+            refusal, in which the balancer notices it.
+        receive_seconds: Longest time to receive a request.
+        keep_alive_seconds: Longest time that a connection stays idle.
     """
 
     body_bytes: int = Field(default=1_048_576, ge=1024)
@@ -88,6 +92,28 @@
     connections: int = Field(default=4096, ge=1)
     request_seconds: float = Field(default=60, gt=0, le=3600)
     shutdown_seconds: float = Field(default=30, gt=0, le=3600)
+    drain_grace_seconds: float = Field(default=1, ge=0, le=60)
+    receive_seconds: float = Field(default=10, gt=0, le=600)
+    keep_alive_seconds: float = Field(default=75, gt=0, le=3600)
+
+
+class DispatchSettings(SettingsSection):
+    """How requests are sent to backend servers.
+
+    Attributes:
+        connect_seconds: Longest time to connect.
+        idle_seconds: Longest silence of an event stream; then it is resumed
+            on another server.
+        attempts: Attempts at one request, at most.
+        retry_ratio: Retries of the last minute, as a share of its requests.
+        retry_reserve: Retries of the last minute above that share.
+    """
+
+    connect_seconds: float = Field(default=1, gt=0, le=60)
+    idle_seconds: float = Field(default=15, gt=0, le=600)
+    attempts: int = Field(default=4, ge=1, le=100)
+    retry_ratio: float = Field(default=0.1, ge=0, le=1)
+    retry_reserve: int = Field(default=10, ge=0, le=1000)
 
 
 class RouterSettings(SettingsSection):
@@ -103,6 +129,7 @@
         peers: How to talk to other routers.
         admission: How requests are admitted.
         limits: Limits of the callers' address.
+        dispatch: How requests are sent to backend servers.
     """
 
     vm: VmId = Field(pattern='^[a-z0-9][a-z0-9-]{0,62}$')
@@ -114,3 +141,4 @@
     peers: PeerSettings
     admission: AdmissionSettings = Field(default_factory=AdmissionSettings)
     limits: LimitSettings = Field(default_factory=LimitSettings)
+    dispatch: DispatchSettings = Field(default_factory=DispatchSettings)
--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the services and servers around a tested part."""
