Add the network between routers over websockets

Cause: routers need typed messages to each other, with proof that the other side belongs to the fleet.

Change: PeerCodec encodes registered message types as CBOR.

--- /dev/null
+++ b/src/pollenloom/peers/peer_codec.py
@@ -0,0 +1,81 @@
+"""Encoding of messages between routers."""
+
+from typing import Any
+
+import cbor2
+import msgspec
+
+from pollenloom.peers.peer_frame import (
+    FrameError,
+    FrameKind,
+    PeerFrame,
+    UnknownMessageError,
+)
+from pollenloom.peers.peer_message import PeerMessage
+
+# CBOR has a type of its own for them, so they need no base64 text.
+NATIVE_TYPES = (bytes,)
+
+
+class PeerCodec:
+    """Encodes frames as CBOR: `[kind, correlation, [tag, field, ...]]`.
+
+    Only registered message types decode.
+    """
+
+    def __init__(self, *message_types: type[PeerMessage]) -> None:
+        self.types: dict[str, type[PeerMessage]] = {}
+        for message_type in message_types:
+            self.register(message_type)
+
+    def register(self, message_type: type[PeerMessage]) -> None:
+        """Add a message type; registering it again changes nothing.
+
+        Raises:
+            ValueError: If another type has the same tag.
+        """
+        tag = str(message_type.__struct_config__.tag)
+        if self.types.setdefault(tag, message_type) is not message_type:
+            raise ValueError(f'two message types with the tag {tag}')
+
+    def encode(self, frame: PeerFrame) -> bytes:
+        """Return the frame as CBOR."""
+        return cbor2.dumps(
+            [
+                frame.kind.value,
+                frame.correlation,
+                msgspec.to_builtins(frame.message, builtin_types=NATIVE_TYPES),
+            ]
+        )
+
+    def decode(self, encoded: bytes) -> PeerFrame:
+        """Return the frame that was encoded.
+
+        Raises:
+            UnknownMessageError: If its message type is not registered.
+            FrameError: If it is broken in any other way.
+        """
+        try:
+            parts = cbor2.loads(encoded)
+        # The decoder raises errors of several unrelated types on bad input.
+        except Exception as error:
+            raise FrameError(f'not CBOR: {error}') from error
+        return self.frame_of(parts)
+
+    def frame_of(self, parts: Any) -> PeerFrame:
+        """Return the frame made of decoded CBOR values."""
+        match parts:
+            case [int(kind), int(correlation), [str(tag), *_] as fields]:
+                message_type = self.types.get(tag)
+            case _:
+                raise FrameError('not a frame')
+        if message_type is None:
+            raise UnknownMessageError(f'unknown message type {tag[:64]}')
+        try:
+            return PeerFrame(
+                FrameKind(kind),
+                correlation,
+                msgspec.convert(fields, message_type),
+            )
+        except (ValueError, TypeError, RecursionError) as error:
+            raise FrameError(f'broken {tag}: {error}') from error
--- /dev/null
+++ b/src/pollenloom/peers/peer_dialler.py
@@ -0,0 +1,95 @@
+"""Opening of connections to other routers."""
+
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from expression import Error, Result
+from websockets.asyncio.client import connect
+from websockets.exceptions import WebSocketException
+
+from pollenloom.core.error_kind import ErrorKind
+from pollenloom.core.failure import Failure
+from pollenloom.peers.handshake import HANDSHAKE_SECONDS, Handshake
+
+if TYPE_CHECKING:
+    from websockets.asyncio.client import ClientConnection
+
+    from pollenloom.peers.peer_identity import PeerIdentity
+
+MAX_FRAME_BYTES = 1_048_576
+# A closing peer answers at once or is lost.
+CLOSE_SECONDS = 1
+# Frames of one connection read ahead of their handling.
+READ_AHEAD_FRAMES = 64
+ANY_HOST = '0.0.0.0'
+
+# The library logs each failed connection with a traceback; the network
+# records an event instead.
+library_logger = logging.getLogger('pollenloom.websockets')
+library_logger.setLevel(logging.CRITICAL)
+
+
+@dataclass(frozen=True, slots=True)
+class DialledPeer:
+    """A connection that passed the handshake.
+
+    Attributes:
+        socket: The websocket.
+        identity: Who accepted.
+    """
+
+    socket: 'ClientConnection'
+    identity: 'PeerIdentity'
+
+
+class PeerDialler:
+    """Connects from the router's own address and runs the handshake.
+
+    Connections leave from the listen address, so that the path between two
+    routers can be told by source and target address.
+    """
+
+    def __init__(self, handshake: Handshake, listen_host: str) -> None:
+        self.handshake = handshake
+        self.local_address = None
+        if listen_host != ANY_HOST:
+            self.local_address = (listen_host, 0)
+
+    async def dial(self, address: str) -> Result[DialledPeer, Failure]:
+        """Connect and run the handshake.
+
+        Errors:
+            PEER_UNAVAILABLE: The host answers that nothing listens there.
+            PEER_TIMEOUT: There was no answer, or the connection broke.
+            PROTOCOL_ERROR: The other side is no router of this fleet.
+        """
+        try:
+            socket = await self.open(address)
+        except ConnectionRefusedError as refusal:
+            return Error(Failure(ErrorKind.PEER_UNAVAILABLE, str(refusal)))
+        except (OSError, WebSocketException) as error:
+            return Error(Failure(ErrorKind.PEER_TIMEOUT, str(error)))
+        outcome = await self.handshake.connect(socket)
+        if outcome.is_error():
+            await socket.close()
+        return outcome.map(lambda identity: DialledPeer(socket, identity))
+
+    async def open(self, address: str) -> 'ClientConnection':
+        """Open a websocket without compression and keep-alive pings.
+
+        Heartbeats of the membership tell whether a peer is there.
+        """
+        return await connect(
+            f'ws://{address}',
+            compression=None,
+            user_agent_header=None,
+            proxy=None,
+            open_timeout=HANDSHAKE_SECONDS,
+            close_timeout=CLOSE_SECONDS,
+            ping_interval=None,
+            max_size=MAX_FRAME_BYTES,
+            max_queue=READ_AHEAD_FRAMES,
+            logger=library_logger,
+            local_addr=self.local_address,
+        )
--- /dev/null
+++ b/src/pollenloom/peers/websocket_peer_network.py
@@ -0,0 +1,221 @@
+"""The network between routers over websockets."""
+
+import asyncio
+import secrets
+from collections.abc import Awaitable, Callable, Iterable
+from typing import TYPE_CHECKING
+
+from expression import Error, Ok, Result
+from websockets.asyncio.server import Server, serve
+
+from pollenloom.core.error_kind import ErrorKind
+from pollenloom.core.failure import Failure
+from pollenloom.core.ids import DataCentreId, VmId
+from pollenloom.peers.fleet_key import FleetKey
+from pollenloom.peers.handshake import HANDSHAKE_SECONDS, Handshake
+from pollenloom.peers.peer_connections import PeerConnections
+from pollenloom.peers.peer_dialler import (
+    CLOSE_SECONDS,
+    MAX_FRAME_BYTES,
+    READ_AHEAD_FRAMES,
+    PeerDialler,
+    library_logger,
+)
+from pollenloom.peers.peer_dispatcher import PeerDispatcher
+from pollenloom.peers.peer_frame import FrameKind, PeerFrame
+from pollenloom.peers.peer_identity import PeerIdentity
+from pollenloom.peers.peer_links import LinkListener, PeerLinks
+from pollenloom.peers.peer_message import PeerMessage
+from pollenloom.peers.peer_network import MessageT
+from pollenloom.peers.peer_queue import QueuedFrame
+from pollenloom.peers.peer_reporter import PeerReporter
+
+if TYPE_CHECKING:
+    from pollenloom.kernel.kernel import Kernel
+    from pollenloom.settings.router_settings import RouterSettings
+
+FLUSH_POLL_SECONDS = 0.01
+PROCESS_BITS = 62
+
+
+class WebsocketPeerNetwork(PeerLinks):
+    """One websocket for each pair of routers that talk to each other.
+
+    A connection is opened when the first message is queued for a peer.
+    """
+
+    def __init__(
+        self,
+        kernel: 'Kernel',
+        vm: VmId,
+        data_centre: DataCentreId,
+        listen: str,
+        advertise: str,
+        fleet_key: FleetKey,
+    ) -> None:
+        self.vm = vm
+        self.data_centre = data_centre
+        self.listen = listen
+        self.advertised = advertise or listen
+        self.process = secrets.randbits(PROCESS_BITS)
+        self.reporter = PeerReporter(kernel)
+        self.dispatcher = PeerDispatcher(
+            kernel,
+            self.reporter.counters,
+            self.send_frame,
+        )
+        self.connections = PeerConnections(
+            kernel,
+            vm,
+            PeerDialler(
+                Handshake(fleet_key, self.own_identity),
+                listen.partition(':')[0],
+            ),
+            self.dispatcher,
+            self.reporter,
+        )
+        self.server: Server | None = None
+
+    @classmethod
+    def from_config(
+        cls,
+        kernel: 'Kernel',
+        settings: 'RouterSettings',
+    ) -> 'WebsocketPeerNetwork':
+        """Make the network of a router; reads the fleet key file."""
+        return cls(
+            kernel,
+            settings.vm,
+            settings.data_centre,
+            settings.peers.listen,
+            settings.peers.advertise,
+            FleetKey.from_file(settings.peers.fleet_key_file),
+        )
+
+    @property
+    def address(self) -> str:
+        """`host:port` that other routers connect to."""
+        return self.advertised
+
+    async def start(self) -> None:
+        """Listen for other routers."""
+        host, _, port = self.listen.partition(':')
+        self.server = await serve(
+            self.connections.accept,
+            host,
+            int(port),
+            compression=None,
+            server_header=None,
+            open_timeout=HANDSHAKE_SECONDS,
+            close_timeout=CLOSE_SECONDS,
+            ping_interval=None,
+            max_size=MAX_FRAME_BYTES,
+            max_queue=READ_AHEAD_FRAMES,
+            logger=library_logger,
+        )
+        if self.advertised.endswith(':0'):
+            bound = next(iter(self.server.sockets)).getsockname()
+            host = self.advertised.partition(':')[0]
+            self.advertised = f'{host}:{bound[1]}'
+
+    async def stop(self) -> None:
+        """Close the listener and all connections."""
+        if self.server is not None:
+            self.server.close()
+            await self.connections.close()
+            await self.server.wait_closed()
+
+    def observe(self, listener: LinkListener) -> None:
+        """Call `listener(vm, event)` when a connection changes."""
+        self.reporter.listeners.append(listener)
+
+    def subscribe(
+        self,
+        message_type: type[MessageT],
+        handler: Callable[[VmId, MessageT], None],
+    ) -> None:
+        """Call `handler(sender, message)` for each message of that type."""
+        self.dispatcher.subscribe(message_type, handler)
+
+    def answer(
+        self,
+        message_type: type[MessageT],
+        handler: Callable[[VmId, MessageT], Awaitable[PeerMessage]],
+    ) -> None:
+        """Serve requests of that type; the handler returns the reply."""
+        self.dispatcher.answer(message_type, handler)
+
+    def send(self, vm: VmId, message: PeerMessage) -> bool:
+        """Queue a message; return whether it was queued."""
+        return self.send_frame(vm, PeerFrame(FrameKind.MESSAGE, 0, message))
+
+    def send_all(self, vms: Iterable[VmId], message: PeerMessage) -> None:
+        """Send one message to several other VMs; it is encoded once."""
+        frame = PeerFrame(FrameKind.MESSAGE, 0, message)
+        encoded = self.dispatcher.codec.encode(frame)
+        for vm in vms:
+            self.connections.push(vm, QueuedFrame(encoded))
+
+    async def request(
+        self,
+        vm: VmId,
+        message: PeerMessage,
+        reply_type: type[MessageT],
+        timeout_seconds: float,
+    ) -> Result[MessageT, Failure]:
+        """Send a message and wait for the reply to it."""
+        self.dispatcher.codec.register(reply_type)
+        replies = self.dispatcher.replies
+        correlation = replies.add(vm)
+        frame = PeerFrame(FrameKind.REQUEST, correlation, message)
+        if not self.send_frame(vm, frame):
+            replies.fail(correlation, f'{vm} has no address or a full queue')
+        outcome = await replies.wait(correlation, timeout_seconds)
+        if outcome.is_error():
+            self.connections.abandon(vm, correlation)
+            return Error(outcome.error)
+        if isinstance(outcome.ok, reply_type):
+            return Ok(outcome.ok)
+        return Error(Failure(ErrorKind.PROTOCOL_ERROR, 'reply of other type'))
+
+    async def greet(self, address: str) -> Result[VmId, Failure]:
+        """Connect to an address and return the VM that accepts there."""
+        return await self.connections.open(address)
+
+    def disconnect(self, vm: VmId) -> None:
+        """Close the connection with a VM and drop what is queued for it."""
+        self.connections.disconnect(vm)
+
+    async def flush(self, timeout_seconds: float) -> bool:
+        """Wait until the queues of open connections are empty."""
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                while self.connections.has_unsent():
+                    await asyncio.sleep(FLUSH_POLL_SECONDS)
+        except TimeoutError:
+            return False
+        return True
+
+    def own_identity(self) -> PeerIdentity:
+        """How this router names itself in a handshake."""
+        return PeerIdentity(
+            self.vm,
+            self.data_centre,
+            self.connections.addresses.membership.own.incarnation,
+            self.advertised,
+            self.process,
+        )
+
+    def send_frame(self, vm: VmId, frame: PeerFrame) -> bool:
+        """Queue a frame for a peer, or deliver it if it is for this VM."""
+        if vm == self.vm:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.dispatcher.deliver, vm, frame)
+            if frame.kind is FrameKind.REQUEST:
+                self.dispatcher.replies.mark_sent(frame.correlation)
+            return True
+        correlation = 0
+        if frame.kind is FrameKind.REQUEST:
+            correlation = frame.correlation
+        encoded = self.dispatcher.codec.encode(frame)
+        return self.connections.push(vm, QueuedFrame(encoded, correlation))
