--- /dev/null
+++ b/src/pollenloom/membership/heartbeats.py
@@ -0,0 +1,215 @@
+"""Heartbeats, failure detection and gossip of one router."""
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from pollenloom.core.states import MemberState
+from pollenloom.membership.heartbeat_monitor import HeartbeatMonitor
+from pollenloom.membership.member_table import SUSPECT_SECONDS, precedence
+from pollenloom.membership.membership_messages import (
+    Heartbeat,
+    MemberDifferences,
+    MemberExchange,
+)
+from pollenloom.peers.peer_links import LinkEvent, PeerLinks
+
+if TYPE_CHECKING:
+    from pollenloom.core.ids import VmId
+    from pollenloom.kernel.kernel import Kernel
+    from pollenloom.membership.fleet_view import FleetView
+    from pollenloom.membership.member import Member
+    from pollenloom.membership.member_table import MemberTable
+
+HEARTBEAT_SECONDS = 0.5
+# Changes that arrive together are passed on in one message.
+COALESCE_SECONDS = 0.02
+# Time to refute for a member whose host says that nothing listens there.
+REFUSED_SECONDS = 0.5
+# A timer this late means that the process was stopped, not just busy.
+FREEZE_SECONDS = 1
+# Changes in progress make digests differ for a few heartbeats.
+DIFFERENCES_BEFORE_EXCHANGE = 3
+EXCHANGE_SECONDS = 2
+
+
+class Heartbeats:
+    """Runs the membership protocol on the links of one router."""
+
+    def __init__(
+        self,
+        kernel: 'Kernel',
+        table: 'MemberTable',
+        view: 'FleetView',
+        peers: PeerLinks,
+    ) -> None:
+        self.kernel = kernel
+        self.table = table
+        self.view = view
+        self.peers = peers
+        self.monitor = HeartbeatMonitor()
+        self.differences: dict[VmId, int] = {}
+        self.exchanging: set[VmId] = set()
+        self.changed = asyncio.Event()
+        self.next_beat: float = 0
+
+    def connect(self) -> None:
+        """Subscribe to the messages and events of the peer network."""
+        self.peers.subscribe(Heartbeat, self.heartbeat_received)
+        self.peers.answer(MemberExchange, self.exchange_received)
+        self.peers.observe(self.link_changed)
+
+    async def run(self) -> None:
+        """Send heartbeats and judge the silence of others."""
+        now = self.kernel.clock.monotonic()
+        self.next_beat = now + random.uniform(0, HEARTBEAT_SECONDS)
+        while True:
+            deadline = min(
+                self.next_beat,
+                self.table.next_deadline(),
+                self.monitor.next_deadline(),
+            )
+            await self.wait_until(deadline)
+            now = self.kernel.clock.monotonic()
+            self.allow_for_pause(now - deadline, now)
+            self.judge(now)
+            if self.table.changes or now >= self.next_beat:
+                self.beat(now)
+
+    async def wait_until(self, deadline: float) -> None:
+        """Return at a time, or soon after a change."""
+        remaining = deadline - self.kernel.clock.monotonic()
+        try:
+            async with asyncio.timeout(max(remaining, 0)):
+                await self.changed.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(COALESCE_SECONDS)
+
+    def allow_for_pause(self, late_seconds: float, now: float) -> None:
+        """Blame nobody for silence while this process did not run."""
+        if late_seconds <= COALESCE_SECONDS:
+            return
+        self.monitor.postpone(late_seconds, now)
+        self.table.postpone(late_seconds, now)
+        if late_seconds > FREEZE_SECONDS:
+            # Others may have declared this VM dead meanwhile.
+            self.table.refute()
+
+    def judge(self, now: float) -> None:
+        """Suspect the silent and declare dead whose time is over."""
+        for vm in self.monitor.silent(now):
+            self.table.suspect(vm, now, SUSPECT_SECONDS)
+        self.table.advance(now)
+        self.follow(now)
+
+    def follow(self, now: float) -> None:
+        """Bring everything in line with the table after changes."""
+        if self.view.version == self.table.version:
+            return
+        for changed in self.table.changes.values():
+            if changed.state is MemberState.DEAD:
+                self.peers.disconnect(changed.vm)
+            elif changed.state is not MemberState.SUSPECT:
+                self.monitor.refuted(changed.vm, now)
+        self.view.refresh()
+        self.monitor.watch(self.view.sources, now)
+        if self.table.changes:
+            self.changed.set()
+
+    def beat(self, now: float) -> None:
+        """Send a heartbeat with the changes on all links."""
+        self.changed.clear()
+        self.next_beat = now + HEARTBEAT_SECONDS
+        heartbeat = self.heartbeat(self.table.take_changes())
+        self.peers.send_all(self.view.targets, heartbeat)
+
+    def heartbeat(self, changes: tuple['Member', ...]) -> Heartbeat:
+        """Make a heartbeat."""
+        return Heartbeat(
+            self.table.own.incarnation,
+            self.table.digest,
+            changes,
+        )
+
+    def merge(self, entries: tuple['Member', ...]) -> None:
+        """Take entries of another router."""
+        now = self.kernel.clock.monotonic()
+        for entry in entries:
+            self.table.merge(entry, now)
+        self.follow(now)
+
+    def heartbeat_received(self, sender: 'VmId', heartbeat: Heartbeat) -> None:
+        """Note that a router is there and take its news."""
+        now = self.kernel.clock.monotonic()
+        self.monitor.heard(sender, now)
+        self.table.heard(sender, now)
+        if heartbeat.changes:
+            self.merge(heartbeat.changes)
+        entry = self.table.entries.get(sender)
+        if entry is None or entry.incarnation < heartbeat.incarnation:
+            self.spawn_exchange(sender)
+        elif entry.state in {MemberState.SUSPECT, MemberState.DEAD}:
+            # The sender refutes when it learns what is said about it.
+            self.peers.send(sender, self.heartbeat((entry,)))
+        self.compare_digest(sender, heartbeat.digest)
+
+    def compare_digest(self, sender: 'VmId', digest: int) -> None:
+        """Exchange all entries if the tables differ for some time."""
+        if digest == self.table.digest:
+            self.differences.pop(sender, None)
+            return
+        count = self.differences.get(sender, 0) + 1
+        self.differences[sender] = count
+        if count >= DIFFERENCES_BEFORE_EXCHANGE:
+            self.spawn_exchange(sender)
+
+    def spawn_exchange(self, vm: 'VmId') -> None:
+        """Exchange all entries with a router, unless that is under way."""
+        if vm not in self.exchanging:
+            self.kernel.spawn(f'member exchange {vm}', self.exchange(vm))
+
+    async def exchange(self, vm: 'VmId') -> None:
+        """Exchange all entries with a router."""
+        self.exchanging.add(vm)
+        self.differences.pop(vm, None)
+        outcome = await self.peers.request(
+            vm,
+            MemberExchange(tuple(self.table.entries.values())),
+            MemberDifferences,
+            EXCHANGE_SECONDS,
+        )
+        self.exchanging.discard(vm)
+        if outcome.is_ok():
+            self.merge(outcome.ok.entries)
+
+    async def exchange_received(
+        self,
+        sender: 'VmId',
+        exchange: MemberExchange,
+    ) -> MemberDifferences:
+        """Take all entries of a router and return what it lacks."""
+        self.merge(exchange.entries)
+        theirs = {entry.vm: precedence(entry) for entry in exchange.entries}
+        return MemberDifferences(
+            tuple(
+                entry
+                for entry in self.table.entries.values()
+                if entry.vm not in theirs
+                or precedence(entry) > theirs[entry.vm]
+            ),
+        )
+
+    def link_changed(self, vm: 'VmId', event: LinkEvent) -> None:
+        """Find out at once whether a router is still there."""
+        entry = self.table.entries.get(vm)
+        if entry is None or entry.state is MemberState.DEAD:
+            return
+        if event is LinkEvent.LOST:
+            # A message makes the network connect again.
+            self.peers.send(vm, self.heartbeat(()))
+        elif event is LinkEvent.REFUSED:
+            now = self.kernel.clock.monotonic()
+            self.table.suspect(vm, now, REFUSED_SECONDS)
+            self.changed.set()
+            self.follow(now)
--- /dev/null
+++ b/src/pollenloom/membership/membership_messages.py
@@ -0,0 +1,38 @@
+"""Messages of the membership protocol."""
+
+from pollenloom.membership.member import Member
+from pollenloom.peers.peer_message import PeerMessage
+
+
+class Heartbeat(PeerMessage, frozen=True):
+    """Sent on each link twice a second and when entries have changed.
+
+    Attributes:
+        incarnation: Incarnation of the sender.
+        digest: Hash of the sender's entries.
+        changes: Entries that changed since its last heartbeat.
+    """
+
+    incarnation: int
+    digest: int
+    changes: tuple[Member, ...] = ()
+
+
+class MemberExchange(PeerMessage, frozen=True):
+    """Request with all entries of one side.
+
+    Attributes:
+        entries: All entries, the dead ones too.
+    """
+
+    entries: tuple[Member, ...]
+
+
+class MemberDifferences(PeerMessage, frozen=True):
+    """Reply with the entries that the other side lacks.
+
+    Attributes:
+        entries: Entries that are newer than those of the request.
+    """
+
+    entries: tuple[Member, ...]
