--- /dev/null
+++ b/src/pollenloom/console/router_process.py
@@ -0,0 +1,180 @@
+"""Runs one router until a signal ends it."""
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+from absl import logging
+
+from pollenloom.console.router_exit import RouterExit
+from pollenloom.console.service_catalogue import (
+    ServiceFactory,
+    service_factories,
+)
+from pollenloom.kernel.kernel import Kernel
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.kernel.listener import Listener
+from pollenloom.observability.json_log import configure_json_log
+from pollenloom.settings.router_settings import RouterSettings
+
+SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
+# Part of `shutdown_seconds` kept for closing connections after the drain.
+STOP_PART: Final = 0.1
+
+
+class RouterProcess:
+    """Starts the services, waits for a signal, shuts down."""
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        factories: tuple[ServiceFactory, ...],
+    ) -> None:
+        self.settings = settings
+        self.kernel = Kernel()
+        self.stop_requested = asyncio.Event()
+        for factory in factories:
+            self.kernel.register(factory(self.kernel, settings))
+
+    async def run(self) -> RouterExit:
+        """Run until a signal; return how the process ended."""
+        loop = asyncio.get_running_loop()
+        for number in SIGNALS:
+            loop.add_signal_handler(number, self.signal_received, number)
+        try:
+            started = await self.start()
+        except Exception:
+            logging.exception('router_start_failed')
+            return RouterExit.START_FAILED
+        if started:
+            write_line({'ready': self.addresses()})
+            logging.info('router_ready %s', self.settings.vm)
+            await self.stop_requested.wait()
+        return await self.shut_down()
+
+    async def start(self) -> bool:
+        """Start all services; return False if a signal came first."""
+        start = asyncio.ensure_future(self.kernel.start())
+        stop = asyncio.ensure_future(self.stop_requested.wait())
+        await asyncio.wait((start, stop), return_when=asyncio.FIRST_COMPLETED)
+        stop.cancel()
+        if start.done():
+            start.result()
+            return True
+        # The kernel stops the services that it has started by then.
+        start.cancel()
+        await asyncio.wait((start,))
+        return False
+
+    async def shut_down(self) -> RouterExit:
+        """Drain and stop within `shutdown_seconds`."""
+        limit = self.settings.limits.shutdown_seconds
+        drained = await self.drain(limit * (1 - STOP_PART))
+        stopped = await self.stop(limit * STOP_PART)
+        logging.info('router_stopped %s', self.settings.vm)
+        if drained and stopped:
+            return RouterExit.STOPPED
+        return RouterExit.SHUTDOWN_INCOMPLETE
+
+    async def drain(self, timeout_seconds: float) -> bool:
+        """Let accepted work finish; return whether all of it did."""
+        try:
+            drained = await self.kernel.drain(timeout_seconds)
+        except Exception:
+            logging.exception('router_drain_failed')
+            return False
+        if not drained:
+            logging.error('router_drain_timed_out after %s s', timeout_seconds)
+        return drained
+
+    async def stop(self, timeout_seconds: float) -> bool:
+        """Stop the services; return whether all of them stopped."""
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                await self.kernel.stop()
+        except TimeoutError:
+            logging.exception('router_stop_timed_out')
+            # A task that ignores its cancellation would keep the loop open.
+            end_at_once(RouterExit.SHUTDOWN_INCOMPLETE)
+        except Exception:
+            logging.exception('router_stop_failed')
+            return False
+        return True
+
+    def signal_received(self, number: signal.Signals) -> None:
+        """Begin the shutdown, or end at once if it has begun."""
+        if self.stop_requested.is_set():
+            logging.error('router_killed by a second %s', number.name)
+            end_at_once(RouterExit.SECOND_SIGNAL)
+        logging.info('router_stopping on %s', number.name)
+        self.stop_requested.set()
+
+    def addresses(self) -> dict[str, str]:
+        """Return the addresses that the services listen on."""
+        return {
+            'vm': self.settings.vm,
+            'callers': self.address(
+                KernelServiceName.FRONTEND,
+                self.settings.callers,
+            ),
+            'operators': self.address(
+                KernelServiceName.OPERATIONS,
+                self.settings.operators,
+            ),
+            'peers': self.address(
+                KernelServiceName.PEERS,
+                self.settings.peers.listen,
+            ),
+        }
+
+    def address(self, name: KernelServiceName, configured: str) -> str:
+        """Return the address of one service, as bound if it tells it."""
+        service = self.kernel.services.get(name)
+        return service.address if isinstance(service, Listener) else configured
+
+
+def run_router(
+    settings: RouterSettings,
+    factories: Callable[
+        [RouterSettings],
+        tuple[ServiceFactory, ...],
+    ] = service_factories,
+) -> RouterExit:
+    """Run one router in this process until a signal ends it."""
+    configure_json_log()
+    # uvloop reads this when a loop is made; io_uring is not allowed.
+    os.environ['UV_USE_IO_URING'] = '0'
+    # Imported after the variable is set, whatever the library reads when.
+    import uvloop
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(run_services(settings, factories(settings)))
+
+
+async def run_services(
+    settings: RouterSettings,
+    factories: tuple[ServiceFactory, ...],
+) -> RouterExit:
+    """Make the services on the running loop and run them."""
+    try:
+        process = RouterProcess(settings, factories)
+    except (OSError, ValueError, LookupError):
+        logging.exception('router_settings_rejected')
+        return RouterExit.START_FAILED
+    return await process.run()
+
+
+def write_line(content: dict[str, dict[str, str]]) -> None:
+    """Write one JSON line to standard output."""
+    sys.stdout.write(f'{msgspec.json.encode(content).decode()}\n')
+    sys.stdout.flush()
+
+
+def end_at_once(code: RouterExit) -> None:
+    """End the process without closing anything."""
+    logging.flush()
+    os._exit(code)
--- a/src/pollenloom/kernel/kernel.py
+++ b/src/pollenloom/kernel/kernel.py
@@ -7,6 +7,7 @@
 from absl import logging
 
 from pollenloom.kernel.clock import Clock
+from pollenloom.kernel.kernel_phase import KernelPhase
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 
@@ -26,6 +27,7 @@
         self.services: dict[KernelServiceName, KernelService] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.started: list[KernelService] = []
+        self.phase = KernelPhase.STARTING
 
     def register(self, service: KernelService) -> None:
         """Add a service.
@@ -78,6 +80,7 @@
                 await self.stop()
                 raise
             self.started.append(service)
+        self.phase = KernelPhase.RUNNING
 
     async def drain(self, timeout_seconds: float) -> bool:
         """Let all services finish accepted work.
@@ -85,6 +88,7 @@
         Returns:
             Whether all finished within the timeout.
         """
+        self.phase = KernelPhase.DRAINING
         try:
             async with asyncio.timeout(timeout_seconds):
                 for service in reversed(self.started):
@@ -95,6 +99,7 @@
 
     async def stop(self) -> None:
         """Stop all services in reverse order, then end their tasks."""
+        self.phase = KernelPhase.STOPPED
         while self.started:
             await self.started.pop().stop()
         remaining = tuple(self.tasks)
--- a/src/pollenloom/observability/event_log.py
+++ b/src/pollenloom/observability/event_log.py
@@ -67,7 +67,12 @@
             fields=MappingProxyType(fields),
         )
         self.events.append(event)
-        logging.info('%s', render_event(event))
+        # The JSON formatter reads the record itself, not its text.
+        logging.info(
+            '%s',
+            render_event(event),
+            extra={'event_record': event},
+        )
 
     def about(self, subject: str) -> tuple[Event, ...]:
         """Return the kept events of one subject, oldest first."""
--- /dev/null
+++ b/tests/console/waiting_router.py
@@ -0,0 +1,79 @@
+"""A router process with one service, run by the process tests.
+
+The argument tells how its service drains: `quick`, or `stuck` (never ends).
+"""
+
+import asyncio
+import sys
+from pathlib import Path
+from typing import ClassVar
+
+from absl import logging
+
+from pollenloom.console.router_process import run_router
+from pollenloom.console.service_catalogue import ServiceFactory
+from pollenloom.core.ids import DataCentreId, VmId
+from pollenloom.kernel.kernel import Kernel
+from pollenloom.kernel.kernel_service import KernelService
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.settings.router_settings import (
+    LimitSettings,
+    PeerSettings,
+    PlatformSettings,
+    RouterSettings,
+)
+
+
+class WaitingFrontend(KernelService):
+    """Stands for a front end with a request in progress."""
+
+    name: ClassVar[KernelServiceName] = KernelServiceName.FRONTEND
+
+    def __init__(self, kernel: Kernel, mode: str) -> None:
+        self.kernel = kernel
+        self.mode = mode
+        self.address = '127.0.0.1:4242'
+
+    async def start(self) -> None:
+        if self.mode == 'broken':
+            raise OSError('address in use')
+
+    async def drain(self) -> None:
+        logging.info('drain_began in phase %s', self.kernel.phase.value)
+        if self.mode == 'stuck':
+            await asyncio.Event().wait()
+
+    async def stop(self) -> None:
+        logging.info('frontend_stopped')
+
+
+def make_frontend(kernel: Kernel, settings: RouterSettings) -> KernelService:
+    """Return the only service."""
+    return WaitingFrontend(kernel, sys.argv[1])
+
+
+def factories(_: RouterSettings) -> tuple[ServiceFactory, ...]:
+    """Return the factory of the only service."""
+    return (make_frontend,)
+
+
+def main() -> int:
+    """Run until a signal."""
+    settings = RouterSettings(
+        vm=VmId('vm-1'),
+        data_centre=DataCentreId('hengelo'),
+        callers='127.0.0.1:0',
+        operators='127.0.0.1:0',
+        operator_token_file=Path('unused'),
+        platform=PlatformSettings(url='http://127.0.0.1:9'),
+        peers=PeerSettings(
+            listen='127.0.0.1:0',
+            fleet_key_file=Path('unused'),
+        ),
+        limits=LimitSettings(shutdown_seconds=float(sys.argv[2])),
+    )
+    return run_router(settings, factories)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
