--- a/src/pollenloom/console/router_process.py
+++ b/src/pollenloom/console/router_process.py
@@ -133,7 +133,7 @@
 
     def address(self, name: KernelServiceName, configured: str) -> str:
         """Return the address of one service, as bound if it tells it."""
-        service = self.kernel.services.get(name)
+        service: object = self.kernel.services.get(name)
         return service.address if isinstance(service, Listener) else configured
 
 
--- a/src/pollenloom/console/service_catalogue.py
+++ b/src/pollenloom/console/service_catalogue.py
@@ -8,6 +8,7 @@
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.observability.event_log import EventLog
+from pollenloom.operations.operator_server import OperatorServer
 from pollenloom.settings.router_settings import RouterSettings
 
 ServiceFactory = Callable[[Kernel, RouterSettings], KernelService]
@@ -24,4 +25,7 @@
     The operators' address comes up early, so that a router that waits for
     the rest of its services answers `/healthz`. Callers are let in last.
     """
-    return (make_event_log,)
+    return (
+        make_event_log,
+        OperatorServer.from_config,
+    )
--- /dev/null
+++ b/src/pollenloom/operations/move_reader.py
@@ -0,0 +1,73 @@
+"""States of version moves, from the configuration and the registers."""
+
+from typing import Any, Final
+
+import cbor2
+import msgspec
+
+from pollenloom.configuration.move_entry import MoveEntry
+from pollenloom.core.ids import ServiceId
+from pollenloom.kernel.kernel import Kernel
+from pollenloom.operations.fleet_status import MoveView
+from pollenloom.operations.neighbours import Neighbours
+
+MOVE_PREFIX: Final = 'move/'
+NOT_STARTED: Final = 'waiting'
+
+
+class MoveReader:
+    """Joins each configured move with what its judge has written."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.neighbours = Neighbours(kernel)
+
+    def moves(self) -> tuple[MoveView, ...]:
+        """Return all configured moves, sorted by id."""
+        configuration = self.neighbours.configuration.current
+        views = [
+            self.view(service.service, service.move)
+            for service in configuration.services.values()
+            if service.move is not None
+        ]
+        return tuple(sorted(views, key=lambda view: view.move))
+
+    def view(self, service: ServiceId, move: MoveEntry) -> MoveView:
+        """Return one move with its state."""
+        record = self.record(f'{MOVE_PREFIX}{move.name}')
+        start, finish_by = move.window()
+        return MoveView(
+            move=move.name,
+            service=service,
+            from_version=move.from_version,
+            to_version=move.to_version,
+            start=start.isoformat(),
+            finish_by=finish_by.isoformat(),
+            state=str(record.get('state', NOT_STARTED)),
+            record=record,
+        )
+
+    def record(self, key: str) -> dict[str, Any]:
+        """Return what the judge wrote; empty if it has not."""
+        register = self.neighbours.registers.get(key)
+        if register is None:
+            return {}
+        return decode_record(register.payload)
+
+
+def decode_record(payload: bytes) -> dict[str, Any]:
+    """Return a register's payload, in JSON or CBOR, as a map."""
+    try:
+        record = msgspec.json.decode(payload)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        record = decode_cbor(payload)
+    if isinstance(record, dict):
+        return {str(key): entry for key, entry in record.items()}
+    return {'record': record}
+
+
+def decode_cbor(payload: bytes) -> object:
+    """Return CBOR decoded; the size of the payload if it is not CBOR."""
+    try:
+        return cbor2.loads(payload)
+    except (cbor2.CBORDecodeError, UnicodeDecodeError):
+        return f'{len(payload)} bytes in an unknown encoding'
--- /dev/null
+++ b/src/pollenloom/operations/neighbours.py
@@ -0,0 +1,62 @@
+"""Other services of the process, found by name."""
+
+from pollenloom.admission.admission import Admission
+from pollenloom.configuration.configuration_service import ConfigurationService
+from pollenloom.kernel.kernel import Kernel
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.membership.membership import Membership
+from pollenloom.membership.registers import Registers
+from pollenloom.observability.event_log import EventLog
+from pollenloom.peers.peer_network import PeerNetwork
+
+
+class Neighbours:
+    """Finds the services that the operators' server asks."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+
+    @property
+    def admission(self) -> Admission:
+        """Admission policy."""
+        return self.kernel.find(
+            KernelServiceName.ADMISSION,
+            Admission,  # type: ignore[type-abstract]
+        )
+
+    @property
+    def configuration(self) -> ConfigurationService:
+        """Configuration in force and data centre states."""
+        return self.kernel.find(
+            KernelServiceName.CONFIGURATION,
+            ConfigurationService,  # type: ignore[type-abstract]
+        )
+
+    @property
+    def events(self) -> EventLog:
+        """Event records of this router."""
+        return self.kernel.find(KernelServiceName.EVENTS, EventLog)
+
+    @property
+    def membership(self) -> Membership:
+        """Members of the fleet."""
+        return self.kernel.find(
+            KernelServiceName.MEMBERSHIP,
+            Membership,  # type: ignore[type-abstract]
+        )
+
+    @property
+    def peers(self) -> PeerNetwork:
+        """Network between routers."""
+        return self.kernel.find(
+            KernelServiceName.PEERS,
+            PeerNetwork,  # type: ignore[type-abstract]
+        )
+
+    @property
+    def registers(self) -> Registers:
+        """Registers that all routers hold."""
+        return self.kernel.find(
+            KernelServiceName.REGISTERS,
+            Registers,  # type: ignore[type-abstract]
+        )
--- /dev/null
+++ b/src/pollenloom/operations/peer_questions.py
@@ -0,0 +1,68 @@
+"""Answers to the questions of other routers' operators' servers."""
+
+from pollenloom.core.ids import VmId
+from pollenloom.kernel.kernel import Kernel
+from pollenloom.operations.data_centre_control import (
+    WAIT_SECONDS,
+    DataCentreControl,
+)
+from pollenloom.operations.fleet_reporter import FleetReporter
+from pollenloom.operations.messages import (
+    DataCentreStateReply,
+    DataCentreStateRequest,
+    EventsReply,
+    EventsRequest,
+    StatusReply,
+    StatusRequest,
+)
+from pollenloom.operations.neighbours import Neighbours
+
+
+class PeerQuestions:
+    """Serves status, event and data centre questions over the network."""
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        reporter: FleetReporter,
+        control: DataCentreControl,
+    ) -> None:
+        self.neighbours = Neighbours(kernel)
+        self.reporter = reporter
+        self.control = control
+
+    def subscribe(self) -> None:
+        """Register the questions with the network between routers."""
+        peers = self.neighbours.peers
+        peers.answer(StatusRequest, self.answer_status)
+        peers.answer(EventsRequest, self.answer_events)
+        peers.answer(DataCentreStateRequest, self.answer_data_centre)
+
+    async def answer_status(
+        self,
+        sender: VmId,
+        request: StatusRequest,
+    ) -> StatusReply:
+        """Return this router's part of the status."""
+        return StatusReply(self.reporter.reporter.report())
+
+    async def answer_events(
+        self,
+        sender: VmId,
+        request: EventsRequest,
+    ) -> EventsReply:
+        """Return this router's event records."""
+        return EventsReply(self.reporter.own_events(request.subject))
+
+    async def answer_data_centre(
+        self,
+        sender: VmId,
+        request: DataCentreStateRequest,
+    ) -> DataCentreStateReply:
+        """Return whether this router has a state, after a bounded wait."""
+        reached = await self.control.reached(
+            request.data_centre,
+            request.state,
+            min(request.wait_seconds, WAIT_SECONDS),
+        )
+        return DataCentreStateReply(reached)
--- /dev/null
+++ b/src/pollenloom/operations/router_status.py
@@ -0,0 +1,33 @@
+"""What one router contributes to the status of the fleet."""
+
+import msgspec
+
+from pollenloom.admission.admission_status import AdmissionStatus
+from pollenloom.core.ids import DataCentreId, Revision, VmId
+from pollenloom.core.states import DataCentreState
+from pollenloom.kernel.kernel_phase import KernelPhase
+
+
+class DataCentreReport(msgspec.Struct, frozen=True, kw_only=True):
+    """State of a data centre as one router has it."""
+
+    data_centre: DataCentreId
+    state: DataCentreState
+
+
+class RouterStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """Status of one router.
+
+    Attributes:
+        vm: The router.
+        phase: Phase of its process.
+        revision: Revision of the configuration that it has in force.
+        admission: Queues, pools and shares that it knows.
+        data_centres: States that it has in force.
+    """
+
+    vm: VmId
+    phase: KernelPhase
+    revision: Revision
+    admission: AdmissionStatus
+    data_centres: tuple[DataCentreReport, ...]
--- /dev/null
+++ b/src/pollenloom/operations/status_reporter.py
@@ -0,0 +1,48 @@
+"""This router's part of the status."""
+
+from pollenloom.admission.admission_status import AdmissionStatus
+from pollenloom.core.ids import DataCentreId
+from pollenloom.kernel.kernel import Kernel
+from pollenloom.operations.neighbours import Neighbours
+from pollenloom.operations.router_status import DataCentreReport, RouterStatus
+
+
+class StatusReporter:
+    """Collects what this router knows."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+        self.neighbours = Neighbours(kernel)
+
+    def report(self) -> RouterStatus:
+        """Return the part of this router."""
+        return RouterStatus(
+            vm=self.neighbours.membership.own.vm,
+            phase=self.kernel.phase,
+            revision=self.neighbours.configuration.current.revision,
+            admission=self.admission(),
+            data_centres=tuple(
+                DataCentreReport(
+                    data_centre=data_centre,
+                    state=self.neighbours.configuration.data_centre_state(
+                        data_centre
+                    ),
+                )
+                for data_centre in self.data_centres()
+            ),
+        )
+
+    def admission(self) -> AdmissionStatus:
+        """Return the status of admission."""
+        now = self.kernel.clock.monotonic()
+        return self.neighbours.admission.status(now)
+
+    def data_centres(self) -> tuple[DataCentreId, ...]:
+        """Return all data centres that have routers or services, sorted."""
+        known = {
+            member.data_centre
+            for member in self.neighbours.membership.members()
+        }
+        for service in self.neighbours.configuration.current.services.values():
+            known.update(service.data_centres)
+        return tuple(sorted(known))
--- /dev/null
+++ b/tests/operations/fakes.py
@@ -0,0 +1,299 @@
+"""Small fleet in one process: services with nothing behind them."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import UTC, datetime
+from typing import Any
+
+import cbor2
+import msgspec
+from expression import Error, Ok, Result
+
+from pollenloom.admission.admission import Admission
+from pollenloom.admission.admission_status import (
+    AccountStatus,
+    AdmissionStatus,
+    PoolStatus,
+    ServerStatus,
+)
+from pollenloom.admission.grant import Grant
+from pollenloom.admission.settlement import Settlement
+from pollenloom.admission.ticket import Ticket
+from pollenloom.configuration.account_entry import AccountEntry
+from pollenloom.configuration.configuration import Configuration
+from pollenloom.configuration.configuration_service import ConfigurationService
+from pollenloom.configuration.move_entry import MoveEntry
+from pollenloom.configuration.service_file import ServiceFile
+from pollenloom.core.backend_server import BackendServer
+from pollenloom.core.error_kind import ErrorKind
+from pollenloom.core.failure import Failure
+from pollenloom.core.ids import (
+    AccountId,
+    DataCentreId,
+    MoveId,
+    PoolId,
+    Revision,
+    ServerId,
+    ServiceId,
+    VersionId,
+    VmId,
+)
+from pollenloom.core.states import DataCentreState, MemberState, Resource
+from pollenloom.kernel.kernel_service import KernelService
+from pollenloom.membership.member import Member
+from pollenloom.membership.membership import Membership
+from pollenloom.membership.register_value import RegisterValue
+from pollenloom.membership.registers import Registers
+from pollenloom.peers.peer_message import PeerMessage
+from pollenloom.peers.peer_network import MessageT, PeerNetwork
+
+MODEL = ServiceId('minutes')
+HENGELO = DataCentreId('hengelo')
+ALMELO = DataCentreId('almelo')
+SERVER = BackendServer(
+    server=ServerId('server-1'),
+    service=MODEL,
+    data_centre=HENGELO,
+    version=VersionId('v1'),
+    address='127.0.0.1:9001',
+    slots=8,
+    cold_slots=2,
+)
+SERVICE = ServiceFile(
+    service=MODEL,
+    resource=Resource.MODEL,
+    shutdown_date=datetime(2030, 1, 1, tzinfo=UTC),
+    data_centres=(HENGELO, ALMELO),
+    versions=(VersionId('v1'), VersionId('v2')),
+    accounts=(AccountEntry(name=AccountId('striker-club'), share=2),),
+    move=MoveEntry(
+        name=MoveId('minutes-v2'),
+        from_version=VersionId('v1'),
+        to_version=VersionId('v2'),
+        start=datetime(2029, 1, 1, tzinfo=UTC),
+        finish_by=datetime(2029, 1, 2, tzinfo=UTC),
+    ),
+)
+Answer = Callable[[VmId, Any], Awaitable[PeerMessage]]
+
+
+class IdleService(KernelService):
+    """Start and stop that do nothing."""
+
+    async def start(self) -> None:
+        """Nothing to start."""
+
+    async def stop(self) -> None:
+        """Nothing to stop."""
+
+
+class Fleet:
+    """What the fakes of all routers share."""
+
+    def __init__(self) -> None:
+        self.networks: dict[VmId, FakePeerNetwork] = {}
+        self.configurations: dict[VmId, FakeConfiguration] = {}
+        self.silent: set[VmId] = set()
+        self.members: tuple[Member, ...] = ()
+
+
+class FakePeerNetwork(IdleService, PeerNetwork):
+    """Passes requests between routers; silent ones never answer."""
+
+    def __init__(self, fleet: Fleet, own: VmId) -> None:
+        self.fleet = fleet
+        self.own = own
+        self.answers: dict[type[PeerMessage], Answer] = {}
+        fleet.networks[own] = self
+
+    def send(self, vm: VmId, message: PeerMessage) -> bool:
+        return False
+
+    async def request(
+        self,
+        vm: VmId,
+        message: PeerMessage,
+        reply_type: type[MessageT],
+        timeout_seconds: float,
+    ) -> Result[MessageT, Failure]:
+        if vm in self.fleet.silent:
+            await asyncio.Event().wait()
+        if vm not in self.fleet.networks:
+            return Error(Failure(ErrorKind.PEER_UNAVAILABLE, 'no connection'))
+        answer = self.fleet.networks[vm].answers[type(message)]
+        reply = await answer(self.own, transfer(message, type(message)))
+        return Ok(transfer(reply, reply_type))
+
+    def subscribe(
+        self,
+        message_type: type[MessageT],
+        handler: Callable[[VmId, MessageT], None],
+    ) -> None:
+        raise NotImplementedError
+
+    def answer(
+        self,
+        message_type: type[MessageT],
+        handler: Callable[[VmId, MessageT], Awaitable[PeerMessage]],
+    ) -> None:
+        self.answers[message_type] = handler
+
+
+def transfer(message: PeerMessage, expected: type[MessageT]) -> MessageT:
+    """Encode and decode a message as the network does."""
+    encoded = cbor2.dumps(msgspec.to_builtins(message))
+    return msgspec.convert(cbor2.loads(encoded), expected)
+
+
+class FakeMembership(IdleService, Membership):
+    """All members of the fleet."""
+
+    def __init__(self, fleet: Fleet, own: Member) -> None:
+        self.fleet = fleet
+        self.own_member = own
+
+    @property
+    def own(self) -> Member:
+        return self.own_member
+
+    def members(self) -> tuple[Member, ...]:
+        return self.fleet.members
+
+    def live(self, data_centre: DataCentreId | None = None) -> tuple[VmId, ...]:
+        return tuple(member.vm for member in self.fleet.members)
+
+    def ranked(
+        self,
+        key: str,
+        data_centre: DataCentreId | None = None,
+    ) -> tuple[VmId, ...]:
+        return self.live()
+
+    def watch(self, listener: Callable[[], None]) -> None:
+        raise NotImplementedError
+
+
+class FakeConfiguration(IdleService, ConfigurationService):
+    """One service; states spread to all routers that are not silent."""
+
+    def __init__(self, fleet: Fleet, own: VmId) -> None:
+        self.fleet = fleet
+        self.configuration = Configuration(
+            revision=Revision(7),
+            services={MODEL: SERVICE},
+            publish_id='publish-1',
+            publisher='operator-1',
+        )
+        self.states: dict[DataCentreId, DataCentreState] = {}
+        self.listeners: list[Callable[[], None]] = []
+        fleet.configurations[own] = self
+
+    @property
+    def current(self) -> Configuration:
+        return self.configuration
+
+    def servers(self, service: ServiceId) -> tuple[BackendServer, ...]:
+        return (SERVER,)
+
+    def data_centre_state(self, data_centre: DataCentreId) -> DataCentreState:
+        return self.states.get(data_centre, DataCentreState.IN_SERVICE)
+
+    def set_data_centre_state(
+        self,
+        data_centre: DataCentreId,
+        state: DataCentreState,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self.apply(data_centre, state)
+        for vm, other in self.fleet.configurations.items():
+            if vm not in self.fleet.silent:
+                loop.call_later(0.01, other.apply, data_centre, state)
+
+    def apply(self, data_centre: DataCentreId, state: DataCentreState) -> None:
+        self.states[data_centre] = state
+        for listener in self.listeners:
+            listener()
+
+    def watch(self, listener: Callable[[], None]) -> None:
+        self.listeners.append(listener)
+
+
+class FakeAdmission(IdleService, Admission):
+    """A pool and an account; `part` differs between routers."""
+
+    def __init__(self, own: VmId, part: int) -> None:
+        self.own = own
+        self.part = part
+
+    async def acquire(self, ticket: Ticket) -> Result[Grant, Failure]:
+        raise NotImplementedError
+
+    def settle(self, settlement: Settlement) -> None:
+        raise NotImplementedError
+
+    def status(self, now: float) -> AdmissionStatus:
+        server = ServerStatus(
+            server=SERVER.server,
+            version=SERVER.version,
+            in_flight=self.part,
+            limit=4,
+            slots=SERVER.slots,
+            cold=False,
+            leaving=False,
+        )
+        pool = PoolStatus(
+            pool=PoolId('minutes/hengelo/0'),
+            service=MODEL,
+            data_centre=HENGELO,
+            owner=VmId('vm-2'),
+            epoch=3,
+            waiting=self.part,
+            servers=(server,),
+        )
+        account = AccountStatus(
+            account=AccountId('striker-club'),
+            service=MODEL,
+            share=2,
+            served=self.part * 100,
+            virtual_time=self.part * 50,
+            waiting=self.part,
+        )
+        return AdmissionStatus(
+            policy='allocator',
+            waiting=self.part,
+            pools=(pool,),
+            accounts=(account,),
+        )
+
+
+class FakeRegisters(IdleService, Registers):
+    """One move that its judge has taken back."""
+
+    def get(self, key: str) -> RegisterValue | None:
+        record = {'state': 'taken_back', 'evidence': {'failures': 9}}
+        return RegisterValue(1, 'vm-1', msgspec.json.encode(record))
+
+    def keys(self, prefix: str) -> tuple[str, ...]:
+        return (f'{prefix}minutes-v2',)
+
+    def put(self, key: str, register: RegisterValue) -> bool:
+        raise NotImplementedError
+
+    def watch(
+        self,
+        prefix: str,
+        listener: Callable[[str, RegisterValue], None],
+    ) -> None:
+        raise NotImplementedError
+
+
+def make_member(number: int, data_centre: DataCentreId) -> Member:
+    """Return the member entry of a router."""
+    return Member(
+        vm=VmId(f'vm-{number}'),
+        data_centre=data_centre,
+        peer_address=f'127.0.0.1:{9100 + number}',
+        operator_address=f'127.0.0.1:{9200 + number}',
+        incarnation=1,
+        state=MemberState.ALIVE,
+    )
--- /dev/null
+++ b/tests/operations/test_operator_server.py
@@ -0,0 +1,182 @@
+"""Failures of the operators' server."""
+
+from typing import Any
+
+import aiohttp
+import pytest
+from prometheus_client import CollectorRegistry, Counter
+
+from pollenloom.configuration.configuration import Configuration
+from pollenloom.core.ids import Revision, VmId
+from pollenloom.core.states import DataCentreState
+from pollenloom.observability.metrics_source import MetricsHolder
+from pollenloom.operations.bearer_token import BearerToken
+from tests.operations.conftest import Router
+from tests.operations.fakes import ALMELO, HENGELO, Fleet
+
+Routers = list[Router]
+
+
+async def get_json(
+    operator: aiohttp.ClientSession,
+    url: str,
+    expected_status: int = 200,
+) -> Any:
+    async with operator.get(url) as response:
+        assert response.status == expected_status
+        return await response.json(content_type=None)
+
+
+async def test_status_joins_all_routers(
+    routers: Routers,
+    operator: aiohttp.ClientSession,
+) -> None:
+    """Guards against a status that shows only the asked router's part."""
+    status = await get_json(operator, f'{routers[0].url}/status')
+    assert status['asked'] == 'vm-1'
+    assert status['not_answered'] == []
+    assert status['waiting'] == 1 + 2 + 3
+    assert all(member['answered'] for member in status['members'])
+    # The pool's owner is vm-2, whose view is the one that counts.
+    assert [pool['waiting'] for pool in status['pools']] == [2]
+    assert status['servers'][0]['in_flight'] == 2
+    assert status['accounts'][0]['served'] == 300
+    assert status['configuration']['publisher'] == 'operator-1'
+    assert status['moves'][0]['state'] == 'taken_back'
+    assert status['moves'][0]['record']['evidence'] == {'failures': 9}
+
+
+async def test_status_marks_routers_without_answer(
+    routers: Routers,
+    operator: aiohttp.ClientSession,
+    fleet: Fleet,
+) -> None:
+    """Guards against a frozen router that hides the status of the others."""
+    fleet.silent.add(VmId('vm-3'))
+    status = await get_json(operator, f'{routers[0].url}/status')
+    assert status['not_answered'] == ['vm-3']
+    members = {member['vm']: member for member in status['members']}
+    assert members['vm-2']['answered']
+    assert not members['vm-3']['answered']
+
+
+async def test_drain_counts_routers_that_have_it(
+    routers: Routers,
+    operator: aiohttp.ClientSession,
+    fleet: Fleet,
+) -> None:
+    """Guards against a drain reported done that some routers missed (R4)."""
+    fleet.silent.add(VmId('vm-3'))
+    url = f'{routers[0].url}/data-centres/{HENGELO}/drain'
+    async with operator.post(url) as response:
+        change = await response.json()
+    assert change['routers'] == 3
+    assert change['routers_with_state'] == 2
+    assert change['missing'] == ['vm-3']
+    assert routers[1].configuration.states == {HENGELO: DataCentreState.OUT}
+    status = await get_json(operator, f'{routers[1].url}/status')
+    states = {
+        entry['data_centre']: entry['state'] for entry in status['data_centres']
+    }
+    assert states == {HENGELO: 'out', ALMELO: 'in_service'}
+
+
+async def test_restore_brings_a_data_centre_back(
+    routers: Routers,
+    operator: aiohttp.ClientSession,
+) -> None:
+    """Guards against a drain that cannot be undone."""
+    for action in ('drain', 'restore'):
+        url = f'{routers[0].url}/data-centres/{ALMELO}/{action}'
+        async with operator.post(url) as response:
+            change = await response.json()
+        assert change['routers_with_state'] == 3
+    state = routers[2].configuration.data_centre_state(ALMELO)
+    assert state is DataCentreState.IN_SERVICE
+
+
+@pytest.mark.parametrize(
+    ('path', 'status', 'hint'),
+    [
+        ('/data-centres/henglo/drain', 400, 'almelo, hengelo'),
+        ('/data-centres/hengelo/stop', 404, 'drain, restore'),
+    ],
+)
+async def test_mistyped_change_is_refused(
+    routers: Routers,
+    operator: aiohttp.ClientSession,
+    path: str,
+    status: int,
+    hint: str,
+) -> None:
+    """Guards against a drain of nothing after a typing error."""
+    async with operator.post(f'{routers[0].url}{path}') as response:
+        assert response.status == status
+        problem = await response.json(content_type='application/problem+json')
+    assert hint in problem['detail']
+
+
+async def test_events_come_from_all_routers(
+    routers: Routers,
+    operator: aiohttp.ClientSession,
+) -> None:
+    """Guards against an explanation that lacks another router's part."""
+    routers[2].events.record('grant_given', 'request-1', server='server-1')
+    routers[0].events.record('request_done', 'request-1', status=200)
+    routers[1].events.record('request_done', 'request-2', status=200)
+    url = f'{routers[1].url}/events?subject=request-1'
+    report = await get_json(operator, url)
+    told = [(event['vm'], event['event']) for event in report['events']]
+    assert told == [('vm-3', 'grant_given'), ('vm-1', 'request_done')]
+    await get_json(operator, f'{routers[1].url}/events', expected_status=400)
+
+
+@pytest.mark.parametrize('path', ['/status', '/metrics', '/events', '/none'])
+@pytest.mark.parametrize('token', ['', 'Bearer wrong', 'Bearer é'])
+async def test_token_is_required(
+    routers: Routers,
+    path: str,
+    token: str,
+) -> None:
+    """Guards against operators' data and actions open to callers."""
+    headers = {'Authorization': token} if token else {}
+    async with aiohttp.ClientSession(headers=headers) as session:
+        problem = await get_json(session, f'{routers[0].url}{path}', 401)
+    assert problem['kind'] == 'unauthenticated'
+
+
+def test_token_file_must_protect(tmp_path: Any) -> None:
+    """Guards against an empty token file that lets everyone in."""
+    path = tmp_path / 'token'
+    path.write_text('\n', encoding='utf-8')
+    with pytest.raises(ValueError, match='at least 8 characters'):
+        BearerToken.from_file(path)
+
+
+async def test_readiness_follows_the_life_cycle(routers: Routers) -> None:
+    """Guards against a balancer that sends callers to a stopping router."""
+    router = routers[0]
+    async with aiohttp.ClientSession() as probe:
+        await get_json(probe, f'{router.url}/readyz')
+        router.configuration.configuration = Configuration(Revision(0), {})
+        state = await get_json(probe, f'{router.url}/readyz', 503)
+        assert state == {'state': 'no configuration is known yet'}
+        assert await router.kernel.drain(timeout_seconds=5)
+        state = await get_json(probe, f'{router.url}/readyz', 503)
+        assert state == {'state': 'the router is draining'}
+        assert await get_json(probe, f'{router.url}/healthz') == {
+            'state': 'draining',
+        }
+
+
+async def test_metrics_of_the_registered_source(
+    routers: Routers,
+    operator: aiohttp.ClientSession,
+) -> None:
+    """Guards against metrics that no one can read."""
+    registry = CollectorRegistry()
+    Counter('requests', 'Requests.', registry=registry).inc()
+    routers[0].kernel.register(MetricsHolder(registry))
+    async with operator.get(f'{routers[0].url}/metrics') as response:
+        text = await response.text()
+    assert 'requests_total 1.0' in text
