--- /dev/null
+++ b/src/pollenloom/console/commands/router_command.py
@@ -0,0 +1,63 @@
+"""`pollenloom router`."""
+
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Final
+
+import cappa
+from pydantic import ValidationError
+
+from pollenloom.console.router_exit import RouterExit
+from pollenloom.console.router_process import run_router
+from pollenloom.settings.router_settings import RouterSettings
+
+USAGE_ERROR: Final = 2
+
+
+@cappa.command(
+    name='router',
+    help='Run a router on this VM.',
+    description='Runs until SIGTERM or SIGINT, then finishes accepted '
+    'requests within limits.shutdown_seconds. Writes one JSON line with its '
+    'addresses to standard output when it is ready, and its log as JSON lines '
+    'to standard error. Exit codes: 0 stopped, 10 a service did not start, '
+    '11 the shutdown was not complete, 12 ended by a second signal.',
+)
+@dataclass(kw_only=True)
+class RouterCommand:
+    """Run a router on this VM."""
+
+    settings: Annotated[
+        Path,
+        cappa.Arg(
+            long='--settings',
+            value_name='FILE',
+            help='TOML file with the settings of this router.',
+        ),
+    ]
+
+    def __call__(self) -> None:
+        """Run until a signal."""
+        code = run_router(read_settings(self.settings))
+        if code is not RouterExit.STOPPED:
+            raise cappa.Exit(
+                f'The router ended with {code.name.lower()}; see its log.',
+                code=code,
+            )
+
+
+def read_settings(path: Path) -> RouterSettings:
+    """Return the settings; end the command if they are not valid."""
+    try:
+        content = tomllib.loads(path.read_text(encoding='utf-8'))
+        return RouterSettings.model_validate(content)
+    except ValidationError as error:
+        problems = '; '.join(
+            f'{".".join(map(str, problem["loc"]))}: {problem["msg"]}'
+            for problem in error.errors()
+        )
+        message = f'{path} is not valid: {problems}'
+    except (OSError, ValueError) as error:
+        message = f'Cannot read the settings file {path}: {error}'
+    raise cappa.Exit(message, code=USAGE_ERROR)
--- /dev/null
+++ b/src/pollenloom/console/commands/status_command.py
@@ -0,0 +1,35 @@
+"""`pollenloom status`."""
+
+from dataclasses import dataclass
+
+import cappa
+
+from pollenloom.console import status_tables
+from pollenloom.console.operator_options import OperatorOptions
+
+
+@cappa.command(
+    name='status',
+    help='Show the fleet.',
+    description='Shows routers, data centres, the configuration in force, '
+    'pools, backend servers, shares and queues of client accounts, and '
+    'version moves. One router is asked and asks the others; those that do '
+    'not answer within 1 s are named.',
+)
+@dataclass(kw_only=True)
+class StatusCommand(OperatorOptions):
+    """Show the fleet."""
+
+    def __call__(self) -> None:
+        """Ask and print."""
+        status = self.wait_for(self.client().status())
+        self.show(
+            status,
+            status_tables.headline(status),
+            status_tables.data_centre_table(status),
+            status_tables.member_table(status),
+            status_tables.pool_table(status),
+            status_tables.server_table(status),
+            status_tables.account_table(status),
+            status_tables.move_table(status.moves),
+        )
--- /dev/null
+++ b/src/pollenloom/console/status_tables.py
@@ -0,0 +1,208 @@
+"""Tables of the fleet's status for people."""
+
+from collections.abc import Iterable
+
+from rich.table import Table
+from rich.text import Text
+
+from pollenloom.operations.event_entry import EventEntry
+from pollenloom.operations.fleet_status import FleetStatus, MoveView
+
+
+def make_table(
+    title: str,
+    columns: tuple[str, ...],
+    rows: Iterable[tuple[object, ...]],
+) -> Table:
+    """Return a table; an unknown value is shown as a dash."""
+    table = Table(title=title, title_justify='left')
+    for column in columns:
+        table.add_column(column, overflow='fold')
+    for row in rows:
+        table.add_row(*(Text(show(cell)) for cell in row))
+    return table
+
+
+def show(cell: object) -> str:
+    """Return the text of a cell."""
+    if cell is None:
+        return '-'
+    if isinstance(cell, bool):
+        return 'yes' if cell else 'no'
+    if isinstance(cell, float):
+        return f'{cell:,.1f}'
+    return str(cell)
+
+
+def headline(status: FleetStatus) -> str:
+    """Return what matters most in a few lines."""
+    configuration = status.configuration
+    publisher = configuration.publisher or 'nobody yet'
+    lines = [
+        f'Configuration revision {configuration.revision} by {publisher}',
+        f'Admission policy {status.policy}, {status.waiting} waiting requests',
+        f'Told by {status.asked}',
+    ]
+    if configuration.routers_behind:
+        behind = ', '.join(configuration.routers_behind)
+        lines.append(f'Behind this revision: {behind}')
+    if status.not_answered:
+        silent = ', '.join(status.not_answered)
+        lines.append(f'No answer within 1 s from: {silent}')
+    return '\n'.join(lines)
+
+
+def data_centre_table(status: FleetStatus) -> Table:
+    """Return the data centres."""
+    answered = sum(member.answered for member in status.members)
+    return make_table(
+        'Data centres',
+        ('data centre', 'state', 'routers', 'has this state'),
+        (
+            (
+                entry.data_centre,
+                entry.state.value,
+                entry.routers,
+                f'{entry.routers_with_state} of {answered} that answered',
+            )
+            for entry in status.data_centres
+        ),
+    )
+
+
+def member_table(status: FleetStatus) -> Table:
+    """Return the routers."""
+    return make_table(
+        'Routers',
+        ('router', 'data centre', 'member', 'phase', 'revision', 'waiting'),
+        (
+            (
+                member.vm,
+                member.data_centre,
+                member.state.value,
+                member.phase if member.answered else 'no answer',
+                member.revision,
+                member.waiting,
+            )
+            for member in status.members
+        ),
+    )
+
+
+def pool_table(status: FleetStatus) -> Table:
+    """Return the pools."""
+    return make_table(
+        'Pools',
+        ('pool', 'owner', 'epoch', 'waiting', 'servers'),
+        (
+            (pool.pool, pool.owner, pool.epoch, pool.waiting, len(pool.servers))
+            for pool in status.pools
+        ),
+    )
+
+
+def server_table(status: FleetStatus) -> Table:
+    """Return the backend servers."""
+    return make_table(
+        'Backend servers',
+        (
+            'server',
+            'service',
+            'data centre',
+            'version',
+            'in flight',
+            'limit',
+            'slots',
+            'cold',
+            'takes work',
+        ),
+        (
+            (
+                server.server,
+                server.service,
+                server.data_centre,
+                server.version,
+                server.in_flight,
+                server.limit,
+                server.slots,
+                server.cold,
+                server.takes_work,
+            )
+            for server in status.servers
+        ),
+    )
+
+
+def account_table(status: FleetStatus) -> Table:
+    """Return shares and queues of the client accounts."""
+    return make_table(
+        'Client accounts',
+        ('account', 'service', 'share', 'served', 'served/share', 'waiting'),
+        (
+            (
+                account.account,
+                account.service,
+                account.share,
+                account.served,
+                account.served / account.share if account.share else None,
+                account.waiting,
+            )
+            for account in status.accounts
+        ),
+    )
+
+
+def move_table(moves: Iterable[MoveView]) -> Table:
+    """Return the version moves."""
+    return make_table(
+        'Version moves',
+        ('move', 'service', 'from', 'to', 'state', 'finish by', 'details'),
+        (
+            (
+                move.move,
+                move.service,
+                move.from_version,
+                move.to_version,
+                move.state,
+                move.finish_by,
+                describe_move(move),
+            )
+            for move in moves
+        ),
+    )
+
+
+def describe_move(move: MoveView) -> str:
+    """Return what the judge of a move wrote besides its state."""
+    return describe_fields(
+        {key: part for key, part in move.record.items() if key != 'state'},
+    )
+
+
+def event_table(events: Iterable[EventEntry], times: Iterable[str]) -> Table:
+    """Return event records with their times."""
+    return make_table(
+        'What happened',
+        ('time', 'router', 'event', 'why', 'details'),
+        (
+            (
+                moment,
+                event.vm,
+                event.event,
+                event.fields.get('reason'),
+                describe_fields(
+                    {
+                        key: part
+                        for key, part in event.fields.items()
+                        if key != 'reason'
+                    },
+                ),
+            )
+            for event, moment in zip(events, times, strict=True)
+        ),
+    )
+
+
+def describe_fields(fields: dict[str, object]) -> str:
+    """Return fields as `name=value` pairs."""
+    return ' '.join(f'{key}={part}' for key, part in fields.items())
--- /dev/null
+++ b/tests/operations/fleet_fixtures.py
@@ -0,0 +1,83 @@
+"""Fixtures of three routers in one process."""
+
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest
+
+from pollenloom.kernel.kernel import Kernel
+from pollenloom.membership.member import Member
+from pollenloom.observability.event_log import EventLog
+from pollenloom.operations.bearer_token import BearerToken
+from pollenloom.operations.operator_server import OperatorServer
+from tests.operations.fakes import (
+    ALMELO,
+    HENGELO,
+    FakeAdmission,
+    FakeConfiguration,
+    FakeMembership,
+    FakePeerNetwork,
+    FakeRegisters,
+    Fleet,
+    make_member,
+)
+
+TOKEN = 'a-token-of-operators'
+
+
+class Router:
+    """One router of the fleet, without callers' address and backends."""
+
+    def __init__(self, fleet: Fleet, own: Member, part: int) -> None:
+        self.kernel = Kernel()
+        self.events = EventLog(self.kernel.clock)
+        self.configuration = FakeConfiguration(fleet, own.vm)
+        self.operations = OperatorServer(
+            self.kernel,
+            '127.0.0.1:0',
+            BearerToken(TOKEN.encode()),
+            f'operators-{own.vm}',
+        )
+        self.kernel.register(self.events)
+        self.kernel.register(self.operations)
+        self.kernel.register(FakePeerNetwork(fleet, own.vm))
+        self.kernel.register(FakeMembership(fleet, own))
+        self.kernel.register(FakeRegisters())
+        self.kernel.register(self.configuration)
+        self.kernel.register(FakeAdmission(own.vm, part))
+
+    @property
+    def url(self) -> str:
+        """Base URL of its operators' address."""
+        return f'http://{self.operations.address}'
+
+
+@pytest.fixture
+def fleet() -> Fleet:
+    fleet = Fleet()
+    fleet.members = (
+        make_member(1, HENGELO),
+        make_member(2, HENGELO),
+        make_member(3, ALMELO),
+    )
+    return fleet
+
+
+@pytest.fixture
+async def routers(fleet: Fleet) -> AsyncIterator[list[Router]]:
+    routers = [
+        Router(fleet, member, part)
+        for part, member in enumerate(fleet.members, start=1)
+    ]
+    for router in routers:
+        await router.kernel.start()
+    yield routers
+    for router in routers:
+        await router.kernel.stop()
+
+
+@pytest.fixture
+async def operator() -> AsyncIterator[aiohttp.ClientSession]:
+    headers = {'Authorization': f'Bearer {TOKEN}'}
+    async with aiohttp.ClientSession(headers=headers) as session:
+        yield session
--- a/tests/operations/test_operator_server.py
+++ b/tests/operations/test_operator_server.py
@@ -11,8 +11,8 @@
 from pollenloom.core.states import DataCentreState
 from pollenloom.observability.metrics_source import MetricsHolder
 from pollenloom.operations.bearer_token import BearerToken
-from tests.operations.conftest import Router
 from tests.operations.fakes import ALMELO, HENGELO, Fleet
+from tests.operations.fleet_fixtures import Router
 
 Routers = list[Router]
 
