--- a/src/pollenloom/kernel/kernel_service_name.py
+++ b/src/pollenloom/kernel/kernel_service_name.py
@@ -14,6 +14,7 @@
     FRONTEND = 'frontend'
     LOG = 'log'
     MEMBERSHIP = 'membership'
+    METRICS = 'metrics'
     MOVES = 'moves'
     OPERATIONS = 'operations'
     ORDERS = 'orders'
