--- /dev/null
+++ b/src/pollenloom/admission/admission_scope.py
@@ -0,0 +1,157 @@
+"""What the router side and the owner side of admission share."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+from pollenloom.admission.epoch_table import EpochTable
+from pollenloom.admission.pool_map import Pool, PoolMap
+from pollenloom.configuration.configuration_service import (
+    ConfigurationService,
+)
+from pollenloom.configuration.service_file import ServiceFile
+from pollenloom.core.ids import AccountId, PoolId, ServiceId, VmId
+from pollenloom.kernel.clock import Clock
+from pollenloom.kernel.kernel import Kernel
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.membership.membership import Membership
+from pollenloom.peers.peer_message import PeerMessage
+from pollenloom.peers.peer_network import PeerNetwork
+
+MessageT = TypeVar('MessageT', bound=PeerMessage)
+LocalHandler = Callable[[VmId, Any], None]
+
+
+@dataclass(slots=True)
+class AdmissionScope:
+    """Neighbouring services, the pools and who owns them now.
+
+    Attributes:
+        clock: Source of the time.
+        configuration: Configuration in force.
+        membership: Live routers.
+        peers: Network between routers.
+        stream: Identifies this life of the router.
+        shard_servers: Servers of one pool shard, at most.
+        epochs: Fencing numbers seen.
+        pool_map: Pools of the configuration in force.
+        owners: Owner of each pool.
+        local_handlers: Handlers of messages to this VM itself.
+    """
+
+    clock: Clock
+    configuration: ConfigurationService
+    membership: Membership
+    peers: PeerNetwork
+    stream: int
+    shard_servers: int
+    epochs: EpochTable = field(default_factory=EpochTable)
+    pool_map: PoolMap = field(default_factory=PoolMap)
+    owners: dict[PoolId, VmId] = field(default_factory=dict)
+    local_handlers: dict[type[PeerMessage], LocalHandler] = field(
+        default_factory=dict
+    )
+
+    @classmethod
+    def from_kernel(
+        cls, kernel: Kernel, shard_servers: int
+    ) -> 'AdmissionScope':
+        """Find the neighbouring services.
+
+        They are found by their interfaces, which mypy does not take for
+        `type[...]`.
+        """
+        return cls(
+            clock=kernel.clock,
+            configuration=kernel.find(
+                KernelServiceName.CONFIGURATION,
+                ConfigurationService,  # type: ignore[type-abstract]
+            ),
+            membership=kernel.find(
+                KernelServiceName.MEMBERSHIP,
+                Membership,  # type: ignore[type-abstract]
+            ),
+            peers=kernel.find(
+                KernelServiceName.PEERS,
+                PeerNetwork,  # type: ignore[type-abstract]
+            ),
+            # Milliseconds tell the lives of one VM apart.
+            stream=int(kernel.clock.wall() * 1000),
+            shard_servers=shard_servers,
+        )
+
+    @property
+    def own(self) -> VmId:
+        """Id of this VM."""
+        return self.membership.own.vm
+
+    def now(self) -> float:
+        """Monotonic seconds."""
+        return self.clock.monotonic()
+
+    def refresh(self) -> None:
+        """Derive pools and owners from configuration and membership."""
+        pool_map = PoolMap()
+        for service in self.configuration.current.services:
+            servers = self.configuration.servers(service)
+            pool_map.add_service(service, servers, self.shard_servers)
+        self.pool_map = pool_map
+        self.owners = {
+            pool.pool: self.ranking(pool)[0] for pool in pool_map.pools.values()
+        }
+
+    def ranking(self, pool: Pool) -> tuple[VmId, ...]:
+        """Live VMs that may own a pool, the owner first."""
+        ranked = self.membership.ranked(pool.pool, pool.data_centre)
+        # A VM that has not joined yet ranks nobody.
+        return ranked or (self.own,)
+
+    def routers(self) -> tuple[VmId, ...]:
+        """VMs that may hold grants: all that are not dead."""
+        members = {member.vm for member in self.membership.members()}
+        return tuple(sorted(members | {self.own}))
+
+    def service_file(self, service: ServiceId) -> ServiceFile | None:
+        """Entry of a service in the configuration in force."""
+        return self.configuration.current.services.get(service)
+
+    def shares(self, service: ServiceId) -> dict[AccountId, float]:
+        """Shares of the client accounts of a service."""
+        entry = self.service_file(service)
+        if entry is None:
+            return {}
+        return {account.name: account.share for account in entry.accounts}
+
+    def pools_of(self, service: ServiceId) -> list[Pool]:
+        """Pools that requests of this router may use, near ones first."""
+        pools = self.pool_map.by_service.get(service, [])
+        own = self.membership.own.data_centre
+        near = [pool for pool in pools if pool.data_centre == own]
+        entry = self.service_file(service)
+        if entry is None:
+            return []
+        if entry.cross_data_centre or own not in entry.data_centres:
+            return near + [pool for pool in pools if pool.data_centre != own]
+        return near
+
+    def is_near(self, pool: Pool) -> bool:
+        """Whether a pool is in the data centre of this VM."""
+        return pool.data_centre == self.membership.own.data_centre
+
+    def subscribe(
+        self,
+        message_type: type[MessageT],
+        handler: Callable[[VmId, MessageT], None],
+    ) -> None:
+        """Handle messages of other VMs and of this one."""
+        self.local_handlers[message_type] = handler
+        self.peers.subscribe(message_type, handler)
+
+    def send(self, vm: VmId, message: PeerMessage) -> None:
+        """Send a message; one to this VM takes no network hop."""
+        if vm != self.own:
+            self.peers.send(vm, message)
+            return
+        handler = self.local_handlers[type(message)]
+        asyncio.get_running_loop().call_soon(handler, vm, message)
--- /dev/null
+++ b/src/pollenloom/admission/allocator_admission.py
@@ -0,0 +1,218 @@
+"""Admission by pool owners that allocate the fleet's slots."""
+
+import asyncio
+from contextlib import suppress
+
+from expression import Error, Ok, Result
+
+from pollenloom.admission.admission import Admission
+from pollenloom.admission.admission_scope import AdmissionScope
+from pollenloom.admission.admission_status import AdmissionStatus
+from pollenloom.admission.grant import Grant
+from pollenloom.admission.grant_client import SPREAD_SECONDS, GrantClient
+from pollenloom.admission.home_pool import HomePool
+from pollenloom.admission.messages import (
+    CounterExchange,
+    Demand,
+    Grants,
+    NotOwner,
+    ReportRequest,
+    TakeoverReport,
+)
+from pollenloom.admission.pool_allocator import AllocatorOptions
+from pollenloom.admission.pool_owners import PoolOwners
+from pollenloom.admission.settlement import Settlement
+from pollenloom.admission.status_report import StatusReport
+from pollenloom.admission.ticket import Ticket
+from pollenloom.admission.version_shares import VersionShares
+from pollenloom.admission.waiting_queue import WaitingRequest
+from pollenloom.core.error_kind import ErrorKind
+from pollenloom.core.failure import Failure
+from pollenloom.core.ids import VmId
+from pollenloom.kernel.kernel import Kernel
+from pollenloom.settings.router_settings import RouterSettings
+
+IDLE_TICK_SECONDS = 0.1
+# The time in which a new configuration or VM list usually arrives.
+NO_CAPACITY_RETRY_SECONDS = 1.0
+
+
+class AllocatorAdmission(Admission):
+    """Routers queue, pool owners allocate.
+
+    Both sides run on each VM; a VM owns the pools for which it ranks first.
+    """
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        settings: RouterSettings,
+        shard_servers: int,
+    ) -> None:
+        self.kernel = kernel
+        self.settings = settings
+        self.shard_servers = shard_servers
+        self.stopping = False
+
+    @classmethod
+    def from_config(
+        cls,
+        kernel: Kernel,
+        settings: RouterSettings,
+    ) -> 'AllocatorAdmission':
+        """Build it for a router's settings."""
+        shard_servers = settings.admission.shard_servers
+        if settings.admission.policy == 'server_owner':
+            shard_servers = 1
+        return cls(kernel, settings, shard_servers)
+
+    async def start(self) -> None:
+        """Join the other routers."""
+        admission = self.settings.admission
+        options = AllocatorOptions(
+            fair=admission.fair,
+            ramp=admission.ramp,
+            affinity=admission.affinity,
+        )
+        self.scope = AdmissionScope.from_kernel(self.kernel, self.shard_servers)
+        self.client = GrantClient(self.scope)
+        self.owners = PoolOwners(self.scope, options)
+        self.home = HomePool(self.scope)
+        self.subscribe()
+        self.scope.configuration.watch(self.refresh)
+        self.scope.membership.watch(self.refresh)
+        self.refresh()
+        self.kernel.spawn('admission-router', self.run_client())
+        self.kernel.spawn('admission-owner', self.run_owners())
+
+    async def drain(self) -> None:
+        """Wait until no request waits or is being served."""
+        while self.client.queues.requests or self.client.in_use:
+            await asyncio.sleep(SPREAD_SECONDS)
+
+    async def stop(self) -> None:
+        """Refuse what still waits."""
+        self.stopping = True
+        self.client.close()
+
+    def limit_versions(self, shares: VersionShares) -> None:
+        """Keep versions to their shares of the grants."""
+        self.owners.version_shares = shares
+        for allocator in self.owners.allocators.values():
+            allocator.credit.shares = shares
+
+    async def acquire(self, ticket: Ticket) -> Result[Grant, Failure]:
+        """Wait for a grant."""
+        if self.stopping:
+            return Error(shutting_down())
+        home = self.home.choose(ticket)
+        if home is None:
+            detail = f'no server of {ticket.service} may get the request'
+            retry_after = NO_CAPACITY_RETRY_SECONDS
+            return Error(Failure(ErrorKind.NO_CAPACITY, detail, retry_after))
+        now = self.scope.now()
+        waiting = WaitingRequest(ticket, now, home)
+        queue = self.client.queues.queue(ticket)
+        offered = queue.offer(waiting, self.queue_limit(ticket), now)
+        if offered.is_error():
+            return Error(offered.error)
+        return await self.wait(waiting)
+
+    async def wait(self, waiting: WaitingRequest) -> Result[Grant, Failure]:
+        """Wait until the request holds a grant that it may use."""
+        deadline = waiting.ticket.deadline
+        while not self.stopping:
+            event = self.client.announce(waiting)
+            try:
+                async with asyncio.timeout(deadline - self.scope.now()):
+                    await event.wait()
+            except TimeoutError:
+                self.client.withdraw(waiting)
+                return Error(deadline_exceeded())
+            except asyncio.CancelledError:
+                self.client.withdraw(waiting)
+                raise
+            grant = self.client.take_grant(waiting)
+            if grant is not None:
+                return Ok(grant)
+            queue = self.client.queues.queue(waiting.ticket)
+            queue.put_back(waiting, self.scope.now())
+        self.client.withdraw(waiting)
+        return Error(shutting_down())
+
+    def settle(self, settlement: Settlement) -> None:
+        """Report the use of a grant and correct its charge."""
+        self.client.settle(settlement)
+
+    def status(self, now: float) -> AdmissionStatus:
+        """Queues, pools and shares as this router knows them."""
+        policy = self.settings.admission.policy
+        return StatusReport(self.scope, self.client, self.owners).build(
+            policy,
+            now,
+        )
+
+    def queue_limit(self, ticket: Ticket) -> int:
+        """Requests of the ticket's account that may wait here."""
+        entry = self.scope.service_file(ticket.service)
+        account = entry.find_account(ticket.account) if entry else None
+        return account.max_waiting if account else 0
+
+    def refresh(self) -> None:
+        """Follow the configuration and the membership."""
+        self.scope.refresh()
+        self.client.refresh()
+        self.owners.refresh()
+
+    def subscribe(self) -> None:
+        """Handle the messages of admission."""
+        scope = self.scope
+        scope.subscribe(Demand, self.owners.on_demand)
+        scope.subscribe(Grants, self.client.on_grants)
+        scope.subscribe(ReportRequest, self.client.on_report_request)
+        scope.subscribe(TakeoverReport, self.owners.on_report)
+        scope.subscribe(NotOwner, self.on_not_owner)
+        scope.subscribe(CounterExchange, self.owners.on_exchange)
+
+    def on_not_owner(self, sender: VmId, message: NotOwner) -> None:
+        """Tell the router side about owners, the owner side about routers."""
+        self.client.on_not_owner(sender, message)
+        self.owners.on_not_owner(sender, message)
+
+    async def run_client(self) -> None:
+        """Repeat and spread demand while anything waits."""
+        client = self.client
+        while True:
+            if client.queues.requests:
+                await asyncio.sleep(SPREAD_SECONDS)
+            else:
+                await wait_for_event(client.arrived, IDLE_TICK_SECONDS)
+            client.arrived.clear()
+            client.tick()
+
+    async def run_owners(self) -> None:
+        """Allocate what opens by the passing of time, and exchange totals."""
+        owners = self.owners
+        while True:
+            seconds = owners.sender.seconds_to_due(owners.exchange.seconds)
+            await wait_for_event(owners.sender.earlier, seconds)
+            owners.sender.earlier.clear()
+            owners.tick()
+
+
+async def wait_for_event(event: asyncio.Event, seconds: float) -> None:
+    """Wait for an event, but not longer."""
+    with suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await event.wait()
+
+
+def shutting_down() -> Failure:
+    """Refusal of a router that stops."""
+    return Failure(ErrorKind.SHUTTING_DOWN, 'admission is stopping')
+
+
+def deadline_exceeded() -> Failure:
+    """Refusal of a request that got no grant in time."""
+    detail = 'no backend server was free before the deadline'
+    return Failure(ErrorKind.DEADLINE_EXCEEDED, detail)
--- /dev/null
+++ b/src/pollenloom/admission/exchange.py
@@ -0,0 +1,173 @@
+"""Exchange of served totals between the owners of a service's pools."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from itertools import islice
+
+from pollenloom.admission.admission_scope import AdmissionScope
+from pollenloom.admission.messages import AccountTotal, CounterExchange
+from pollenloom.admission.pool_allocator import PoolAllocator
+from pollenloom.admission.pool_map import Pool
+from pollenloom.admission.service_totals import ServiceTotals
+from pollenloom.core.ids import AccountId, PoolId, ServiceId, VmId
+
+EXCHANGE_SECONDS = 0.25
+# Keeps one owner below 40 exchange messages a second each way.
+SECONDS_PER_RECEIVER = 0.03
+# Less than half of the silence that counts as a partition.
+KEEP_ALIVE_SECONDS = 0.9
+# Unchanged accounts repeated with each message, against lost messages.
+REPEATED_ACCOUNTS = 4
+
+
+@dataclass(slots=True)
+class Successor:
+    """What a successor needs to continue with a pool's virtual times."""
+
+    floor: float = 0
+    times: dict[AccountId, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Receiver:
+    """What one VM was sent about one pool."""
+
+    sent_at: float = float('-inf')
+    sent: dict[AccountId, float] = field(default_factory=dict)
+    position: int = 0
+
+
+class Exchange:
+    """Sends totals of own pools and takes over those of others."""
+
+    def __init__(self, scope: AdmissionScope) -> None:
+        self.scope = scope
+        self.services: dict[ServiceId, ServiceTotals] = {}
+        self.successors: dict[PoolId, Successor] = {}
+        self.receivers: dict[tuple[PoolId, VmId], Receiver] = {}
+        self.exchanged_at: float = 0
+        self.seconds = EXCHANGE_SECONDS
+
+    def refresh(self) -> None:
+        """Follow shares and owners of the configuration in force."""
+        for service, totals in self.services.items():
+            totals.configure(self.scope.shares(service))
+        live = set(self.scope.routers())
+        for key in tuple(self.receivers):
+            if key[1] not in live:
+                self.receivers.pop(key)
+
+    def totals(self, service: ServiceId) -> ServiceTotals:
+        """Return the totals of a service."""
+        known = self.services.get(service)
+        if known is None:
+            known = ServiceTotals(self.scope.shares(service))
+            self.services[service] = known
+        return known
+
+    def take_over(self, pool: Pool) -> ServiceTotals:
+        """Continue with what the pool's predecessor sent."""
+        totals = self.totals(pool.service)
+        successor = self.successors.pop(pool.pool, None)
+        if successor is not None and not totals.owns_pools:
+            totals.continue_with(successor.times, successor.floor)
+        totals.owns_pools = True
+        return totals
+
+    def receive(self, message: CounterExchange, now: float) -> None:
+        """Charge what was served in another pool."""
+        served = {total.account: total.served for total in message.totals}
+        totals = self.totals(message.service)
+        totals.merge(message.pool, message.epoch, served, now)
+        if totals.owns_pools:
+            return
+        successor = self.successors.setdefault(message.pool, Successor())
+        successor.floor = message.floor
+        for total in message.totals:
+            successor.times[total.account] = total.time
+
+    def tick(
+        self,
+        allocators: Mapping[PoolId, PoolAllocator],
+        now: float,
+    ) -> None:
+        """Send totals if the time has come."""
+        if now - self.exchanged_at < self.seconds:
+            return
+        self.exchanged_at = now
+        most = 0
+        for pool, allocator in allocators.items():
+            receivers = self.receivers_of(pool)
+            most = max(most, len(receivers))
+            for vm in receivers:
+                self.send(vm, allocator, now)
+        self.seconds = max(EXCHANGE_SECONDS, most * SECONDS_PER_RECEIVER)
+
+    def send_all(self, pool: PoolId, allocator: PoolAllocator) -> None:
+        """Send all totals to the new owner of a pool."""
+        owner = self.scope.owners.get(pool)
+        if owner is not None and owner != self.scope.own:
+            self.receivers.pop((pool, owner), None)
+            self.send(owner, allocator, self.scope.now())
+
+    def receivers_of(self, pool_id: PoolId) -> list[VmId]:
+        """Owners of the service's other pools, and the next in rank."""
+        pool = self.scope.pool_map.pools.get(pool_id)
+        if pool is None:
+            return []
+        owners = self.scope.owners
+        pools = self.scope.pool_map.by_service[pool.service]
+        receivers = {owners[known.pool] for known in pools}
+        receivers.update(self.next_in_rank(pool))
+        receivers.discard(self.scope.own)
+        return sorted(receivers)
+
+    def next_in_rank(self, pool: Pool) -> Iterable[VmId]:
+        """VM that owns the pool when this one is lost."""
+        ranked = self.scope.ranking(pool)
+        if len(ranked) > 1:
+            return ranked[1:2]
+        everywhere = self.scope.membership.ranked(pool.pool)
+        others = [vm for vm in everywhere if vm != self.scope.own]
+        return others[:1]
+
+    def send(self, vm: VmId, allocator: PoolAllocator, now: float) -> None:
+        """Send what changed since the last message to a VM."""
+        key = (allocator.pool, vm)
+        receiver = self.receivers.setdefault(key, Receiver())
+        served = allocator.totals.served_in(allocator.pool)
+        changed = [
+            account
+            for account, cost in served.items()
+            if receiver.sent.get(account) != cost
+        ]
+        is_silent = now - receiver.sent_at >= KEEP_ALIVE_SECONDS
+        if not changed and not is_silent:
+            return
+        repeated = islice(served, receiver.position, None)
+        changed.extend(islice(repeated, REPEATED_ACCOUNTS))
+        receiver.position += REPEATED_ACCOUNTS
+        if receiver.position >= len(served):
+            receiver.position = 0
+        receiver.sent_at = now
+        receiver.sent = dict(served)
+        self.scope.send(vm, exchange_message(allocator, set(changed)))
+
+
+def exchange_message(
+    allocator: PoolAllocator,
+    accounts: set[AccountId],
+) -> CounterExchange:
+    """Totals of some accounts of one pool."""
+    totals = allocator.totals
+    served = totals.served_in(allocator.pool)
+    return CounterExchange(
+        service=allocator.service,
+        pool=allocator.pool,
+        epoch=allocator.epoch,
+        floor=totals.current_floor(),
+        totals=tuple(
+            AccountTotal(account, served[account], totals.time_of(account))
+            for account in sorted(accounts)
+        ),
+    )
--- /dev/null
+++ b/src/pollenloom/admission/grant_client.py
@@ -0,0 +1,242 @@
+"""Router side of admission: waiting requests and grants in use."""
+
+import asyncio
+from dataclasses import dataclass
+
+from absl import logging
+
+from pollenloom.admission.admission_scope import AdmissionScope
+from pollenloom.admission.demand_sender import DemandSender
+from pollenloom.admission.grant import Grant
+from pollenloom.admission.messages import (
+    GrantedSlot,
+    Grants,
+    HeldGrant,
+    NotOwner,
+    ReportRequest,
+    SettledGrant,
+    TakeoverReport,
+)
+from pollenloom.admission.pause_guard import PauseGuard
+from pollenloom.admission.pool_link import (
+    PoolLink,
+)
+from pollenloom.admission.settled_grants import SettledGrants
+from pollenloom.admission.settlement import Settlement
+from pollenloom.admission.waiting_queue import WaitingRequest
+from pollenloom.admission.waiting_queues import WaitingQueues
+from pollenloom.core.ids import GrantId, VmId
+from pollenloom.core.states import Outcome
+
+GRANT_SECONDS = 0.5
+SPREAD_SECONDS = 0.02
+# Above the longest time between two ticks, below the validity of a grant.
+PAUSE_SECONDS = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class GrantInUse:
+    """A grant that a request of this router holds."""
+
+    grant: Grant
+    hint: float
+
+
+class GrantClient:
+    """States demand to pool owners and binds their grants to requests."""
+
+    def __init__(self, scope: AdmissionScope) -> None:
+        self.scope = scope
+        self.queues = WaitingQueues()
+        self.sender = DemandSender(scope, self.queues)
+        self.in_use: dict[GrantId, GrantInUse] = {}
+        self.settled = SettledGrants()
+        self.events: dict[WaitingRequest, asyncio.Event] = {}
+        self.arrived = asyncio.Event()
+        self.guard = PauseGuard(PAUSE_SECONDS)
+
+    def refresh(self) -> None:
+        """Follow the owners; leave pools that are gone."""
+        pools = self.scope.pool_map.pools
+        for waiting in self.queues.requests:
+            if waiting.home not in pools:
+                waiting.everywhere = True
+            self.sender.mark_everywhere(waiting.ticket)
+        self.sender.refresh()
+
+    def announce(self, waiting: WaitingRequest) -> asyncio.Event:
+        """Tell the owner of its pool about a request in its queue."""
+        event = asyncio.Event()
+        self.events[waiting] = event
+        self.queues.requests[waiting] = None
+        self.sender.mark(waiting.home, waiting.ticket.account)
+        self.sender.flush_soon(waiting.home)
+        self.arrived.set()
+        return event
+
+    def withdraw(self, waiting: WaitingRequest) -> None:
+        """Forget a request and give back the grant it may have got."""
+        self.queues.remove(waiting)
+        self.events.pop(waiting, None)
+        self.sender.mark_everywhere(waiting.ticket)
+        grant = waiting.grant
+        waiting.grant = None
+        if grant is not None:
+            self.settle(Settlement(grant=grant, outcome=Outcome.UNUSED))
+
+    def take_grant(self, waiting: WaitingRequest) -> Grant | None:
+        """Return the grant a request got, unless it has expired."""
+        now = self.scope.now()
+        self.check_pause(now)
+        grant = waiting.grant
+        if grant is None or not grant.is_expired(now):
+            self.events.pop(waiting, None)
+            return grant
+        self.withdraw(waiting)
+        return None
+
+    def close(self) -> None:
+        """Wake all waiting requests without a grant."""
+        for event in self.events.values():
+            event.set()
+
+    def settle(self, settlement: Settlement) -> None:
+        """Report the use of a grant to the owner of the server's pool."""
+        grant = settlement.grant
+        in_use = self.in_use.pop(grant.grant_id, None)
+        if in_use is None:
+            logging.error('grant_settled_twice %s', grant.grant_id)
+            return
+        server = grant.server.server
+        settled = SettledGrant(
+            grant_id=grant.grant_id,
+            account=grant.account,
+            server=server,
+            outcome=settlement.outcome,
+            charged=grant.charged,
+            hint=in_use.hint,
+            cost=settlement.cost,
+            first_byte_seconds=settlement.first_byte_seconds,
+            server_cold=settlement.server_cold,
+            server_leaving=settlement.server_leaving,
+        )
+        self.settled.add(settled, self.scope.now())
+        pool = self.scope.pool_map.pool_of.get(server, grant.pool)
+        self.sender.report(pool, settled)
+
+    def on_grants(self, sender: VmId, message: Grants) -> None:
+        """Bind grants to the heads of the queues, or give them back."""
+        now = self.scope.now()
+        self.check_pause(now)
+        pool = message.pool
+        if not self.scope.epochs.observe(pool, message.epoch, sender):
+            newest = self.scope.epochs.current(pool).epoch
+            self.scope.send(sender, NotOwner(pool, newest))
+            return
+        link = self.sender.link(pool)
+        if not link.receive(message.epoch, message.sequence):
+            return
+        link.acknowledge(message.acknowledged)
+        for slot in message.slots:
+            self.on_slot(link, slot, message, now)
+        for grant_id in message.check:
+            self.on_check(link, grant_id)
+
+    def on_slot(
+        self,
+        link: PoolLink,
+        slot: GrantedSlot,
+        message: Grants,
+        now: float,
+    ) -> None:
+        """Bind one grant to the request that is next now."""
+        stated = link.stated.get(slot.account, 0)
+        link.stated[slot.account] = max(0, stated - 1)
+        server = self.scope.pool_map.servers.get(slot.server)
+        is_fresh = message.acknowledged >= link.valid_from
+        waiting = None
+        if server is not None and is_fresh:
+            waiting = self.queues.take(server, slot.account, now)
+        if server is None or waiting is None:
+            self.sender.report(link.pool, unused(slot))
+            return
+        grant = Grant(
+            grant_id=slot.grant_id,
+            pool=link.pool,
+            account=slot.account,
+            route=waiting.ticket.route,
+            server=server,
+            epoch=message.epoch,
+            expires_at=now + GRANT_SECONDS,
+            charged=slot.charged,
+        )
+        hint = waiting.ticket.cost_hint
+        self.in_use[slot.grant_id] = GrantInUse(grant, hint)
+        self.sender.mark_everywhere(waiting.ticket)
+        waiting.grant = grant
+        self.events[waiting].set()
+
+    def on_check(self, link: PoolLink, grant_id: GrantId) -> None:
+        """Report a grant that the owner still counts but that has ended."""
+        if grant_id in self.in_use:
+            return
+        self.sender.report(link.pool, self.settled.find(grant_id))
+
+    def on_report_request(self, sender: VmId, message: ReportRequest) -> None:
+        """Tell a new owner which grants are in use on its servers."""
+        epochs = self.scope.epochs
+        seen = message.epoch - 1
+        if message.takeover:
+            seen = epochs.fence(message.pool, message.epoch, sender)
+        servers = set(message.servers)
+        held = tuple(
+            HeldGrant(
+                in_use.grant.grant_id,
+                in_use.grant.account,
+                in_use.grant.server.server,
+                in_use.grant.charged,
+            )
+            for in_use in self.in_use.values()
+            if in_use.grant.server.server in servers
+        )
+        stream = self.scope.stream
+        report = TakeoverReport(message.pool, stream, seen, held)
+        self.scope.send(sender, report)
+
+    def on_not_owner(self, sender: VmId, message: NotOwner) -> None:
+        """State the demand again later; the owner's view will follow."""
+        link = self.sender.link(message.pool)
+        if link.owner == sender:
+            link.stated_at = self.scope.now()
+            link.restate(self.sender.accounts_for(link))
+            link.changed.clear()
+
+    def check_pause(self, now: float) -> None:
+        """After a pause, refuse grants that were made before it."""
+        if not self.guard.resumed(now):
+            return
+        for link in self.sender.links.values():
+            link.valid_from = link.sequence + 1
+            link.restate(self.sender.accounts_for(link))
+
+    def tick(self) -> None:
+        """Do what is due by the passing of time."""
+        now = self.scope.now()
+        self.check_pause(now)
+        self.settled.forget(now)
+        for waiting in self.queues.requests:
+            if not waiting.everywhere and now - waiting.since >= SPREAD_SECONDS:
+                waiting.everywhere = True
+                self.sender.mark_everywhere(waiting.ticket)
+        self.sender.tick(now)
+
+
+def unused(slot: GrantedSlot) -> SettledGrant:
+    """Settlement of a grant that no request could use."""
+    return SettledGrant(
+        grant_id=slot.grant_id,
+        account=slot.account,
+        server=slot.server,
+        outcome=Outcome.UNUSED,
+        charged=slot.charged,
+    )
--- /dev/null
+++ b/src/pollenloom/admission/grant_sender.py
@@ -0,0 +1,96 @@
+"""Allocation of the pools that this VM owns, and its messages."""
+
+import asyncio
+
+from pollenloom.admission.admission_scope import AdmissionScope
+from pollenloom.admission.messages import GrantedSlot, Grants
+from pollenloom.admission.pool_allocator import CHECK_SECONDS, PoolAllocator
+from pollenloom.core.ids import GrantId, PoolId, VmId
+
+# Timers may fire early by the resolution of the loop's clock.
+SHORTEST_WAIT_SECONDS = 0.001
+
+
+class GrantSender:
+    """Allocates at once after each event and sends the grants."""
+
+    def __init__(self, scope: AdmissionScope) -> None:
+        self.scope = scope
+        self.allocators: dict[PoolId, PoolAllocator] = {}
+        self.allocate_pools: set[PoolId] = set()
+        self.earlier = asyncio.Event()
+        self.due_at: float = 0
+
+    def allocate_soon(self, pool: PoolId) -> None:
+        """Allocate after the present step."""
+        if not self.allocate_pools:
+            asyncio.get_running_loop().call_soon(self.allocate)
+        self.allocate_pools.add(pool)
+
+    def allocate(self) -> None:
+        """Give free slots of the marked pools to waiting requests."""
+        pools = tuple(self.allocate_pools)
+        self.allocate_pools.clear()
+        now = self.scope.now()
+        for pool in pools:
+            allocator = self.allocators.get(pool)
+            if allocator is not None:
+                self.allocate_pool(allocator, now)
+                self.note_opening(allocator, now)
+
+    def note_opening(self, allocator: PoolAllocator, now: float) -> None:
+        """Wake the owner's task earlier if a server opens before it is due."""
+        is_waiting = bool(allocator.queue.backlog)
+        if is_waiting and allocator.servers.next_opening(now) < self.due_at:
+            self.earlier.set()
+
+    def allocate_pool(self, allocator: PoolAllocator, now: float) -> None:
+        """Send the grants of one pool, one message to a router."""
+        by_router: dict[VmId, list[GrantedSlot]] = {}
+        for allocation in allocator.allocate(now):
+            slots = by_router.setdefault(allocation.router, [])
+            slots.append(allocation.slot)
+        for router, slots in by_router.items():
+            self.send(allocator, router, tuple(slots), ())
+
+    def send(
+        self,
+        allocator: PoolAllocator,
+        router: VmId,
+        slots: tuple[GrantedSlot, ...],
+        check: tuple[GrantId, ...],
+    ) -> None:
+        """Send one message with all that a router has to know."""
+        stream = allocator.streams.get(router)
+        if stream is None:
+            return
+        grants = Grants(
+            pool=allocator.pool,
+            epoch=allocator.epoch,
+            sequence=stream.sending(),
+            acknowledged=stream.received,
+            slots=slots,
+            check=check,
+        )
+        self.scope.send(router, grants)
+
+    def sweep(self, now: float) -> None:
+        """Acknowledge what came, and check grants that are open for long."""
+        for allocator in self.allocators.values():
+            allocator.sweep(now)
+            to_check = allocator.ledger.to_check(now, CHECK_SECONDS)
+            unacknowledged = allocator.streams.unacknowledged(now)
+            for router in sorted(unacknowledged | to_check.keys()):
+                check = tuple(to_check.get(router, ()))
+                self.send(allocator, router, (), check)
+
+    def seconds_to_due(self, latest_seconds: float) -> float:
+        """Seconds until a server opens by the passing of time alone."""
+        now = self.scope.now()
+        self.due_at = now + latest_seconds
+        for allocator in self.allocators.values():
+            if allocator.queue.backlog:
+                self.due_at = min(
+                    self.due_at, allocator.servers.next_opening(now)
+                )
+        return max(SHORTEST_WAIT_SECONDS, self.due_at - now)
--- /dev/null
+++ b/src/pollenloom/admission/pool_allocator.py
@@ -0,0 +1,313 @@
+"""Decisions of the owner of one pool."""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from pollenloom.admission.cost_estimator import CostEstimator
+from pollenloom.admission.fair_queue import (
+    FairQueue,
+    PendingRequest,
+    RouterBacklog,
+)
+from pollenloom.admission.grant_ledger import GrantLedger, OpenGrant
+from pollenloom.admission.messages import (
+    AccountDemand,
+    Demand,
+    GrantedSlot,
+    HeldGrant,
+    SettledGrant,
+    TakeoverReport,
+    WaitingHead,
+)
+from pollenloom.admission.pool_servers import PoolServers
+from pollenloom.admission.router_stream import RouterStream, SentGrant
+from pollenloom.admission.router_streams import LOST_SECONDS, RouterStreams
+from pollenloom.admission.server_choice import ServerChoice
+from pollenloom.admission.server_ramp import ServerAnswer
+from pollenloom.admission.server_state import ServerState
+from pollenloom.admission.service_totals import ServiceTotals
+from pollenloom.admission.version_credit import VersionCredit
+from pollenloom.admission.version_shares import VersionShares
+from pollenloom.core.ids import (
+    AccountId,
+    GrantId,
+    PoolId,
+    ServiceId,
+    VmId,
+)
+from pollenloom.core.states import Outcome
+
+CHECK_SECONDS = 10.0
+# Time for a new configuration to reach a router that did not know a server.
+AVOID_SECONDS = 0.25
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AllocatorOptions:
+    """Switches of one pool owner; off only for comparison."""
+
+    fair: bool = True
+    ramp: bool = True
+    affinity: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Allocation:
+    """A grant and the router that gets it."""
+
+    router: VmId
+    slot: GrantedSlot
+
+
+class PoolAllocator:
+    """Grants the slots of one pool's servers to waiting requests.
+
+    Counts what is in flight on each server over the whole fleet, and gives
+    each free slot to the account with the smallest virtual time.
+    """
+
+    def __init__(
+        self,
+        pool: PoolId,
+        service: ServiceId,
+        totals: ServiceTotals,
+        shares: VersionShares,
+        options: AllocatorOptions,
+        grant_prefix: str,
+    ) -> None:
+        self.pool = pool
+        self.service = service
+        self.grant_prefix = grant_prefix
+        self.options = options
+        self.totals = totals
+        self.epoch = 1
+        self.queue = FairQueue(totals, fair=options.fair)
+        self.estimator = CostEstimator()
+        self.ledger = GrantLedger()
+        self.credit = VersionCredit(service, shares)
+        self.choice = ServerChoice(self.credit, affinity=options.affinity)
+        self.servers = PoolServers(ramp=options.ramp)
+        self.streams = RouterStreams()
+        self.granted = 0
+
+    def demand(self, router: VmId, demand: Demand, now: float) -> None:
+        """Take what a router waits for and what it gives back."""
+        stream = self.stream_of(router, demand.stream, now)
+        if demand.sequence > stream.received + 1:
+            self.ledger.check_router(router, now)
+        is_new = stream.receive(demand.sequence, now)
+        for settled in demand.settled:
+            self.settle(settled, now, stream)
+        if not is_new:
+            return
+        stream.confirm(demand.acknowledged, now - LOST_SECONDS)
+        for account in demand.accounts:
+            entry = to_backlog(account, stream, now)
+            self.queue.replace(account.account, router, entry)
+
+    def stream_of(self, router: VmId, stream: int, now: float) -> RouterStream:
+        """Return the conversation with a router; a new life starts anew."""
+        known = self.streams.get(router)
+        if known is not None and known.stream == stream:
+            return known
+        if known is not None:
+            self.restart_router(router, now)
+        return self.streams.start(router, stream)
+
+    def settle(
+        self,
+        settled: SettledGrant,
+        now: float,
+        stream: RouterStream | None = None,
+    ) -> None:
+        """Free a slot, correct the charge and learn from the answer."""
+        known_before = self.ledger.knows(settled.grant_id)
+        grant = self.ledger.close(settled.grant_id, now)
+        if grant is None and known_before:
+            return
+        if grant is None:
+            # Given by an earlier owner and settled before the takeover.
+            correction = settled.cost - settled.charged
+            self.totals.charge(self.pool, settled.account, correction)
+            return
+        correction = settled.cost - grant.charged
+        self.totals.charge(self.pool, grant.account, correction)
+        self.servers.release(grant)
+        self.learn(grant, settled, now)
+        if settled.outcome is Outcome.UNUSED and stream is not None:
+            stream.avoid[grant.server] = now + AVOID_SECONDS
+
+    def learn(
+        self,
+        grant: OpenGrant,
+        settled: SettledGrant,
+        now: float,
+    ) -> None:
+        """Adapt the server's limit and the account's estimate."""
+        state = self.servers.get(grant.server)
+        if state is not None:
+            answer = ServerAnswer(
+                outcome=settled.outcome,
+                granted_at=grant.granted_at,
+                first_byte_seconds=settled.first_byte_seconds,
+                server_cold=settled.server_cold,
+                server_leaving=settled.server_leaving,
+            )
+            state.ramp.record(answer, now)
+        if settled.outcome is Outcome.SERVED and settled.cost > 0:
+            self.estimator.learn(grant.account, settled.hint, settled.cost)
+
+    def allocate(self, now: float) -> list[Allocation]:
+        """Give free slots to waiting requests until either runs out."""
+        allocations = []
+        free = self.servers.free(now)
+        while free > 0:
+            allocation = self.allocate_one(now)
+            if allocation is None:
+                break
+            allocations.append(allocation)
+            free -= 1
+        return allocations
+
+    def allocate_one(self, now: float) -> Allocation | None:
+        """Give one free slot to the first request that can use one."""
+        for account in self.queue.accounts():
+            for router in self.queue.routers(account):
+                pending = self.queue.peek(account, router)
+                state = self.choose(router, pending, now)
+                if state is not None:
+                    self.queue.take(account, router)
+                    return self.grant(router, account, pending, state, now)
+        return None
+
+    def choose(
+        self,
+        router: VmId,
+        pending: PendingRequest,
+        now: float,
+    ) -> ServerState | None:
+        """Return a server for a request of a router, if one is free."""
+        avoid = self.streams[router].avoid
+        usable = [
+            state
+            for state in self.servers
+            if avoid.get(state.server.server, now) <= now
+        ]
+        return self.choice.choose(usable, pending, now)
+
+    def grant(
+        self,
+        router: VmId,
+        account: AccountId,
+        pending: PendingRequest,
+        state: ServerState,
+        now: float,
+    ) -> Allocation:
+        """Charge the estimate and count the grant."""
+        charged = self.estimator.estimate(account, pending.hint)
+        self.granted += 1
+        server = state.server.server
+        grant_id = GrantId(f'{self.grant_prefix}.{self.granted}')
+        slot = GrantedSlot(grant_id, account, server, charged)
+        self.totals.charge(self.pool, account, charged)
+        self.hold(router, slot, now, hint=pending.hint)
+        state.note_prefixes(pending.prefixes)
+        self.credit.granted(state.server.version, self.servers.versions(), now)
+        stream = self.streams[router]
+        stream.on_the_way.append(SentGrant(stream.sent + 1, account, now))
+        return Allocation(router, slot)
+
+    def hold(
+        self,
+        router: VmId,
+        slot: GrantedSlot | HeldGrant,
+        now: float,
+        hint: float,
+    ) -> None:
+        """Count a grant as in flight."""
+        grant = OpenGrant(
+            grant_id=slot.grant_id,
+            router=router,
+            account=slot.account,
+            server=slot.server,
+            charged=slot.charged,
+            granted_at=now,
+            check_at=now + LOST_SECONDS,
+            hint=hint,
+        )
+        self.ledger.add(grant)
+        self.servers.hold(slot.server)
+
+    def report(self, router: VmId, report: TakeoverReport, now: float) -> None:
+        """Take what a router holds from earlier owners."""
+        self.epoch = max(self.epoch, report.epoch + 1)
+        self.stream_of(router, report.stream, now)
+        for held in report.held:
+            is_counted = self.ledger.knows(held.grant_id)
+            if not is_counted and held.server in self.servers.servers:
+                self.hold(router, held, now, hint=0)
+        self.servers.restore_ramps(router)
+        self.servers.reported(router)
+
+    def readopt(self, routers: Iterable[VmId], epoch: int, now: float) -> None:
+        """Grant nothing until all routers reported what they hold.
+
+        For an owner that was paused or that another VM took over from.
+        """
+        self.epoch = max(self.epoch, epoch)
+        self.servers.adopt_all(routers, now)
+        self.ledger.check_all(now)
+
+    def remove_router(self, router: VmId, now: float) -> None:
+        """Free what a lost router held; its charges stay as estimated."""
+        self.servers.reported(router)
+        self.restart_router(router, now)
+
+    def restart_router(self, router: VmId, now: float) -> None:
+        """Forget the demand and the grants of a router's earlier life."""
+        self.streams.end(router)
+        self.queue.remove_router(router)
+        for grant in self.ledger.of_router(router):
+            self.ledger.close(grant.grant_id, now)
+            self.servers.release(grant)
+
+    def known_routers(self) -> set[VmId]:
+        """Routers that state demand or hold grants."""
+        holders = {grant.router for grant in self.ledger.open.values()}
+        awaited = {
+            router
+            for state in self.servers
+            for router in state.adoption.awaiting
+        }
+        return holders | awaited | self.streams.routers()
+
+    def sweep(self, now: float) -> None:
+        """Free grants that were never settled."""
+        for grant in self.ledger.overdue(now):
+            self.ledger.close(grant.grant_id, now)
+            self.servers.release(grant)
+        self.ledger.forget(now)
+        self.streams.forget_lost(now)
+
+
+def to_backlog(
+    demand: AccountDemand,
+    stream: RouterStream,
+    now: float,
+) -> RouterBacklog:
+    """Demand of one account less the grants on their way."""
+    covered = stream.covered(demand.account)
+    heads = deque(to_pending(head, now) for head in demand.heads[covered:])
+    return RouterBacklog(demand.waiting - covered, heads)
+
+
+def to_pending(head: WaitingHead, now: float) -> PendingRequest:
+    """Convert the age of a waiting request to the owner's time."""
+    return PendingRequest(
+        since=now - head.age,
+        hint=head.hint,
+        retry=head.retry,
+        prefixes=head.prefixes,
+        excluded=frozenset(head.excluded),
+    )
--- /dev/null
+++ b/src/pollenloom/admission/pool_owners.py
@@ -0,0 +1,205 @@
+"""Owner side of admission: the pools that this VM owns."""
+
+from collections.abc import Iterable
+
+from pollenloom.admission.admission_scope import AdmissionScope
+from pollenloom.admission.exchange import Exchange
+from pollenloom.admission.grant_sender import GrantSender
+from pollenloom.admission.messages import (
+    CounterExchange,
+    Demand,
+    NotOwner,
+    ReportRequest,
+    TakeoverReport,
+)
+from pollenloom.admission.pause_guard import PauseGuard
+from pollenloom.admission.pool_allocator import (
+    AllocatorOptions,
+    PoolAllocator,
+)
+from pollenloom.admission.pool_map import Pool
+from pollenloom.admission.version_shares import UnlimitedShares, VersionShares
+from pollenloom.core.ids import PoolId, ServerId, VmId
+
+# A VM that did not run for this long may have been replaced meanwhile.
+PAUSE_SECONDS = 1.0
+# Most acknowledgements travel with a grant before that.
+ACKNOWLEDGE_SECONDS = 1.0
+SWEEP_SECONDS = 1.0
+# Two VMs that both believe to own a pool must not fence each other off
+# faster than their views of the membership converge.
+READOPT_SECONDS = 1.0
+
+
+class PoolOwners:
+    """Runs a `PoolAllocator` for each pool that this VM owns."""
+
+    def __init__(
+        self,
+        scope: AdmissionScope,
+        options: AllocatorOptions,
+    ) -> None:
+        self.scope = scope
+        self.options = options
+        self.version_shares: VersionShares = UnlimitedShares()
+        self.sender = GrantSender(scope)
+        self.allocators = self.sender.allocators
+        self.exchange = Exchange(scope)
+        self.guard = PauseGuard(PAUSE_SECONDS)
+        self.created = 0
+        self.readopted_at: dict[PoolId, float] = {}
+        self.swept_at: float = 0
+
+    def refresh(self) -> None:
+        """Follow the configuration and the membership."""
+        now = self.scope.now()
+        self.exchange.refresh()
+        self.remove_dead_routers(now)
+        pools = self.scope.pool_map.pools
+        for pool_id in tuple(self.allocators):
+            if self.scope.owners.get(pool_id, self.scope.own) != self.scope.own:
+                self.drop(pool_id)
+            elif pool_id not in pools:
+                self.allocators[pool_id].servers.replace((), (), now)
+        for pool in pools.values():
+            if self.scope.owners[pool.pool] == self.scope.own:
+                self.own_pool(pool, now)
+
+    def own_pool(self, pool: Pool, now: float) -> None:
+        """Own a pool with its present servers."""
+        allocator = self.allocators.get(pool.pool)
+        is_new = allocator is None
+        if allocator is None:
+            allocator = self.create(pool)
+        routers = self.scope.routers()
+        adopted = allocator.servers.replace(pool.servers, routers, now)
+        if adopted:
+            self.ask_routers(allocator, adopted, takeover=is_new)
+        self.sender.allocate_soon(pool.pool)
+
+    def create(self, pool: Pool) -> PoolAllocator:
+        """Take over a pool."""
+        self.created += 1
+        totals = self.exchange.take_over(pool)
+        prefix = f'{self.scope.own}.{self.scope.stream:x}.{self.created}'
+        allocator = PoolAllocator(
+            pool.pool,
+            pool.service,
+            totals,
+            self.version_shares,
+            self.options,
+            prefix,
+        )
+        allocator.epoch = self.scope.epochs.current(pool.pool).epoch + 1
+        self.allocators[pool.pool] = allocator
+        return allocator
+
+    def drop(self, pool: PoolId) -> None:
+        """Leave a pool to its new owner."""
+        self.exchange.send_all(pool, self.allocators[pool])
+        dropped = self.allocators.pop(pool)
+        dropped.queue.clear()
+        dropped.totals.owns_pools = any(
+            allocator.service == dropped.service
+            for allocator in self.allocators.values()
+        )
+
+    def drop_idle(self) -> None:
+        """Leave pools that are gone once their grants are settled."""
+        gone = self.allocators.keys() - self.scope.pool_map.pools.keys()
+        for pool in gone:
+            allocator = self.allocators[pool]
+            if not allocator.servers.servers and not allocator.ledger.open:
+                self.drop(pool)
+
+    def remove_dead_routers(self, now: float) -> None:
+        """Free what dead routers held."""
+        alive = set(self.scope.routers())
+        for allocator in self.allocators.values():
+            for router in allocator.known_routers() - alive:
+                allocator.remove_router(router, now)
+            self.sender.allocate_soon(allocator.pool)
+
+    def ask_routers(
+        self,
+        allocator: PoolAllocator,
+        servers: Iterable[ServerId],
+        *,
+        takeover: bool,
+    ) -> None:
+        """Ask all routers for the grants they hold on these servers."""
+        request = ReportRequest(
+            allocator.pool,
+            allocator.epoch,
+            takeover,
+            tuple(servers),
+        )
+        for router in self.scope.routers():
+            self.scope.send(router, request)
+
+    def on_demand(self, sender: VmId, message: Demand) -> None:
+        """Take demand and settlements, then allocate."""
+        now = self.scope.now()
+        self.check_pause(now)
+        allocator = self.allocators.get(message.pool)
+        if allocator is None:
+            epoch = self.scope.epochs.current(message.pool).epoch
+            self.scope.send(sender, NotOwner(message.pool, epoch))
+            return
+        allocator.demand(sender, message, now)
+        self.sender.allocate_soon(message.pool)
+
+    def on_report(self, sender: VmId, message: TakeoverReport) -> None:
+        """Count what a router holds from earlier owners."""
+        allocator = self.allocators.get(message.pool)
+        if allocator is not None:
+            allocator.report(sender, message, self.scope.now())
+            self.sender.allocate_soon(message.pool)
+
+    def on_not_owner(self, sender: VmId, message: NotOwner) -> None:
+        """A router follows a newer owner of a pool of this VM."""
+        allocator = self.allocators.get(message.pool)
+        now = self.scope.now()
+        if allocator is None or message.epoch < allocator.epoch:
+            return
+        last = self.readopted_at.get(message.pool, float('-inf'))
+        if now - last >= READOPT_SECONDS:
+            self.readopt(allocator, message.epoch + 1, now)
+
+    def on_exchange(self, sender: VmId, message: CounterExchange) -> None:
+        """Take over the totals of another pool."""
+        self.scope.epochs.observe(message.pool, message.epoch, sender)
+        if message.pool not in self.allocators:
+            self.exchange.receive(message, self.scope.now())
+
+    def check_pause(self, now: float) -> None:
+        """After a pause, learn anew what is in flight."""
+        if not self.guard.resumed(now):
+            return
+        for allocator in self.allocators.values():
+            known = self.scope.epochs.current(allocator.pool).epoch
+            epoch = max(known, allocator.epoch) + 1
+            self.readopt(allocator, epoch, now)
+
+    def readopt(
+        self,
+        allocator: PoolAllocator,
+        epoch: int,
+        now: float,
+    ) -> None:
+        """Take over a pool again that this VM owned before."""
+        self.readopted_at[allocator.pool] = now
+        allocator.readopt(self.scope.routers(), epoch, now)
+        self.ask_routers(allocator, allocator.servers.servers, takeover=True)
+
+    def tick(self) -> None:
+        """Do what is due by the passing of time."""
+        now = self.scope.now()
+        self.check_pause(now)
+        for allocator in self.allocators.values():
+            self.sender.allocate_pool(allocator, now)
+        if now - self.swept_at >= SWEEP_SECONDS:
+            self.swept_at = now
+            self.sender.sweep(now)
+            self.drop_idle()
+        self.exchange.tick(self.allocators, now)
--- /dev/null
+++ b/src/pollenloom/admission/pool_servers.py
@@ -0,0 +1,129 @@
+"""Servers of one pool as its owner counts them."""
+
+from collections.abc import Iterable, Iterator
+
+from pollenloom.admission.grant_ledger import OpenGrant
+from pollenloom.admission.server_ramp import ServerRamp
+from pollenloom.admission.server_state import Adoption, ServerState
+from pollenloom.core.backend_server import BackendServer
+from pollenloom.core.ids import ServerId, VersionId, VmId
+
+TAKEOVER_SECONDS = 0.5
+
+
+class PoolServers:
+    """Load over the whole fleet and limits of a pool's servers."""
+
+    def __init__(self, *, ramp: bool) -> None:
+        self.ramp = ramp
+        self.servers: dict[ServerId, ServerState] = {}
+
+    def __iter__(self) -> Iterator[ServerState]:
+        """All servers."""
+        return iter(self.servers.values())
+
+    def get(self, server: ServerId) -> ServerState | None:
+        """Return the state of a server, if it is known."""
+        return self.servers.get(server)
+
+    def free(self, now: float) -> int:
+        """Grants that may be given now."""
+        return sum(state.free(now) for state in self.servers.values())
+
+    def replace(
+        self,
+        servers: Iterable[BackendServer],
+        routers: Iterable[VmId],
+        now: float,
+    ) -> tuple[ServerId, ...]:
+        """Use these servers; return those whose load is not known yet.
+
+        Servers that are no longer listed get no new grants but stay until
+        all their grants are settled.
+        """
+        listed = {server.server: server for server in servers}
+        adoption = Adoption(set(routers), now + TAKEOVER_SECONDS)
+        for server_id, state in tuple(self.servers.items()):
+            state.listed = server_id in listed
+            if not state.listed and state.in_flight == 0:
+                self.servers.pop(server_id)
+        adopted = []
+        for server_id, server in listed.items():
+            known = self.servers.get(server_id)
+            if known is None:
+                self.add_server(server, adoption)
+                adopted.append(server_id)
+            else:
+                self.update_server(known, server)
+        return tuple(adopted)
+
+    def add_server(self, server: BackendServer, adoption: Adoption) -> None:
+        """Add a server whose load has to be reported first."""
+        ramp = ServerRamp(
+            server.slots,
+            server.cold_slots,
+            enabled=self.ramp,
+            baseline=self.usual_baseline(server),
+        )
+        self.servers[server.server] = ServerState(server, ramp, adoption)
+
+    def update_server(self, state: ServerState, server: BackendServer) -> None:
+        """Use a new entry of a known server."""
+        if state.server != server:
+            state.server = server
+            state.ramp.resize(server.slots, server.cold_slots)
+
+    def usual_baseline(self, server: BackendServer) -> float | None:
+        """Median baseline of the other servers of the same version."""
+        baselines = sorted(
+            state.ramp.baseline
+            for state in self.servers.values()
+            if state.ramp.baseline is not None
+            and state.server.version == server.version
+        )
+        return baselines[len(baselines) // 2] if baselines else None
+
+    def versions(self) -> set[VersionId]:
+        """Versions of the pool's servers."""
+        return {state.server.version for state in self.servers.values()}
+
+    def release(self, grant: OpenGrant) -> None:
+        """Free the slot of a closed grant."""
+        state = self.servers.get(grant.server)
+        if state is None:
+            return
+        state.in_flight -= 1
+        if not state.listed and state.in_flight == 0:
+            self.servers.pop(grant.server)
+
+    def hold(self, server: ServerId) -> None:
+        """Count a grant."""
+        self.servers[server].in_flight += 1
+
+    def adopt_all(self, routers: Iterable[VmId], now: float) -> None:
+        """Open no server until all routers reported what they hold."""
+        adoption = Adoption(set(routers), now + TAKEOVER_SECONDS)
+        for state in self.servers.values():
+            state.adoption = adoption
+
+    def restore_ramps(self, router: VmId) -> None:
+        """Continue where the servers are that a router reported on."""
+        for state in self.servers.values():
+            if router in state.adoption.awaiting:
+                state.ramp.restore(state.in_flight)
+
+    def reported(self, router: VmId) -> None:
+        """Wait no longer for the report of a router."""
+        for state in self.servers.values():
+            state.adoption.awaiting.discard(router)
+
+    def next_opening(self, now: float) -> float:
+        """When a server opens next by the passing of time alone."""
+        openings = [float('inf')]
+        for state in self.servers.values():
+            openings.extend(
+                at
+                for at in (state.adoption.closes_at, state.ramp.closed_until)
+                if at > now
+            )
+        return min(openings)
--- /dev/null
+++ b/src/pollenloom/admission/router_stream.py
@@ -0,0 +1,65 @@
+"""What a pool owner knows of its conversation with one router."""
+
+from dataclasses import dataclass, field
+
+from pollenloom.core.ids import AccountId, ServerId
+
+
+@dataclass(frozen=True, slots=True)
+class SentGrant:
+    """A grant that the router may not have received yet."""
+
+    sequence: int
+    account: AccountId
+    sent_at: float
+
+
+@dataclass(slots=True)
+class RouterStream:
+    """State of the conversation with one router.
+
+    Attributes:
+        stream: Life of the router that it belongs to.
+        received: Highest number of the router's messages.
+        acknowledged: Highest number of them that was acknowledged.
+        acknowledge_from: When the oldest unacknowledged one came.
+        sent: Number of the last message to the router.
+        on_the_way: Grants that the router has not acknowledged.
+        avoid: Servers that the router could not use, and until when.
+    """
+
+    stream: int
+    received: int = 0
+    acknowledged: int = 0
+    acknowledge_from: float = float('inf')
+    sent: int = 0
+    on_the_way: list[SentGrant] = field(default_factory=list)
+    avoid: dict[ServerId, float] = field(default_factory=dict)
+
+    def receive(self, sequence: int, now: float) -> bool:
+        """Note a message; return whether it is newer than all others."""
+        if self.received == self.acknowledged:
+            self.acknowledge_from = now
+        if sequence <= self.received:
+            return False
+        self.received = sequence
+        return True
+
+    def confirm(self, acknowledged: int, oldest: float) -> None:
+        """Forget grants that arrived, or were sent before `oldest`."""
+        self.on_the_way = [
+            grant
+            for grant in self.on_the_way
+            if grant.sequence > acknowledged and grant.sent_at > oldest
+        ]
+
+    def covered(self, account: AccountId) -> int:
+        """Grants on the way that the router's demand does not show."""
+        return sum(1 for grant in self.on_the_way if grant.account == account)
+
+    def sending(self) -> int:
+        """Number of the next message; it acknowledges all received ones."""
+        self.sent += 1
+        self.acknowledged = self.received
+        self.acknowledge_from = float('inf')
+        return self.sent
--- /dev/null
+++ b/src/pollenloom/admission/router_streams.py
@@ -0,0 +1,50 @@
+"""Conversations of a pool owner with all routers."""
+
+from pollenloom.admission.router_stream import RouterStream
+from pollenloom.core.ids import VmId
+
+# A message that was not acknowledged by then was lost with its connection.
+LOST_SECONDS = 1.0
+
+
+class RouterStreams:
+    """One `RouterStream` for each router that stated demand."""
+
+    def __init__(self) -> None:
+        self.streams: dict[VmId, RouterStream] = {}
+
+    def __getitem__(self, router: VmId) -> RouterStream:
+        """Return the conversation with a router."""
+        return self.streams[router]
+
+    def get(self, router: VmId) -> RouterStream | None:
+        """Return the conversation with a router, if there is one."""
+        return self.streams.get(router)
+
+    def routers(self) -> set[VmId]:
+        """Routers with a conversation."""
+        return set(self.streams)
+
+    def start(self, router: VmId, stream: int) -> RouterStream:
+        """Begin a conversation."""
+        started = RouterStream(stream)
+        self.streams[router] = started
+        return started
+
+    def end(self, router: VmId) -> None:
+        """Forget a conversation."""
+        self.streams.pop(router, None)
+
+    def unacknowledged(self, now: float) -> set[VmId]:
+        """Routers that have waited long enough for an acknowledgement."""
+        oldest = now - LOST_SECONDS
+        return {
+            router
+            for router, stream in self.streams.items()
+            if stream.acknowledge_from <= oldest
+        }
+
+    def forget_lost(self, now: float) -> None:
+        """Forget grants on the way that can no longer arrive."""
+        for stream in self.streams.values():
+            stream.confirm(0, now - LOST_SECONDS)
--- /dev/null
+++ b/src/pollenloom/admission/server_choice.py
@@ -0,0 +1,58 @@
+"""Choice of the server for a grant."""
+
+from collections.abc import Iterable
+
+from pollenloom.admission.fair_queue import PendingRequest
+from pollenloom.admission.server_state import ServerState
+from pollenloom.admission.version_credit import VersionCredit
+
+# A fully cached prompt outweighs this difference of relative load.
+AFFINITY_WEIGHT = 0.5
+
+
+class ServerChoice:
+    """Least relative load, weighed against cached prefixes.
+
+    Never chooses a server at its limit, an excluded one, or one of a version
+    that has used up its share.
+    """
+
+    def __init__(self, credit: VersionCredit, *, affinity: bool) -> None:
+        self.credit = credit
+        self.affinity = affinity
+
+    def choose(
+        self,
+        servers: Iterable[ServerState],
+        pending: PendingRequest,
+        now: float,
+    ) -> ServerState | None:
+        """Return the server for a request, if one is free."""
+        candidates = [
+            state
+            for state in servers
+            if state.server.server not in pending.excluded
+            and state.free(now) > 0
+            and self.credit.allows(state.server.version, now)
+        ]
+        if not candidates:
+            return None
+        return min(
+            candidates,
+            key=lambda state: (
+                self.cost(state, pending, now),
+                state.server.server,
+            ),
+        )
+
+    def cost(
+        self,
+        state: ServerState,
+        pending: PendingRequest,
+        now: float,
+    ) -> float:
+        """Relative load, less the worth of the cached prefix."""
+        load = state.in_flight / state.ramp.limit_at(now)
+        if not self.affinity or not pending.prefixes:
+            return load
+        return load - AFFINITY_WEIGHT * state.cached_part(pending.prefixes)
--- /dev/null
+++ b/src/pollenloom/admission/server_ramp.py
@@ -0,0 +1,177 @@
+"""Concurrency limit of one backend server."""
+
+from collections import deque
+from dataclasses import dataclass
+
+from pollenloom.core.states import Outcome
+
+# One failure may be the request's own fault; two in so few answers are not.
+FAILURES_TO_FALL = 2
+FAILURE_WINDOW = 16
+# Smoothed first-byte latency this far above the baseline means cold. Load
+# alone moves it by less than 3x between idle and full.
+COLD_FACTOR = 4.0
+COLD_MARGIN_SECONDS = 0.1
+FAST_WEIGHT = 0.25
+SLOW_WEIGHT = 1 / 64
+# A lasting change of the workload becomes the baseline in the end.
+COLD_WEIGHT = 1 / 256
+FIRST_PROBE_SECONDS = 0.1
+LONGEST_PROBE_SECONDS = 2.0
+LEAVING_SECONDS = 30.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServerAnswer:
+    """How a server answered one request.
+
+    Attributes:
+        outcome: How the use of the grant ended.
+        granted_at: When the request was granted, monotonic seconds.
+        first_byte_seconds: Time to the first byte; the whole duration says
+            nothing, since a long answer of a warm server takes long as well.
+        server_cold: Whether the server said that it is cold.
+        server_leaving: Whether the server said that it is leaving.
+    """
+
+    outcome: Outcome
+    granted_at: float
+    first_byte_seconds: float | None = None
+    server_cold: bool = False
+    server_leaving: bool = False
+
+
+class ServerRamp:
+    """Raises the limit while answers are good and drops it when they are not.
+
+    The limit starts at `cold_slots`, doubles after each round of as many
+    good answers as the limit, and falls back on failures, on refusals and
+    when the first byte comes much later than from the warm server. A server
+    that fails at `cold_slots` is probed with one request after a pause.
+    """
+
+    def __init__(
+        self,
+        slots: int,
+        cold_slots: int,
+        *,
+        enabled: bool = True,
+        baseline: float | None = None,
+    ) -> None:
+        self.slots = max(1, slots)
+        self.cold_slots = min(max(1, cold_slots), self.slots)
+        self.enabled = enabled
+        self.limit = self.cold_slots if enabled else self.slots
+        self.baseline = baseline
+        self.latency: float | None = None
+        self.good_answers = 0
+        self.recent: deque[bool] = deque(maxlen=FAILURE_WINDOW)
+        self.fell_at = float('-inf')
+        self.closed_until = float('-inf')
+        self.failed_probes = 0
+
+    @property
+    def cold(self) -> bool:
+        """Whether the server is not trusted with all its slots."""
+        return self.limit < self.slots
+
+    def limit_at(self, now: float) -> int:
+        """Requests that may be in flight now, over the whole fleet."""
+        return 0 if now < self.closed_until else self.limit
+
+    def resize(self, slots: int, cold_slots: int) -> None:
+        """Use new capacities."""
+        was_warm = not self.cold
+        self.slots = max(1, slots)
+        self.cold_slots = min(max(1, cold_slots), self.slots)
+        ceiling = self.slots if was_warm else self.limit
+        self.limit = min(self.slots, ceiling)
+
+    def restore(self, in_flight: int) -> None:
+        """Continue at what the server is bearing already."""
+        bearing = min(self.slots, in_flight)
+        self.limit = max(self.limit, bearing)
+
+    def record(self, answer: ServerAnswer, now: float) -> None:
+        """Adapt the limit to an answer."""
+        if answer.server_leaving:
+            self.closed_until = now + LEAVING_SECONDS
+        if not self.enabled:
+            return
+        if answer.outcome is Outcome.REFUSED:
+            self.record_refusal(answer, now)
+        elif answer.outcome is Outcome.FAILED:
+            self.record_failure(answer, now)
+        elif answer.outcome is Outcome.SERVED:
+            self.record_served(answer, now)
+
+    def record_refusal(self, answer: ServerAnswer, now: float) -> None:
+        """A cold server gets few requests, a full one half as many."""
+        if answer.server_cold:
+            self.fall(now)
+            self.pause_probes(answer, now)
+        elif not answer.server_leaving and answer.granted_at >= self.fell_at:
+            self.limit = max(self.cold_slots, self.limit // 2)
+            self.fell_at = now
+
+    def record_failure(self, answer: ServerAnswer, now: float) -> None:
+        """Fall back on repeated failures, then probe."""
+        self.recent.append(False)
+        if self.recent.count(False) < FAILURES_TO_FALL:
+            return
+        self.fall(now)
+        if self.recent and not any(self.recent):
+            self.limit = 1
+            self.pause_probes(answer, now)
+
+    def record_served(self, answer: ServerAnswer, now: float) -> None:
+        """Count a good answer, unless it came much too late."""
+        self.recent.append(True)
+        if answer.first_byte_seconds is not None:
+            self.observe_latency(answer.first_byte_seconds)
+        # Answers to requests from before a fall say nothing about the limit.
+        if answer.granted_at < self.fell_at:
+            return
+        if self.is_slow():
+            self.fall(now)
+            return
+        self.failed_probes = 0
+        self.good_answers += 1
+        if self.good_answers >= self.limit:
+            self.good_answers = 0
+            self.limit = min(self.slots, self.limit * 2)
+
+    def observe_latency(self, seconds: float) -> None:
+        """Track the present latency and the baseline of the warm server."""
+        if self.baseline is None:
+            self.baseline = seconds
+        if self.latency is None:
+            self.latency = self.baseline
+        self.latency += FAST_WEIGHT * (seconds - self.latency)
+        # A cold start must not become the baseline: follow better values
+        # fast and worse values slowly.
+        weight = COLD_WEIGHT if self.is_slow() else SLOW_WEIGHT
+        if seconds < self.baseline:
+            weight = FAST_WEIGHT
+        self.baseline += weight * (seconds - self.baseline)
+
+    def is_slow(self) -> bool:
+        """Whether the first byte comes much later than from a warm server."""
+        if self.baseline is None or self.latency is None:
+            return False
+        margin = self.baseline + COLD_MARGIN_SECONDS
+        return self.latency > max(COLD_FACTOR * self.baseline, margin)
+
+    def fall(self, now: float) -> None:
+        """Go back to what a cold server bears."""
+        self.limit = min(self.limit, self.cold_slots)
+        self.good_answers = 0
+        self.fell_at = now
+
+    def pause_probes(self, answer: ServerAnswer, now: float) -> None:
+        """Wait before the next request, longer after each failed probe."""
+        if answer.granted_at < self.closed_until:
+            return
+        pause = FIRST_PROBE_SECONDS * 2**self.failed_probes
+        self.closed_until = now + min(LONGEST_PROBE_SECONDS, pause)
+        self.failed_probes = min(10, self.failed_probes + 1)
--- /dev/null
+++ b/src/pollenloom/admission/waiting_queue.py
@@ -0,0 +1,134 @@
+"""Requests of one account and service that wait on one router."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from pollenloom.admission.grant import Grant
+from pollenloom.admission.service_rate import ServiceRate
+from pollenloom.admission.ticket import Ticket
+from pollenloom.core.error_kind import ErrorKind
+from pollenloom.core.failure import Failure
+from pollenloom.core.ids import PoolId, ServerId
+
+
+@dataclass(slots=True, eq=False)
+class WaitingRequest:
+    """A request in a queue.
+
+    Attributes:
+        ticket: The request.
+        since: When it began to wait, monotonic seconds.
+        home: Pool that it was announced to first.
+        everywhere: Whether it is announced to all pools of the service.
+        grant: Grant bound to it, once there is one.
+    """
+
+    ticket: Ticket
+    since: float
+    home: PoolId
+    everywhere: bool = False
+    grant: Grant | None = None
+
+    def accepts(self, server: ServerId) -> bool:
+        """Whether it may be sent to a server."""
+        return server not in self.ticket.excluded
+
+    def is_announced_to(self, pool: PoolId) -> bool:
+        """Whether the owner of a pool is told about it."""
+        return self.everywhere or self.home == pool
+
+
+class WaitingQueue:
+    """Bounded queue; retries first, else in order of arrival."""
+
+    def __init__(self) -> None:
+        self.requests: list[WaitingRequest] = []
+        self.rate = ServiceRate()
+
+    def __len__(self) -> int:
+        """How many requests wait."""
+        return len(self.requests)
+
+    def __iter__(self) -> Iterator[WaitingRequest]:
+        """Waiting requests, the next one first."""
+        return iter(self.requests)
+
+    def offer(
+        self,
+        waiting: WaitingRequest,
+        limit: int,
+        now: float,
+    ) -> Result[WaitingRequest, Failure]:
+        """Add a request, or refuse it at once.
+
+        A retry is not refused for a full queue, since the request had its
+        place before.
+
+        Errors:
+            QUEUE_FULL, DEADLINE_UNREACHABLE
+        """
+        ticket = waiting.ticket
+        if len(self.requests) >= limit and not ticket.retry:
+            return Error(self.queue_full(limit, now))
+        missing = self.missing_seconds(ticket, now)
+        if missing > 0:
+            detail = f'{len(self.requests)} requests wait before it'
+            kind = ErrorKind.DEADLINE_UNREACHABLE
+            return Error(Failure(kind, detail, missing))
+        self.add(waiting, now)
+        return Ok(waiting)
+
+    def add(self, waiting: WaitingRequest, now: float) -> None:
+        """Add a request without a check."""
+        self.rate.busy(now)
+        if waiting.ticket.retry:
+            self.requests.insert(self.retries(), waiting)
+        else:
+            self.requests.append(waiting)
+
+    def put_back(self, waiting: WaitingRequest, now: float) -> None:
+        """Put a request whose grant could not be used first again."""
+        self.rate.busy(now)
+        self.requests.insert(0, waiting)
+
+    def take(self, server: ServerId, now: float) -> WaitingRequest | None:
+        """Remove and return the first request that a server may get."""
+        for waiting in self.requests:
+            if waiting.accepts(server) and now < waiting.ticket.deadline:
+                self.rate.granted(now)
+                self.remove(waiting)
+                return waiting
+        return None
+
+    def remove(self, waiting: WaitingRequest) -> None:
+        """Remove a request if it still waits."""
+        if waiting in self.requests:
+            self.requests.remove(waiting)
+        if not self.requests:
+            self.rate.idle()
+
+    def retries(self) -> int:
+        """Retries at the front of the queue."""
+        return sum(1 for known in self.requests if known.ticket.retry)
+
+    def queue_full(self, limit: int, now: float) -> Failure:
+        """Refusal of a request for which there is no place."""
+        rate = self.rate.per_second(now)
+        return Failure(
+            ErrorKind.QUEUE_FULL,
+            f'{limit} requests of the client account are waiting',
+            1 / rate if rate else None,
+        )
+
+    def missing_seconds(self, ticket: Ticket, now: float) -> float:
+        """Time by which the expected wait exceeds the deadline."""
+        rate = self.rate.per_second(now)
+        if rate is None:
+            return 0
+        before = self.retries() if ticket.retry else len(self.requests)
+        # A rate that decayed to nothing predicts a wait without end; the
+        # deadline itself is then the better answer.
+        wait = (before + 1) / max(rate, 1e-3)
+        return now + wait - ticket.deadline
--- /dev/null
+++ b/tests/admission/fake_fleet.py
@@ -0,0 +1,292 @@
+"""Several routers in one process, with simulated backend servers."""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import UTC, datetime
+from pathlib import Path
+
+from pollenloom.admission.admission import Admission
+from pollenloom.admission.admission_factory import make_admission
+from pollenloom.admission.allocator_admission import AllocatorAdmission
+from pollenloom.admission.grant import Grant
+from pollenloom.admission.settlement import Settlement
+from pollenloom.admission.ticket import Ticket
+from pollenloom.configuration.account_entry import AccountEntry
+from pollenloom.configuration.configuration import Configuration
+from pollenloom.configuration.service_file import ServiceFile
+from pollenloom.core.backend_server import BackendServer
+from pollenloom.core.ids import (
+    AccountId,
+    DataCentreId,
+    RequestId,
+    Revision,
+    RouteId,
+    ServerId,
+    ServiceId,
+    VersionId,
+    VmId,
+)
+from pollenloom.core.states import Outcome, Resource
+from pollenloom.kernel.kernel import Kernel
+from pollenloom.membership.member import Member
+from pollenloom.settings.router_settings import (
+    AdmissionSettings,
+    PeerSettings,
+    PlatformSettings,
+    RouterSettings,
+)
+from tests.admission.fake_services import (
+    FakeConfiguration,
+    FakeLinks,
+    FakeMembership,
+    FakePeers,
+    member,
+)
+from tests.admission.simulated_loop import LoopClock
+
+SERVICE = ServiceId('minutes')
+ENSCHEDE = DataCentreId('enschede')
+HENGELO = DataCentreId('hengelo')
+FAR = 1e9
+
+
+def usual_cost() -> float:
+    """Cost of a request that takes 0.1 s."""
+    return 100
+
+
+@dataclass
+class FakeEngine:
+    """A backend server that counts what is in flight."""
+
+    server: BackendServer
+    in_flight: int = 0
+    peak: int = 0
+
+    async def serve(self, seconds: float) -> None:
+        self.in_flight += 1
+        self.peak = max(self.peak, self.in_flight)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            self.in_flight -= 1
+
+
+@dataclass
+class FakeRouter:
+    """One router of the fleet."""
+
+    kernel: Kernel
+    peers: FakePeers
+    membership: FakeMembership
+    admission: Admission
+
+    @property
+    def allocator(self) -> AllocatorAdmission:
+        assert isinstance(self.admission, AllocatorAdmission)
+        return self.admission
+
+
+@dataclass
+class FakeFleet:
+    """Routers, links and servers; cost is served at 1 unit a millisecond."""
+
+    admission: AdmissionSettings = field(default_factory=AdmissionSettings)
+    shares: dict[str, float] = field(
+        default_factory=lambda: {'small': 1, 'large': 3}
+    )
+    cross_data_centre: bool = True
+    max_waiting: int = 64
+    links: FakeLinks = field(default_factory=FakeLinks)
+    routers: dict[VmId, FakeRouter] = field(default_factory=dict)
+    members: dict[VmId, Member] = field(default_factory=dict)
+    engines: dict[ServerId, FakeEngine] = field(default_factory=dict)
+    served: dict[str, float] = field(default_factory=dict)
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    numbers: 'itertools.count[int]' = field(default_factory=itertools.count)
+    chance: random.Random = field(default_factory=lambda: random.Random(7))
+
+    def __post_init__(self) -> None:
+        """Build the configuration of the fleet."""
+        self.configuration = FakeConfiguration(self.make_configuration())
+
+    def make_configuration(self) -> Configuration:
+        accounts = tuple(
+            AccountEntry(
+                name=AccountId(name),
+                share=share,
+                max_waiting=self.max_waiting,
+            )
+            for name, share in self.shares.items()
+        )
+        service = ServiceFile(
+            service=SERVICE,
+            resource=Resource.MODEL,
+            shutdown_date=datetime(2036, 1, 1, tzinfo=UTC),
+            data_centres=(ENSCHEDE, HENGELO),
+            versions=(VersionId('v1'), VersionId('v2')),
+            cross_data_centre=self.cross_data_centre,
+            accounts=accounts,
+        )
+        return Configuration(Revision(1), {SERVICE: service})
+
+    def add_server(
+        self,
+        name: str,
+        data_centre: DataCentreId = ENSCHEDE,
+        slots: int = 4,
+        cold_slots: int = 4,
+        version: str = 'v1',
+    ) -> FakeEngine:
+        server = BackendServer(
+            server=ServerId(name),
+            service=SERVICE,
+            data_centre=data_centre,
+            version=VersionId(version),
+            address='127.0.0.1:1',
+            slots=slots,
+            cold_slots=cold_slots,
+        )
+        self.engines[server.server] = FakeEngine(server)
+        self.configuration.backend_servers.append(server)
+        self.configuration.changed()
+        return self.engines[server.server]
+
+    async def add_router(
+        self,
+        name: str,
+        data_centre: DataCentreId = ENSCHEDE,
+    ) -> FakeRouter:
+        vm = VmId(name)
+        entry = member(vm, data_centre)
+        kernel = Kernel(LoopClock())
+        peers = FakePeers(self.links, vm)
+        membership = FakeMembership(entry)
+        kernel.register(peers)
+        kernel.register(membership)
+        kernel.register(self.configuration)
+        admission = make_admission(kernel, self.settings(vm, data_centre))
+        kernel.register(admission)
+        self.members[vm] = entry
+        membership.known = dict(self.members)
+        await kernel.start()
+        self.routers[vm] = FakeRouter(kernel, peers, membership, admission)
+        self.tell_members()
+        return self.routers[vm]
+
+    def settings(self, vm: VmId, data_centre: DataCentreId) -> RouterSettings:
+        return RouterSettings(
+            vm=vm,
+            data_centre=data_centre,
+            callers='127.0.0.1:1',
+            operators='127.0.0.1:1',
+            operator_token_file=Path('token'),
+            platform=PlatformSettings(url='http://127.0.0.1:1'),
+            peers=PeerSettings(
+                listen='127.0.0.1:1',
+                fleet_key_file=Path('key'),
+            ),
+            admission=self.admission,
+        )
+
+    def tell_members(self) -> None:
+        for router in self.routers.values():
+            router.membership.see(self.members)
+
+    async def kill(self, name: str) -> None:
+        vm = VmId(name)
+        router = self.routers.pop(vm)
+        self.members.pop(vm)
+        self.links.handlers.pop(vm)
+        await router.kernel.stop()
+        self.tell_members()
+
+    async def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for router in self.routers.values():
+            await router.kernel.stop()
+
+    def ticket(
+        self,
+        account: str,
+        hint: float = 100,
+        wait_seconds: float = FAR,
+    ) -> Ticket:
+        return Ticket(
+            request_id=RequestId(str(next(self.numbers))),
+            account=AccountId(account),
+            service=SERVICE,
+            route=RouteId('chat'),
+            resource=Resource.MODEL,
+            cost_hint=hint,
+            deadline=asyncio.get_running_loop().time() + wait_seconds,
+        )
+
+    async def serve(
+        self, router: FakeRouter, account: str, cost: float
+    ) -> bool:
+        """Run one request; return whether it was served."""
+        wrong = self.chance.choice((0.1, 1, 10))
+        ticket = self.ticket(account, hint=cost * wrong)
+        got = await router.admission.acquire(ticket)
+        if got.is_error():
+            return False
+        await self.use(router, got.ok, cost)
+        return True
+
+    async def use(self, router: FakeRouter, grant: Grant, cost: float) -> None:
+        seconds = cost / 1000
+        outcome = Outcome.CANCELLED
+        try:
+            await self.engines[grant.server.server].serve(seconds)
+            outcome = Outcome.SERVED
+            served = self.served.get(grant.account, 0)
+            self.served[grant.account] = served + cost
+        finally:
+            router.admission.settle(
+                Settlement(
+                    grant=grant,
+                    outcome=outcome,
+                    cost=cost,
+                    first_byte_seconds=0.05,
+                    duration_seconds=seconds,
+                )
+            )
+
+    def flood(
+        self,
+        router: FakeRouter,
+        account: str,
+        cost: Callable[[], float] = usual_cost,
+        callers: int = 20,
+    ) -> None:
+        """Keep this many requests of an account on a router."""
+        for _ in range(callers):
+            self.tasks.append(
+                asyncio.get_running_loop().create_task(
+                    self.call_for_ever(router, account, cost)
+                )
+            )
+
+    async def call_for_ever(
+        self,
+        router: FakeRouter,
+        account: str,
+        cost: Callable[[], float],
+    ) -> None:
+        while await self.serve(router, account, cost()):
+            """The next request follows at once."""
+
+    def gap(self, before: dict[str, float] | None = None) -> float:
+        """Largest difference of cost / share served since `before`."""
+        known = before or {}
+        service = [
+            (self.served.get(account, 0) - known.get(account, 0)) / share
+            for account, share in self.shares.items()
+        ]
+        return max(service) - min(service)
--- /dev/null
+++ b/tests/admission/fake_services.py
@@ -0,0 +1,213 @@
+"""In-memory neighbours of admission, shared by the routers of a fleet."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import cbor2
+import msgspec
+import xxhash
+from expression import Result
+
+from pollenloom.configuration.configuration import Configuration
+from pollenloom.configuration.configuration_service import (
+    ConfigurationService,
+)
+from pollenloom.core.backend_server import BackendServer
+from pollenloom.core.failure import Failure
+from pollenloom.core.ids import DataCentreId, ServiceId, VmId
+from pollenloom.core.states import DataCentreState, MemberState
+from pollenloom.membership.member import Member
+from pollenloom.membership.membership import Membership
+from pollenloom.peers.peer_message import PeerMessage
+from pollenloom.peers.peer_network import MessageT, PeerNetwork
+
+Handler = Callable[[VmId, Any], None]
+Handlers = dict[type[PeerMessage], Handler]
+Letter = tuple[VmId, PeerMessage]
+
+
+class FakeLinks:
+    """All links of the fleet: delay, loss, cuts and paused routers."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.random = random.Random(seed)
+        self.delay: float = 0.001
+        self.loss: float = 0
+        self.cut: set[frozenset[VmId]] = set()
+        self.held: dict[VmId, list[Letter]] = {}
+        self.handlers: dict[VmId, Handlers] = {}
+        self.sent = 0
+
+    def send(self, sender: VmId, target: VmId, message: PeerMessage) -> None:
+        self.sent += 1
+        lost = self.random.random() < self.loss
+        if lost or frozenset((sender, target)) in self.cut:
+            return
+        data = cbor2.dumps(msgspec.to_builtins(message))
+        copied = msgspec.convert(cbor2.loads(data), type(message))
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.delay, self.deliver, sender, target, copied)
+
+    def deliver(self, sender: VmId, target: VmId, message: PeerMessage) -> None:
+        held = self.held.get(target)
+        if held is not None:
+            held.append((sender, message))
+            return
+        handler = self.handlers.get(target, {}).get(type(message))
+        if handler is not None:
+            handler(sender, message)
+
+
+class FakePeers(PeerNetwork):
+    """Network as one router sees it."""
+
+    def __init__(self, links: FakeLinks, vm: VmId) -> None:
+        self.links = links
+        self.vm = vm
+        links.handlers[vm] = {}
+
+    async def start(self) -> None:
+        """Nothing to start."""
+
+    async def stop(self) -> None:
+        self.links.handlers.pop(self.vm, None)
+
+    def send(self, vm: VmId, message: PeerMessage) -> bool:
+        self.links.send(self.vm, vm, message)
+        return True
+
+    async def request(
+        self,
+        vm: VmId,
+        message: PeerMessage,
+        reply_type: type[MessageT],
+        timeout_seconds: float,
+    ) -> Result[MessageT, Failure]:
+        raise NotImplementedError
+
+    def subscribe(
+        self,
+        message_type: type[MessageT],
+        handler: Callable[[VmId, MessageT], None],
+    ) -> None:
+        self.links.handlers[self.vm][message_type] = handler
+
+    def answer(
+        self,
+        message_type: type[MessageT],
+        handler: Callable[[VmId, MessageT], Awaitable[PeerMessage]],
+    ) -> None:
+        raise NotImplementedError
+
+
+class FakeMembership(Membership):
+    """View of one router; tests set it."""
+
+    def __init__(self, own: Member) -> None:
+        self.own_member = own
+        self.known: dict[VmId, Member] = {own.vm: own}
+        self.listeners: list[Callable[[], None]] = []
+
+    @property
+    def own(self) -> Member:
+        return self.own_member
+
+    async def start(self) -> None:
+        """Nothing to start."""
+
+    async def stop(self) -> None:
+        """Nothing to stop."""
+
+    def see(self, members: dict[VmId, Member]) -> None:
+        self.known = dict(members)
+        for listener in self.listeners:
+            listener()
+
+    def members(self) -> tuple[Member, ...]:
+        return tuple(sorted(self.known.values(), key=lambda known: known.vm))
+
+    def live(self, data_centre: DataCentreId | None = None) -> tuple[VmId, ...]:
+        return tuple(
+            member.vm
+            for member in self.members()
+            if data_centre in {None, member.data_centre} and member.is_live
+        )
+
+    def ranked(
+        self,
+        key: str,
+        data_centre: DataCentreId | None = None,
+    ) -> tuple[VmId, ...]:
+        live = self.live(data_centre) or self.live()
+        return tuple(
+            sorted(
+                live,
+                key=lambda vm: xxhash.xxh64_intdigest(f'{key}/{vm}'.encode()),
+            )
+        )
+
+    def watch(self, listener: Callable[[], None]) -> None:
+        self.listeners.append(listener)
+
+
+class FakeConfiguration(ConfigurationService):
+    """One configuration for the whole fleet."""
+
+    def __init__(self, current: Configuration) -> None:
+        self.configuration = current
+        self.backend_servers: list[BackendServer] = []
+        self.out: set[DataCentreId] = set()
+        self.listeners: list[Callable[[], None]] = []
+
+    @property
+    def current(self) -> Configuration:
+        return self.configuration
+
+    async def start(self) -> None:
+        """Nothing to start."""
+
+    async def stop(self) -> None:
+        """Nothing to stop."""
+
+    def servers(self, service: ServiceId) -> tuple[BackendServer, ...]:
+        return tuple(
+            server
+            for server in self.backend_servers
+            if server.service == service and server.data_centre not in self.out
+        )
+
+    def data_centre_state(self, data_centre: DataCentreId) -> DataCentreState:
+        if data_centre in self.out:
+            return DataCentreState.OUT
+        return DataCentreState.IN_SERVICE
+
+    def set_data_centre_state(
+        self,
+        data_centre: DataCentreId,
+        state: DataCentreState,
+    ) -> None:
+        self.out.discard(data_centre)
+        if state is DataCentreState.OUT:
+            self.out.add(data_centre)
+        self.changed()
+
+    def changed(self) -> None:
+        for listener in self.listeners:
+            listener()
+
+    def watch(self, listener: Callable[[], None]) -> None:
+        self.listeners.append(listener)
+
+
+def member(vm: VmId, data_centre: DataCentreId) -> Member:
+    """Entry of a live router."""
+    return Member(
+        vm=vm,
+        data_centre=data_centre,
+        peer_address='127.0.0.1:1',
+        operator_address='127.0.0.1:1',
+        incarnation=1,
+        state=MemberState.ALIVE,
+    )
--- /dev/null
+++ b/tests/admission/simulated_loop.py
@@ -0,0 +1,54 @@
+"""An event loop whose time jumps to the next timer, for simulations."""
+
+import asyncio
+import selectors
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+from pollenloom.kernel.clock import Clock
+
+ReturnT = TypeVar('ReturnT')
+
+
+class JumpingSelector(selectors.SelectSelector):
+    """Moves the simulated time on instead of waiting."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now: float = 1000
+
+    def select(
+        self,
+        timeout: float | None = None,
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        if timeout is None:
+            raise RuntimeError('all tasks wait for ever')
+        self.now += max(0, timeout)
+        return super().select(0)
+
+
+class SimulatedLoop(asyncio.SelectorEventLoop):
+    """Runs tasks in simulated time; the order of events is reproducible."""
+
+    def __init__(self) -> None:
+        self.jumping = JumpingSelector()
+        super().__init__(self.jumping)
+
+    def time(self) -> float:
+        return self.jumping.now
+
+
+class LoopClock(Clock):
+    """Clock of the running loop."""
+
+    def monotonic(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def wall(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+def simulate(coroutine: Coroutine[Any, Any, ReturnT]) -> ReturnT:
+    """Run a coroutine to its end in simulated time."""
+    with asyncio.Runner(loop_factory=SimulatedLoop) as runner:
+        return runner.run(coroutine)
