Judge version moves by a sequential test

Cause: a bad version must get only a small share and none soon after it shows, and noise must not take back a good one. Change: stages of 2, 10, 50 and 100%; a sequential probability ratio test for each route and stage, whose false alarm rate adds up to 1% over a move; the state is a register that only moves forward (taken back over done over running) and a record in the log; any VM can go on judging. Conclusion: the decision keeps its stated error rates; pool owners have to report answers to it.

--- /dev/null
+++ b/src/pollenloom/moves/move_log.py
@@ -0,0 +1,45 @@
+"""Keeps the states of moves in the platform's log."""
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from pollenloom.moves.move_messages import MoveLogEntry
+from pollenloom.moves.move_record import MoveRecord
+from pollenloom.platform.log_entry import encode_entry
+
+if TYPE_CHECKING:
+    from pollenloom.membership.registers import Registers
+    from pollenloom.platform.platform import Platform
+
+RETRY_SECONDS: Final = 2.0
+
+
+class MoveLog:
+    """Appends states; a fleet that restarts as a whole reads them."""
+
+    def __init__(self, platform: 'Platform', registers: 'Registers') -> None:
+        self.platform = platform
+        self.registers = registers
+
+    async def append(self, key: str, record: MoveRecord) -> None:
+        """Append a state until it is in the log or outdated."""
+        entry = encode_entry(MoveLogEntry(record=record))
+        while not self.is_outdated(key, record):
+            if (await self.platform.append(entry)).is_ok():
+                return
+            await asyncio.sleep(RETRY_SECONDS)
+
+    def is_outdated(self, key: str, record: MoveRecord) -> bool:
+        """Whether a later state of the move is known."""
+        current = read_record(self.registers, key)
+        return current is not None and current.rank > record.rank
+
+
+def read_record(registers: 'Registers', key: str) -> MoveRecord | None:
+    """Return the state of a move that a register holds."""
+    register = registers.get(key)
+    if register is None:
+        return None
+    return msgspec.msgpack.decode(register.payload, type=MoveRecord)
--- /dev/null
+++ b/src/pollenloom/moves/move_service.py
@@ -0,0 +1,28 @@
+"""Interface of the service that moves traffic between versions."""
+
+from abc import abstractmethod
+from typing import ClassVar
+
+from pollenloom.core.ids import ServiceId, VersionId
+from pollenloom.kernel.kernel_service import KernelService
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.moves.answer_report import AnswerReport
+from pollenloom.moves.move_record import MoveRecord
+
+
+class MoveService(KernelService):
+    """Limits new versions, gathers evidence and reports on moves."""
+
+    name: ClassVar[KernelServiceName] = KernelServiceName.MOVES
+
+    @abstractmethod
+    def share(self, service: ServiceId, version: VersionId) -> float:
+        """Part of the grants that a version may get, 0 to 1."""
+
+    @abstractmethod
+    def note(self, report: AnswerReport) -> None:
+        """Count an answer as evidence; called by pool owners."""
+
+    @abstractmethod
+    def records(self) -> tuple[MoveRecord, ...]:
+        """Reports on all known moves, the latest last."""
--- /dev/null
+++ b/tests/moves/test_move_judge.py
@@ -0,0 +1,153 @@
+"""Error rates and safety of the decisions on version moves."""
+
+import random
+from datetime import UTC, datetime, timedelta
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollenloom.configuration.move_entry import MoveEntry
+from pollenloom.core.ids import MoveId, RouteId, ServiceId, VersionId
+from pollenloom.core.states import MoveState
+from pollenloom.moves.move_judge import MoveEvidence, MoveJudge, share_of
+from pollenloom.moves.move_record import MoveRecord
+from pollenloom.moves.version_counts import VersionCounts
+
+START = datetime(2027, 1, 4, 8, tzinfo=UTC)
+MOVE_SECONDS = 600.0
+ROUTE = RouteId('answers')
+SEEDS = 400
+REQUESTS_PER_STEP = 20
+STEP_SECONDS = 2.0
+USUAL_BAD_RATE = 0.01
+HARMFUL_BAD_RATE = 0.3
+# Stated error rates of the whole move: false alarms 1%, misses 5%. Over 400
+# seeds a rate at its bound stays below these counts with 99.9% confidence.
+MOST_FALSE_ALARMS = 12
+MOST_MISSES = 35
+
+
+@pytest.fixture
+def judge() -> MoveJudge:
+    return make_judge()
+
+
+def make_judge() -> MoveJudge:
+    entry = MoveEntry(
+        name=MoveId('spring'),
+        from_version=VersionId('v1'),
+        to_version=VersionId('v2'),
+        start=START,
+        finish_by=START + timedelta(seconds=MOVE_SECONDS),
+    )
+    return MoveJudge(ServiceId('answers'), entry)
+
+
+def run_move(
+    judge: MoveJudge,
+    seed: int,
+    new_rate: float,
+    bad_from: float = 0,
+) -> tuple[MoveRecord, int]:
+    """Run a move; return its end and the bad answers of the new version."""
+    draw = random.Random(seed)
+    now = judge.start
+    record = judge.begin(now)
+    old = VersionCounts()
+    new = VersionCounts()
+    harmed = 0
+    while record.state is MoveState.RUNNING:
+        now += STEP_SECONDS
+        test = record.spent_tests
+        is_bad = now >= judge.start + bad_from * MOVE_SECONDS
+        rate = new_rate if is_bad else USUAL_BAD_RATE
+        for _ in range(REQUESTS_PER_STEP):
+            if draw.random() < share_of(record):
+                failed = draw.random() < rate
+                harmed += failed
+                new = new.plus(VersionCounts(1, int(failed)))
+            else:
+                failed = draw.random() < USUAL_BAD_RATE
+                old = old.plus(VersionCounts(1, int(failed)))
+        evidence = MoveEvidence(
+            {ROUTE: old},
+            {ROUTE: new} if new.requests else {},
+        )
+        record = judge.decide(record, evidence, now)
+        if record.spent_tests != test:
+            new = VersionCounts()
+    return record, harmed
+
+
+def test_good_version_is_rarely_taken_back(judge: MoveJudge) -> None:
+    """Guards against noise that takes back a good version."""
+    ends = [run_move(judge, seed, USUAL_BAD_RATE)[0] for seed in range(SEEDS)]
+    taken_back = sum(end.state is MoveState.TAKEN_BACK for end in ends)
+    assert taken_back <= MOST_FALSE_ALARMS
+    assert all(end.decided_at <= judge.finish_by for end in ends)
+
+
+@pytest.mark.parametrize('bad_from', [0, 0.3, 0.75])
+def test_bad_version_is_taken_back(judge: MoveJudge, bad_from: float) -> None:
+    """Guards against a version that fails at once or later."""
+    ends = [
+        run_move(judge, seed, HARMFUL_BAD_RATE, bad_from)
+        for seed in range(SEEDS)
+    ]
+    missed = sum(end.state is MoveState.DONE for end, _ in ends)
+    assert missed <= MOST_MISSES
+
+
+def test_version_bad_at_once_gets_a_small_share(judge: MoveJudge) -> None:
+    """Guards against a bad version that reaches many callers."""
+    for seed in range(SEEDS):
+        end, harmed = run_move(judge, seed, new_rate=0.8)
+        assert end.state is MoveState.TAKEN_BACK
+        assert end.stage <= 1
+        assert harmed <= REQUESTS_PER_STEP
+
+
+def test_bad_route_is_not_hidden_by_a_good_one(judge: MoveJudge) -> None:
+    """Guards against a version that is bad on one route only."""
+    evidence = MoveEvidence(
+        {
+            ROUTE: VersionCounts(1000, 10),
+            RouteId('labels'): VersionCounts(50, 0),
+        },
+        {
+            ROUTE: VersionCounts(1000, 10),
+            RouteId('labels'): VersionCounts(12, 8),
+        },
+    )
+    end = judge.decide(judge.begin(judge.start), evidence, judge.start + 10)
+    assert end.state is MoveState.TAKEN_BACK
+    assert 'labels' in end.reason
+
+
+def test_version_without_requests_is_not_done(judge: MoveJudge) -> None:
+    """Guards against a report of success without any evidence."""
+    nothing = MoveEvidence({ROUTE: VersionCounts(100)}, {})
+    end = judge.decide(judge.begin(judge.start), nothing, judge.finish_by)
+    assert end.state is MoveState.TAKEN_BACK
+
+
+COUNTS = st.builds(
+    VersionCounts,
+    requests=st.integers(0, 200),
+    failures=st.integers(0, 200),
+)
+
+
+@given(st.lists(COUNTS, max_size=8))
+def test_records_only_move_forward(counts: list[VersionCounts]) -> None:
+    """Guards against a move that goes back to running or a lower stage."""
+    judge = make_judge()
+    record = judge.begin(judge.start)
+    for step, new in enumerate(counts, start=1):
+        evidence = MoveEvidence({ROUTE: VersionCounts(100, 1)}, {ROUTE: new})
+        decided = judge.decide(record, evidence, judge.start + 100 * step)
+        assert decided.rank >= record.rank
+        if record.state is not MoveState.RUNNING:
+            assert decided == record
+        record = decided
