--- a/src/pollenloom_standins/__main__.py
+++ b/src/pollenloom_standins/__main__.py
@@ -7,6 +7,7 @@
 from pollenloom_standins.commands.application_command import (
     ApplicationCommand,
 )
+from pollenloom_standins.commands.demo_command import DemoCommand
 from pollenloom_standins.commands.engine_command import EngineCommand
 from pollenloom_standins.commands.platform_command import PlatformCommand
 
@@ -21,7 +22,7 @@
     """
 
     command: cappa.Subcommands[
-        PlatformCommand | EngineCommand | ApplicationCommand
+        PlatformCommand | EngineCommand | ApplicationCommand | DemoCommand
     ]
 
 
--- /dev/null
+++ b/src/pollenloom_standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration of the whole path with checked answers."""
--- /dev/null
+++ b/src/pollenloom_standins/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Starts a fleet of routers and stand-ins as separate processes."""
--- /dev/null
+++ b/src/pollenloom_standins/fleet/fleet.py
@@ -0,0 +1,263 @@
+"""A fleet of routers and stand-ins as separate processes."""
+
+import asyncio
+import sys
+from pathlib import Path
+from types import MappingProxyType, TracebackType
+from typing import Final, Self
+
+import aiohttp
+import msgspec
+
+from pollenloom.core.ids import VmId
+from pollenloom.core.states import Resource
+from pollenloom_standins.fleet.fleet_operator import FleetOperator
+from pollenloom_standins.fleet.fleet_plan import (
+    BackendPlan,
+    FleetPlan,
+    RouterPlan,
+)
+from pollenloom_standins.fleet.list_entries import (
+    backend_entry,
+    router_entry,
+)
+from pollenloom_standins.fleet.managed_process import (
+    ManagedProcess,
+    ProcessError,
+)
+from pollenloom_standins.fleet.router_settings_text import (
+    router_settings_text,
+)
+
+CALL_SECONDS: Final = 10.0
+READY_POLL_SECONDS: Final = 0.05
+OPERATOR_TOKEN: Final = 'demo-operator-token'
+FLEET_KEY: Final = 'demo-fleet-key'
+STANDIN_KINDS: Final = MappingProxyType(
+    {
+        Resource.MODEL: 'engine',
+        Resource.APPLICATION: 'application',
+    }
+)
+
+
+class Fleet:
+    """Starts, changes and stops the processes of a plan.
+
+    Attributes:
+        plan: What it consists of.
+        directory: Where settings, secrets and output files are written.
+        routers: Router processes by VM id.
+        backends: Backend server processes by VM id.
+        seed: Peers' address that routers join by.
+    """
+
+    def __init__(self, plan: FleetPlan, directory: Path) -> None:
+        self.plan = plan
+        self.directory = directory
+        self.platform = ManagedProcess(
+            'platform',
+            standin('platform', *plan.platform_options),
+            directory,
+        )
+        self.routers: dict[VmId, ManagedProcess] = {}
+        self.backends: dict[VmId, ManagedProcess] = {}
+        self.seeds: dict[VmId, str] = {}
+        self.operator = FleetOperator(directory / 'operator.token')
+
+    async def __aenter__(self) -> Self:
+        """Start all processes and publish the configuration."""
+        try:
+            await self.start()
+        except BaseException:
+            await self.kill_all()
+            raise
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stop all processes: gracefully, or at once after an error."""
+        if error is None:
+            await self.stop()
+        else:
+            await self.kill_all()
+
+    @property
+    def platform_url(self) -> str:
+        """Base URL of the platform's stand-in."""
+        return f'http://{self.platform.ready["ready"]}'
+
+    async def start(self) -> None:
+        """Start the stand-ins, the routers, and publish."""
+        await self.platform.start()
+        await asyncio.gather(
+            *(self.start_backend(backend) for backend in self.plan.backends),
+        )
+        await self.put_vm_list()
+        await self.operator.publish(
+            self.platform_url,
+            *self.plan.directories,
+        )
+        first, *others = self.plan.routers
+        await self.start_router(first)
+        await asyncio.gather(*(self.start_router(plan) for plan in others))
+        await self.put_vm_list()
+        await self.wait_until_ready()
+
+    async def start_backend(self, plan: BackendPlan) -> None:
+        """Start one backend server."""
+        process = ManagedProcess(
+            plan.vm,
+            standin(
+                STANDIN_KINDS[plan.resource],
+                '--version',
+                plan.version,
+                '--slots',
+                str(plan.slots),
+                '--cold-slots',
+                str(plan.cold_slots),
+                *plan.options,
+            ),
+            self.directory,
+        )
+        self.backends[plan.vm] = process
+        await process.start()
+
+    async def start_router(self, plan: RouterPlan) -> None:
+        """Start or restart one router."""
+        path = self.write_settings(plan)
+        process = ManagedProcess(
+            plan.vm,
+            (
+                sys.executable,
+                '-m',
+                'pollenloom',
+                'router',
+                '--settings',
+                str(path),
+            ),
+            self.directory,
+        )
+        self.routers[plan.vm] = process
+        await process.start()
+        self.seeds[plan.vm] = process.ready['ready']['peers']
+
+    def write_settings(self, plan: RouterPlan) -> Path:
+        """Write the settings file and the secrets of one router."""
+        (self.directory / 'fleet.key').write_text(FLEET_KEY)
+        (self.directory / 'operator.token').write_text(OPERATOR_TOKEN)
+        seeds = [seed for vm, seed in self.seeds.items() if vm != plan.vm]
+        path = self.directory / f'{plan.vm}.toml'
+        path.write_text(
+            router_settings_text(
+                plan,
+                self.directory,
+                self.platform_url,
+                tuple(seeds),
+            ),
+        )
+        return path
+
+    async def put_vm_list(self) -> None:
+        """Tell the platform's stand-in which VMs there are."""
+        entries = [
+            backend_entry(backend, self.backends[backend.vm].ready['ready'])
+            for backend in self.plan.backends
+            if self.backends[backend.vm].is_running
+        ]
+        entries.extend(
+            router_entry(plan, self.seeds[plan.vm])
+            for plan in self.plan.routers
+            if plan.vm in self.seeds and self.routers[plan.vm].is_running
+        )
+        async with aiohttp.ClientSession() as session:
+            answer = await session.put(
+                f'{self.platform_url}/control/vms',
+                json={'vms': msgspec.to_builtins(entries)},
+            )
+            answer.raise_for_status()
+
+    def operator_addresses(self) -> tuple[str, ...]:
+        """Return the operators' addresses of the running routers."""
+        return tuple(
+            process.ready['ready']['operators']
+            for process in self.routers.values()
+            if process.is_running
+        )
+
+    async def wait_until_ready(self) -> None:
+        """Wait until all running routers take requests."""
+        for process in self.routers.values():
+            if process.is_running:
+                await self.wait_for_router(process)
+
+    async def wait_for_router(self, process: ManagedProcess) -> None:
+        """Wait until a router answers that it is ready.
+
+        Raises:
+            ProcessError: If it takes too long.
+        """
+        url = f'http://{process.ready["ready"]["callers"]}/readyz'
+        try:
+            async with asyncio.timeout(CALL_SECONDS):
+                while not await is_ok(url):
+                    await asyncio.sleep(READY_POLL_SECONDS)
+        except TimeoutError:
+            raise ProcessError(f'{process.label} is not ready') from None
+
+    def callers(self, vm: VmId) -> str:
+        """Return the base URL of a router for callers."""
+        return f'http://{self.routers[vm].ready["ready"]["callers"]}'
+
+    def control(self, vm: VmId) -> str:
+        """Return the base URL of a backend server's stand-in."""
+        return f'http://{self.backends[vm].ready["ready"]}'
+
+    async def stop(self) -> None:
+        """Stop all processes gracefully, the routers first.
+
+        Raises:
+            ProcessError: If a router did not end with code 0.
+        """
+        running = [
+            process for process in self.routers.values() if process.is_running
+        ]
+        codes = await asyncio.gather(
+            *(process.terminate() for process in running),
+        )
+        await asyncio.gather(
+            *(process.terminate() for process in self.backends.values()),
+        )
+        await self.platform.terminate()
+        for process, code in zip(running, codes, strict=True):
+            if code:
+                raise ProcessError(f'{process.label} ended with code {code}')
+
+    async def kill_all(self) -> None:
+        """End all processes at once."""
+        await asyncio.gather(
+            *(process.kill() for process in self.routers.values()),
+            *(process.kill() for process in self.backends.values()),
+            self.platform.kill(),
+        )
+
+
+def standin(kind: str, *options: str) -> tuple[str, ...]:
+    """Return the command of a stand-in."""
+    return (sys.executable, '-m', 'pollenloom_standins', kind, *options)
+
+
+async def is_ok(url: str) -> bool:
+    """Whether a GET of the URL answers with 200."""
+    try:
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(url) as answer,
+        ):
+            return answer.ok
+    except aiohttp.ClientError:
+        return False
