Hold the configuration, data centre states and servers in force

Log readers turn accepted changes into the register, and every router takes its configuration from there; files are parsed in a thread, and a lower revision never replaces a higher one.

--- a/src/pollenloom/configuration/change_history.py
+++ b/src/pollenloom/configuration/change_history.py
@@ -54,11 +54,16 @@
         """Revision in force."""
         return self.state.revision
 
-    def miss(self, earliest: Offset) -> None:
-        """Note that records below `earliest` were trimmed before being read."""
+    def miss(self, earliest: Offset) -> list[PublishOutcome]:
+        """Note that records below `earliest` were trimmed before being read.
+
+        Returns:
+            No decisions.
+        """
         if earliest > self.state.position:
             self.gap_end = earliest
             self.complete = False
+        return []
 
     def apply(
         self,
--- /dev/null
+++ b/src/pollenloom/configuration/configuration_store.py
@@ -0,0 +1,239 @@
+"""Configuration, data centre states and backend servers, as known now."""
+
+import asyncio
+from collections.abc import Callable
+
+from absl import logging
+
+from pollenloom.configuration.backend_selection import select_servers
+from pollenloom.configuration.change_follower import ChangeFollower
+from pollenloom.configuration.configuration import Configuration
+from pollenloom.configuration.configuration_register import (
+    CONFIGURATION_KEY,
+    decode_snapshot,
+)
+from pollenloom.configuration.configuration_service import (
+    ConfigurationService,
+)
+from pollenloom.configuration.data_centre_register import (
+    DATA_CENTRE_PREFIX,
+    make_register,
+    read_register,
+)
+from pollenloom.configuration.file_loader import load_accepted
+from pollenloom.configuration.log_entries import (
+    ConfigurationSnapshot,
+    DataCentreChange,
+)
+from pollenloom.configuration.log_upkeep import LogUpkeep
+from pollenloom.core.backend_server import BackendServer
+from pollenloom.core.ids import DataCentreId, Offset, Revision, ServiceId
+from pollenloom.core.states import DataCentreState
+from pollenloom.kernel.kernel import Kernel
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.membership.membership import Membership
+from pollenloom.membership.register_value import RegisterValue
+from pollenloom.membership.registers import Registers
+from pollenloom.observability.event_log import EventLog
+from pollenloom.platform.log_tail import LogTail
+from pollenloom.platform.vm_entry import VmList
+from pollenloom.platform.vm_list_codec import VM_LIST_KEY, decode_vm_list
+
+
+class ConfigurationStore(ConfigurationService):
+    """Holds what the registers say; log readers feed them from the log."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+        self.configuration = Configuration(Revision(0), {})
+        self.vm_list = VmList(as_of=0, vms=())
+        self.states: dict[DataCentreId, DataCentreState] = {}
+        self.server_cache: dict[ServiceId, tuple[BackendServer, ...]] = {}
+        self.listeners: list[Callable[[], None]] = []
+        self.newest: RegisterValue | None = None
+        self.register_changed = asyncio.Event()
+
+    async def start(self) -> None:
+        """Read the registers and follow the log."""
+        kernel = self.kernel
+        self.events = kernel.find(KernelServiceName.EVENTS, EventLog)
+        log = kernel.find(
+            KernelServiceName.LOG,
+            LogTail,  # type: ignore[type-abstract]
+        )
+        self.registers = kernel.find(
+            KernelServiceName.REGISTERS,
+            Registers,  # type: ignore[type-abstract]
+        )
+        self.own = kernel.find(
+            KernelServiceName.MEMBERSHIP,
+            Membership,  # type: ignore[type-abstract]
+        ).own.vm
+        self.follower = ChangeFollower(log, self.registers, self.events)
+        upkeep = LogUpkeep(kernel, self.follower, log, self.registers)
+        log.subscribe(DataCentreChange, self.take_data_centre)
+        self.registers.watch(CONFIGURATION_KEY, self.configuration_changed)
+        self.registers.watch(DATA_CENTRE_PREFIX, self.data_centre_changed)
+        self.registers.watch(VM_LIST_KEY, self.vm_list_changed)
+        kernel.spawn('configuration loader', self.follow_register())
+        kernel.spawn('configuration changes', self.follower.follow())
+        kernel.spawn('log upkeep', upkeep.follow())
+
+    async def stop(self) -> None:
+        """Nothing to release; the kernel ends the tasks."""
+
+    @property
+    def current(self) -> Configuration:
+        """Configuration in force."""
+        return self.configuration
+
+    def servers(self, service: ServiceId) -> tuple[BackendServer, ...]:
+        """Servers that may get new work for a service."""
+        known = self.server_cache.get(service)
+        if known is None:
+            known = self.select(service)
+            self.server_cache[service] = known
+        return known
+
+    def select(self, service: ServiceId) -> tuple[BackendServer, ...]:
+        """Return the servers of a service from the VM list."""
+        file = self.configuration.services.get(service)
+        if file is None:
+            return ()
+        closed = {
+            data_centre
+            for data_centre, state in self.states.items()
+            if state is DataCentreState.OUT
+        }
+        return tuple(select_servers(self.vm_list, file, closed))
+
+    def data_centre_state(self, data_centre: DataCentreId) -> DataCentreState:
+        """State set by the operators."""
+        return self.states.get(data_centre, DataCentreState.IN_SERVICE)
+
+    def set_data_centre_state(
+        self,
+        data_centre: DataCentreId,
+        state: DataCentreState,
+    ) -> None:
+        """Set a state on all routers, with the platform up or down.
+
+        Also raises the version if the state is the same, so that the last
+        order wins over one that was given elsewhere before.
+        """
+        key = f'{DATA_CENTRE_PREFIX}{data_centre}'
+        known = self.registers.get(key)
+        change = DataCentreChange(
+            data_centre=data_centre,
+            state=state,
+            counter=1 if known is None else known.counter + 1,
+            origin=self.own,
+        )
+        self.registers.put(key, make_register(change))
+
+    def watch(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after each change."""
+        self.listeners.append(listener)
+
+    def changed(self) -> None:
+        """Tell the listeners."""
+        self.server_cache.clear()
+        for listener in tuple(self.listeners):
+            try:
+                listener()
+            except Exception:
+                # One listener's fault must not stop the others.
+                logging.exception('configuration_listener_failed')
+
+    def take_data_centre(
+        self,
+        offset: Offset,
+        appended_at: float,
+        entry: DataCentreChange,
+    ) -> None:
+        """Put a state of the log into its register unless that is newer."""
+        key = f'{DATA_CENTRE_PREFIX}{entry.data_centre}'
+        self.registers.put(key, make_register(entry))
+
+    def data_centre_changed(self, key: str, register: RegisterValue) -> None:
+        """Put a data centre state in force."""
+        try:
+            change = read_register(key, register)
+        except ValueError as error:
+            logging.warning('register_unreadable %s %s', key, error)
+            return
+        self.states[change.data_centre] = change.state
+        self.events.record(
+            'data_centre_state_changed',
+            change.data_centre,
+            state=change.state.value,
+            counter=change.counter,
+            origin=change.origin,
+        )
+        self.changed()
+
+    def vm_list_changed(self, key: str, register: RegisterValue) -> None:
+        """Put a VM list in force."""
+        if key != VM_LIST_KEY:
+            return
+        try:
+            self.vm_list = decode_vm_list(register.payload)
+        except ValueError as error:
+            logging.warning('register_unreadable %s %s', key, error)
+            return
+        self.changed()
+
+    def configuration_changed(self, key: str, register: RegisterValue) -> None:
+        """Let the loader take the newest configuration."""
+        if key == CONFIGURATION_KEY and register.supersedes(self.newest):
+            self.newest = register
+            self.register_changed.set()
+
+    async def follow_register(self) -> None:
+        """Load each new configuration in a thread and put it in force."""
+        while True:
+            await self.register_changed.wait()
+            self.register_changed.clear()
+            if self.newest is None:
+                continue
+            try:
+                snapshot, configuration = await asyncio.to_thread(
+                    load_register,
+                    self.newest,
+                )
+            except ValueError as error:
+                logging.warning('register_unreadable configuration %s', error)
+                continue
+            self.follower.take_register(snapshot)
+            self.put_in_force(configuration)
+
+    def put_in_force(self, configuration: Configuration) -> None:
+        """Replace the configuration, never by a lower revision."""
+        if configuration.revision < self.configuration.revision:
+            return
+        self.configuration = configuration
+        self.events.record(
+            'configuration_in_force',
+            configuration.publish_id,
+            revision=configuration.revision,
+            publisher=configuration.publisher,
+        )
+        self.changed()
+
+
+def load_register(
+    register: RegisterValue,
+) -> tuple[ConfigurationSnapshot, Configuration]:
+    """Return the snapshot of a register and the services in it.
+
+    Raises:
+        ValueError: If the payload is broken.
+    """
+    snapshot = decode_snapshot(register)
+    configuration = Configuration(
+        revision=snapshot.revision,
+        services=load_accepted(snapshot.files),
+        publish_id=snapshot.publish_id,
+        publisher=snapshot.publisher,
+    )
+    return snapshot, configuration
--- a/src/pollenloom/platform/log_entry.py
+++ b/src/pollenloom/platform/log_entry.py
@@ -37,8 +37,8 @@
     """
     try:
         return convert_entry(cbor2.loads(payload))
-    except (cbor2.CBORDecodeError, msgspec.ValidationError) as error:
-        logging.warning('log_record_unreadable %s', error)
+    except Exception as error:  # The decoder has no common error type.
+        logging.warning('log_record_unreadable %r', error)
     return None
 
 
--- a/src/pollenloom/platform/log_reader.py
+++ b/src/pollenloom/platform/log_reader.py
@@ -12,13 +12,13 @@
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.observability.event_log import EventLog
+from pollenloom.platform.log_cursor import LogCursor
 from pollenloom.platform.log_page import LogPage
 from pollenloom.platform.log_subscribers import LogSubscribers
 from pollenloom.platform.log_tail import EntryT, LogTail
 from pollenloom.platform.platform import Platform
 from pollenloom.platform.reachability import Reachability
 from pollenloom.platform.reader_group import ReaderGroup
-from pollenloom.platform.retained_time import RetainedTime
 from pollenloom.platform.vm_list_reader import VmListReader
 
 if TYPE_CHECKING:
@@ -36,9 +36,7 @@
         self.kernel = kernel
         self.poll_seconds = poll_seconds
         self.subscribers = LogSubscribers()
-        self.next_offset = Offset(0)
-        self.at_end = False
-        self.retained = RetainedTime()
+        self.cursor = LogCursor()
         self.reading = asyncio.Lock()
 
     @classmethod
@@ -81,17 +79,22 @@
     @property
     def position(self) -> Offset:
         """Offset to be read next."""
-        return self.next_offset
+        return self.cursor.position
 
     @property
     def caught_up(self) -> bool:
         """Whether the last read reached the end of the log."""
-        return self.at_end
+        return self.cursor.at_end
 
     @property
     def earliest_retained_at(self) -> float | None:
         """Platform time since which no record has been missed."""
-        return self.retained.since()
+        return self.cursor.retained.since()
+
+    @property
+    def retention_seconds(self) -> float | None:
+        """How long the platform keeps records."""
+        return self.cursor.retention_seconds
 
     @property
     def is_reader(self) -> bool:
@@ -104,19 +107,19 @@
 
     async def read_until(self, offset: Offset) -> Result[Offset, Failure]:
         """Read until the record at `offset` has been handed out."""
-        while self.next_offset <= offset:
+        while self.cursor.position <= offset:
             async with self.reading:
                 # Another caller may have read it in the meantime.
-                if self.next_offset > offset:
+                if self.cursor.position > offset:
                     break
-                before = self.next_offset
+                before = self.cursor.position
                 answer = await self.read_page()
             if answer.is_error():
                 return Error(answer.error)
-            if self.next_offset == before:
+            if self.cursor.position == before:
                 detail = f'the log ends before offset {offset}'
                 return Error(Failure(ErrorKind.PLATFORM_UNAVAILABLE, detail))
-        return Ok(self.next_offset)
+        return Ok(self.cursor.position)
 
     async def follow(self) -> None:
         """Read the log while it is this VM's duty."""
@@ -127,7 +130,7 @@
                 if not succeeded and not self.is_reader:
                     pause = FAILED_FALLBACK_SECONDS
             else:
-                self.at_end = False
+                self.cursor.at_end = False
             await asyncio.sleep(pause)
 
     async def read_to_end(self) -> bool:
@@ -135,39 +138,29 @@
         progress = True
         while progress:
             async with self.reading:
-                before = self.next_offset
+                before = self.cursor.position
                 answer = await self.read_page()
             if answer.is_error():
                 return False
-            progress = self.next_offset > before and not self.at_end
-        self.group.report(self.next_offset)
+            progress = self.cursor.position > before and not self.cursor.at_end
+        self.group.report(self.cursor.position)
         return True
 
     async def read_page(self) -> Result[LogPage, Failure]:
         """Read one page and hand out its records."""
-        answer = await self.platform.read(self.next_offset, PAGE_RECORDS)
+        answer = await self.platform.read(self.cursor.position, PAGE_RECORDS)
         self.reachability.note(reachable=answer.is_ok())
-        if answer.is_ok():
-            self.take_page(answer.ok)
-        else:
-            self.at_end = False
-        return answer
-
-    def take_page(self, page: LogPage) -> None:
-        """Hand out the records of a page that follows the position."""
-        if page.earliest > self.next_offset:
+        if answer.is_error():
+            self.cursor.at_end = False
+            return answer
+        news = self.cursor.advance(answer.ok)
+        if news.missed_until is not None:
             self.events.record(
                 'log_records_missed',
                 self.group.own,
-                position=self.next_offset,
-                earliest=page.earliest,
+                earliest=news.missed_until,
             )
-            self.subscribers.tell_gap(page.earliest)
-        for record in page.records:
-            if record.offset >= self.next_offset:
-                self.retained.add(record.offset, record.appended_at)
-                self.subscribers.hand_out(record)
-                self.next_offset = Offset(record.offset + 1)
-        self.next_offset = max(self.next_offset, page.next)
-        self.retained.trim(page.earliest)
-        self.at_end = self.next_offset >= page.end
+            self.subscribers.tell_gap(news.missed_until)
+        for record in news.records:
+            self.subscribers.hand_out(record)
+        return answer
--- a/src/pollenloom/platform/log_tail.py
+++ b/src/pollenloom/platform/log_tail.py
@@ -79,6 +79,11 @@
         None before the first read and if all records have been trimmed.
         """
 
+    @property
+    @abstractmethod
+    def retention_seconds(self) -> float | None:
+        """How long the platform keeps records; None before the first read."""
+
     @property
     @abstractmethod
     def is_reader(self) -> bool:
--- a/src/pollenloom/validation/toml_file.py
+++ b/src/pollenloom/validation/toml_file.py
@@ -36,13 +36,15 @@
     """Read TOML text and check it against a model."""
     try:
         table = tomllib.loads(text)
+        encoded = msgspec.json.encode(table)
     except tomllib.TOMLDecodeError as error:
-        problem = FileProblem(file, '', 'TOML', f'a syntax error: {error}')
-        return CheckedFile(None, (problem,))
+        return reject(file, f'a syntax error: {error}')
+    except (RecursionError, OverflowError):
+        return reject(file, 'a too deep table or too large number')
     try:
         # JSON is checked strictly: text is no number and true is not 1.
         model = model_type.model_validate_json(
-            msgspec.json.encode(table),
+            encoded,
             strict=True,
         )
     except ValidationError as error:
@@ -55,6 +57,11 @@
     return CheckedFile(model, ())
 
 
+def reject(file: str, found: str) -> CheckedFile[ModelT]:
+    """Return the problem of a file that cannot be read as a whole."""
+    return CheckedFile(None, (FileProblem(file, '', 'TOML', found),))
+
+
 def is_consequence(table: Mapping[str, Any], details: ErrorDetails) -> bool:
     """Whether a list is only too short because its entries are wrong."""
     if details['type'] != 'too_short':
