Test retries, whole answers and resumed streams; add metrics

Cause: the retry loop was untested, and operators need histograms by account without a series for each of 2,600 accounts. Change: Metrics under the kernel name METRICS, with the 32 accounts of the largest shares named and the others as one class; records of refusals, retries and resumes; shared fakes and tests of dispatch.

--- a/src/pollenloom/dispatch/dispatcher.py
+++ b/src/pollenloom/dispatch/dispatcher.py
@@ -28,6 +28,7 @@
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.observability.event_log import EventLog
+from pollenloom.observability.metrics import Metrics
 from pollenloom.settings.router_settings import (
     DispatchSettings,
     RouterSettings,
@@ -53,6 +54,7 @@
         settings: DispatchSettings,
     ) -> None:
         self.kernel = kernel
+        self.metrics = Metrics.shared(kernel)
         self.client = client
         self.budget = budget
         self.settings = settings
@@ -156,7 +158,14 @@
         now = self.kernel.clock.monotonic()
         if use.outcome is not Outcome.SERVED:
             use.cost = unserved_cost(delivery, use)
-        self.admission.settle(use.settlement(now))
+        settlement = use.settlement(now)
+        self.admission.settle(settlement)
+        if settlement.cost:
+            self.metrics.observe_cost(
+                delivery.request.service,
+                delivery.request.account,
+                settlement.cost,
+            )
         self.cancel_unanswered(delivery, use, now)
 
     async def send(self, delivery: Delivery, use: GrantUse) -> AttemptResult:
@@ -188,8 +197,13 @@
         if not self.budget.take(now):
             self.record('retry_denied', delivery, failure)
             return False
-        resumed = delivery.relayed_events > 0
-        self.record('resume' if resumed else 'retry', delivery, failure)
+        service = delivery.request.service
+        self.metrics.retries.labels(service).inc()
+        if delivery.relayed_events:
+            self.metrics.resumed_streams.labels(service).inc()
+            self.record('resume', delivery, failure)
+        else:
+            self.record('retry', delivery, failure)
         return True
 
     def cancel_unanswered(
--- a/src/pollenloom/frontend/application_handler.py
+++ b/src/pollenloom/frontend/application_handler.py
@@ -51,6 +51,7 @@
         if ordered.is_error():
             return self.refuse(ordered.error, call, read)
         answer = ordered.ok
+        self.observe(call, read, None)
         own_headers = self.own_headers(call, read)
         if answer.replayed:
             own_headers['idempotent-replayed'] = 'true'
--- a/src/pollenloom/frontend/call_handler.py
+++ b/src/pollenloom/frontend/call_handler.py
@@ -15,6 +15,7 @@
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.observability.event_log import EventLog
+from pollenloom.observability.metrics import Metrics
 from pollenloom.settings.router_settings import LimitSettings
 
 
@@ -33,6 +34,7 @@
             Dispatch,
         )
         self.events = kernel.find(KernelServiceName.EVENTS, EventLog)
+        self.metrics = kernel.find(KernelServiceName.METRICS, Metrics)
 
     @abstractmethod
     async def handle(
@@ -48,6 +50,7 @@
         if answered.is_error():
             return self.refuse(answered.error, call, read)
         answer = answered.ok
+        self.observe(call, read, None)
         return passed_answer(
             answer.status,
             answer.body,
@@ -62,7 +65,7 @@
         read: ReadRequest | None = None,
     ) -> HTTPResponse:
         """Answer a call that failed and record why."""
-        self.record_refusal(failure, call)
+        self.record_refusal(failure, call, read)
         headers = {} if read is None else self.own_headers(call, read)
         return problem_answer(
             failure,
@@ -71,16 +74,41 @@
             headers=headers,
         )
 
-    def record_refusal(self, failure: Failure, call: RawCall) -> None:
-        """Record why a call got no answer of a backend server."""
+    def record_refusal(
+        self,
+        failure: Failure,
+        call: RawCall,
+        read: ReadRequest | None,
+    ) -> None:
+        """Record why a call got no whole answer of a backend server."""
+        service = None if read is None else read.request.service
+        self.metrics.count_request(service, failure.kind)
         self.events.record(
             'refusal',
             call.request_id,
+            service=service,
             kind=failure.kind.value,
             run=failure.answer.run.value,
             detail=failure.detail,
         )
 
+    def observe(
+        self,
+        call: RawCall,
+        read: ReadRequest,
+        first_byte_at: float | None,
+    ) -> None:
+        """Count an answer that was passed on, and its times."""
+        now = self.kernel.clock.monotonic()
+        service = read.request.service
+        self.metrics.count_request(service, None)
+        self.metrics.observe_answer(
+            service,
+            read.request.account,
+            (first_byte_at or now) - call.arrived_at,
+            now - call.arrived_at,
+        )
+
     def own_headers(self, call: RawCall, read: ReadRequest) -> dict[str, str]:
         """Return the headers that the router adds to an answer."""
         return router_headers(
--- a/src/pollenloom/frontend/caller_server.py
+++ b/src/pollenloom/frontend/caller_server.py
@@ -24,6 +24,7 @@
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.observability.metrics import Metrics
 from pollenloom.settings.router_settings import LimitSettings, RouterSettings
 
 METHODS: Final = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE')
@@ -45,6 +46,7 @@
         self.address = address
         self.limits = limits
         self.gate = DrainGate()
+        self.metrics = Metrics.shared(kernel)
 
     @classmethod
     def from_config(
@@ -55,29 +57,24 @@
         """Make a server on the callers' address of the settings."""
         return cls(kernel, settings.callers, settings.limits)
 
-    @property
-    def port(self) -> int:
-        """Port that the server listens on."""
-        port: int = self.listener.getsockname()[1]
-        return port
-
     async def start(self) -> None:
         """Find the services below and listen."""
         self.configuration = self.kernel.find(
             KernelServiceName.CONFIGURATION,
             ConfigurationService,
         )
+        self.configuration.watch(self.follow_configuration)
+        self.follow_configuration()
         self.app = make_app(self.limits)
         self.app.ctx.refuse_connection = refuse_connection
         self.add_routes()
         host, _, port = self.address.rpartition(':')
         # Sanic takes port 0 for its default port, so it gets a socket.
-        self.listener = socket.create_server(
-            (host, int(port)),
-            backlog=BACKLOG,
-        )
+        listener = socket.create_server((host, int(port)), backlog=BACKLOG)
+        bound_host, bound_port = listener.getsockname()
+        self.address = f'{bound_host}:{bound_port}'
         server = await self.app.create_server(
-            sock=self.listener,
+            sock=listener,
             protocol=CallerProtocol,
             backlog=BACKLOG,
             return_asyncio_server=True,
@@ -90,6 +87,10 @@
         self.server = server
         self.gate.ready = True
 
+    def follow_configuration(self) -> None:
+        """Let metrics name the accounts of the configuration in force."""
+        self.metrics.follow(self.configuration.current)
+
     async def drain(self) -> None:
         """Refuse new requests and finish the accepted ones."""
         await self.gate.close(self.limits.drain_grace_seconds)
--- a/src/pollenloom/frontend/guarded_route.py
+++ b/src/pollenloom/frontend/guarded_route.py
@@ -1,5 +1,7 @@
 """Entry of calls from Sanic to a handler."""
 
+import asyncio
+
 from sanic import Request
 from sanic.http import Http
 from sanic.response import HTTPResponse
@@ -25,7 +27,7 @@
         **_path_parts: str,
     ) -> HTTPResponse | None:
         """Serve one request of a connection."""
-        call = read_raw(request)
+        call = read_raw(request, self.handler.kernel.clock.monotonic())
         if not self.gate.ready:
             close_after_answer(request)
         if self.gate.refusing:
@@ -34,7 +36,13 @@
                 call,
             )
         with self.gate:
-            return await self.handler.handle(request, call)
+            try:
+                return await self.handler.handle(request, call)
+            except asyncio.CancelledError:
+                # Sanic cancels the task of a connection that is lost.
+                failure = Failure(ErrorKind.CALLER_LEFT, 'connection lost')
+                self.handler.record_refusal(failure, call, None)
+                raise
 
 
 def close_after_answer(request: Request) -> None:
@@ -43,7 +51,7 @@
         request.stream.keep_alive = False
 
 
-def read_raw(request: Request) -> RawCall:
+def read_raw(request: Request, now: float) -> RawCall:
     """Return a request without the server library's types."""
     headers: dict[str, str] = {}
     for name, text in request.headers.items():
@@ -57,4 +65,5 @@
         target=request.raw_url.decode('ascii', errors='replace'),
         headers=headers,
         body=request.body,
+        arrived_at=now,
     )
--- a/src/pollenloom/frontend/model_handler.py
+++ b/src/pollenloom/frontend/model_handler.py
@@ -50,9 +50,10 @@
     ) -> HTTPResponse | None:
         """Relay an event stream."""
         own_headers = self.own_headers(call, read)
-        sink = SanicSink(request, own_headers)
+        sink = SanicSink(request, own_headers, self.kernel.clock)
         answered = await self.dispatch.stream(read.request, sink)
         if answered.is_ok():
+            self.observe(call, read, sink.opened_at)
             if sink.response is not None:
                 await sink.finish()
                 return None
@@ -65,7 +66,7 @@
             )
         if sink.response is None:
             return self.refuse(answered.error, call, read)
-        self.record_refusal(answered.error, call)
+        self.record_refusal(answered.error, call, read)
         await sink.close_cut(
             encode_error_event(answered.error, call.request_id)
         )
--- a/src/pollenloom/frontend/raw_call.py
+++ b/src/pollenloom/frontend/raw_call.py
@@ -16,6 +16,7 @@
         target: Path and query as sent.
         headers: Headers with lower-case names; repeated ones are joined.
         body: Body bytes.
+        arrived_at: Monotonic time of its arrival, in seconds.
     """
 
     request_id: RequestId
@@ -23,6 +24,7 @@
     target: str
     headers: Mapping[str, str]
     body: bytes
+    arrived_at: float
 
     @property
     def path(self) -> str:
--- a/src/pollenloom/frontend/sanic_sink.py
+++ b/src/pollenloom/frontend/sanic_sink.py
@@ -1,12 +1,14 @@
 """Relay of events to a caller through Sanic."""
 
 from collections.abc import Mapping
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from sanic import Request
 from sanic.exceptions import RequestCancelled
 
 from pollenloom.dispatch.event_sink import EventSink
+from pollenloom.kernel.clock import Clock
 
 if TYPE_CHECKING:
     from sanic.response import BaseHTTPResponse
@@ -15,7 +17,14 @@
 class SanicSink(EventSink):
     """Starts the answer with the first event and writes the others to it."""
 
-    def __init__(self, request: Request, headers: Mapping[str, str]) -> None:
+    def __init__(
+        self,
+        request: Request,
+        headers: Mapping[str, str],
+        clock: Clock,
+    ) -> None:
+        self.clock = clock
+        self.opened_at: float | None = None
         self.request = request
         self.headers = headers
         self.response: BaseHTTPResponse | None = None
@@ -24,6 +33,7 @@
         """Pass on complete events; waits for a slow reader."""
         response = self.response
         if response is None:
+            self.opened_at = self.clock.monotonic()
             response = await self.request.respond(
                 headers=dict(self.headers),
                 content_type='text/event-stream',
@@ -45,6 +55,7 @@
         The connection is closed without the end of the body, so that no
         client takes the answer for a whole one.
         """
-        await self.write(error_event)
+        with suppress(ConnectionError):
+            await self.write(error_event)
         if self.request.transport is not None:
             self.request.transport.close()
--- a/src/pollenloom/kernel/kernel_service_name.py
+++ b/src/pollenloom/kernel/kernel_service_name.py
@@ -13,6 +13,7 @@
     EVENTS = 'events'
     FRONTEND = 'frontend'
     MEMBERSHIP = 'membership'
+    METRICS = 'metrics'
     MOVES = 'moves'
     OPERATIONS = 'operations'
     ORDERS = 'orders'
--- /dev/null
+++ b/src/pollenloom/observability/metrics.py
@@ -0,0 +1,155 @@
+"""Metrics of requests, by service and class of client accounts."""
+
+from contextlib import suppress
+from typing import ClassVar, Final
+
+from prometheus_client import CollectorRegistry, Counter, Histogram
+
+from pollenloom.configuration.configuration import Configuration
+from pollenloom.core.error_kind import ErrorKind
+from pollenloom.core.ids import AccountId, ServiceId
+from pollenloom.kernel.kernel import Kernel
+from pollenloom.kernel.kernel_service import KernelService
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.observability.account_classes import AccountClasses
+
+SERVICE: Final = 'service'
+BY_ACCOUNT: Final = (SERVICE, 'account_class')
+NO_ERROR: Final = 'none'
+NO_SERVICE: Final = 'none'
+
+# 0.44 s is the target for the first token.
+SECONDS: Final = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.44,
+    1,
+    2,
+    5,
+    10,
+    30,
+    60,
+    300,
+)
+COSTS: Final = (1, 3, 10, 30, 100, 300, 1000, 3000, 10_000, 100_000)
+
+
+class Metrics(KernelService):
+    """Histograms and counters in a registry of their own."""
+
+    name: ClassVar[KernelServiceName] = KernelServiceName.METRICS
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.classes = AccountClasses()
+        self.first_byte_seconds = Histogram(
+            'pollenloom_first_byte_seconds',
+            'Time from the request to the first byte of its answer.',
+            BY_ACCOUNT,
+            buckets=SECONDS,
+            registry=self.registry,
+        )
+        self.duration_seconds = Histogram(
+            'pollenloom_duration_seconds',
+            'Time from the request to the end of its answer.',
+            BY_ACCOUNT,
+            buckets=SECONDS,
+            registry=self.registry,
+        )
+        self.cost = Histogram(
+            'pollenloom_cost',
+            'Cost of an attempt, in tokens or calls.',
+            BY_ACCOUNT,
+            buckets=COSTS,
+            registry=self.registry,
+        )
+        self.requests = Counter(
+            'pollenloom_requests',
+            'Requests by the kind of their error.',
+            (SERVICE, 'error_kind'),
+            registry=self.registry,
+        )
+        self.retries = Counter(
+            'pollenloom_retries',
+            'Requests sent again.',
+            (SERVICE,),
+            registry=self.registry,
+        )
+        self.resumed_streams = Counter(
+            'pollenloom_resumed_streams',
+            'Streams resumed on another backend server.',
+            (SERVICE,),
+            registry=self.registry,
+        )
+
+    @classmethod
+    def shared(cls, kernel: Kernel) -> 'Metrics':
+        """Return the metrics of a process; the first caller makes them."""
+        if KernelServiceName.METRICS not in kernel.services:
+            kernel.register(cls())
+        return kernel.find(KernelServiceName.METRICS, cls)
+
+    async def start(self) -> None:
+        """Nothing to start."""
+
+    async def stop(self) -> None:
+        """Nothing to stop."""
+
+    def follow(self, configuration: Configuration) -> None:
+        """Take the named accounts from a configuration.
+
+        The series of accounts that lost their name are removed, so that
+        their number stays bounded over many configurations.
+        """
+        for account in self.classes.update(configuration):
+            for service in configuration.services:
+                self.forget(service, account)
+
+    def forget(self, service: ServiceId, account: AccountId) -> None:
+        """Remove the series of an account."""
+        for histogram in (
+            self.first_byte_seconds,
+            self.duration_seconds,
+            self.cost,
+        ):
+            with suppress(KeyError):
+                histogram.remove(service, account)
+
+    def count_request(
+        self,
+        service: ServiceId | None,
+        kind: ErrorKind | None,
+    ) -> None:
+        """Count a request that ended, well or with an error."""
+        self.requests.labels(
+            service or NO_SERVICE,
+            NO_ERROR if kind is None else kind.value,
+        ).inc()
+
+    def observe_answer(
+        self,
+        service: ServiceId,
+        account: AccountId,
+        first_byte: float,
+        duration: float,
+    ) -> None:
+        """Observe the times of an answer, in seconds."""
+        account_class = self.classes.class_of(account)
+        self.first_byte_seconds.labels(service, account_class).observe(
+            first_byte
+        )
+        self.duration_seconds.labels(service, account_class).observe(duration)
+
+    def observe_cost(
+        self,
+        service: ServiceId,
+        account: AccountId,
+        cost: float,
+    ) -> None:
+        """Observe what an attempt was charged."""
+        account_class = self.classes.class_of(account)
+        self.cost.labels(service, account_class).observe(cost)
--- /dev/null
+++ b/tests/dispatch/test_streams.py
@@ -0,0 +1,68 @@
+"""Streams that are cut and resumed."""
+
+import pytest
+
+from pollenloom.core.error_kind import ErrorKind
+from pollenloom.core.states import Outcome
+from tests.dispatch.requests import model_request
+from tests.fakes.fake_backend import TOKENS, drop, event, refuse, stream
+from tests.fakes.list_sink import ListSink
+from tests.fakes.router import Router
+
+WHOLE = b''.join(event(token) for token in range(TOKENS)) + b'data: [DONE]\n\n'
+
+
+@pytest.fixture
+def sink() -> ListSink:
+    return ListSink()
+
+
+@pytest.mark.parametrize('cut_after', [0, 1, 5, TOKENS])
+@pytest.mark.parametrize('extra', [b'', b'data: {"half', b'data: [DONE]'])
+async def test_cut_stream_is_resumed(
+    router: Router,
+    sink: ListSink,
+    cut_after: int,
+    extra: bytes,
+) -> None:
+    """Guards against tokens lost, repeated or relayed in part."""
+    router.backends[0].script.append(stream(TOKENS + 1, cut_after, extra))
+    router.backends[1].script.append(stream(TOKENS))
+    request = model_request(router, streaming=True)
+    answered = await router.dispatcher.stream(request, sink)
+    assert answered.is_ok()
+    assert sink.relayed == WHOLE
+    resumed = router.backends[1].received[0].headers.get('X-Resume-From')
+    assert resumed == (str(cut_after) if cut_after else None)
+    costs = [settled.cost for settled in router.admission.settlements]
+    assert costs == [cut_after, TOKENS - cut_after + 1]
+
+
+async def test_usage_of_a_resumed_stream_is_charged_once(
+    router: Router,
+    sink: ListSink,
+) -> None:
+    """Guards against an account that pays twice for a server that died."""
+    usage = {'prompt_tokens': 80, 'completion_tokens': TOKENS}
+    router.backends[0].script.append(stream(TOKENS, 5))
+    router.backends[1].script.append(stream(TOKENS, usage=usage))
+    request = model_request(router, streaming=True)
+    await router.dispatcher.stream(request, sink)
+    costs = [settled.cost for settled in router.admission.settlements]
+    assert costs == [5, TOKENS + 10 - 5]
+    assert router.event_names() == ['resume']
+
+
+async def test_stream_that_cannot_be_resumed(
+    router: Router,
+    sink: ListSink,
+) -> None:
+    """Guards against "not run" for a request with relayed tokens."""
+    router.backends[0].script.extend([stream(TOKENS, 3), drop])
+    router.backends[1].script.extend([refuse('full'), refuse('full')])
+    request = model_request(router, streaming=True)
+    answered = await router.dispatcher.stream(request, sink)
+    assert answered.error.kind is ErrorKind.ANSWER_CUT
+    assert sink.relayed == b''.join(event(token) for token in range(3))
+    assert router.admission.outcomes()[:2] == [Outcome.FAILED, Outcome.REFUSED]
+    assert not router.admission.open
--- a/tests/fakes/fake_backend.py
+++ b/tests/fakes/fake_backend.py
@@ -36,7 +36,9 @@
         self.received: list[Received] = []
         self.cancelled: list[str] = []
         self.script: deque[Behaviour] = deque()
+        self.arrived = asyncio.Event()
         self.left = asyncio.Event()
+        self.told = asyncio.Event()
 
     async def start(self) -> None:
         """Listen on a port that the system chooses."""
@@ -72,6 +74,7 @@
     async def cancel(self, request: web.Request) -> web.Response:
         """Note which request was cancelled."""
         self.cancelled.append(request.match_info['request_id'])
+        self.told.set()
         return web.Response()
 
     async def serve(self, request: web.Request) -> web.StreamResponse:
@@ -80,10 +83,11 @@
             Received(
                 request.method,
                 request.path_qs,
-                dict(request.headers),
+                request.headers.copy(),
                 await request.read(),
             )
         )
+        self.arrived.set()
         try:
             if self.script:
                 return await self.script.popleft()(request)
--- /dev/null
+++ b/tests/fakes/fixtures.py
@@ -0,0 +1,20 @@
+"""Fixtures that several packages of tests import into their conftest."""
+
+from collections.abc import AsyncIterator
+
+import pytest
+
+from pollenloom.settings.router_settings import DispatchSettings, LimitSettings
+from tests.fakes.router import Router
+
+
+@pytest.fixture
+async def router() -> AsyncIterator[Router]:
+    """A router above two backend servers."""
+    started = Router(
+        LimitSettings(drain_grace_seconds=0),
+        settings=DispatchSettings(idle_seconds=0.5),
+    )
+    await started.start(backends=2)
+    yield started
+    await started.stop()
--- a/tests/fakes/router.py
+++ b/tests/fakes/router.py
@@ -69,7 +69,7 @@
     @property
     def url(self) -> str:
         """Base URL of the callers' address."""
-        return f'http://127.0.0.1:{self.callers.port}'
+        return f'http://{self.callers.address}'
 
     def event_names(self) -> list[str]:
         """Return the names of the recorded events."""
--- a/tests/frontend/conftest.py
+++ b/tests/frontend/conftest.py
@@ -6,18 +6,11 @@
 import openai
 import pytest
 
-from pollenloom.settings.router_settings import LimitSettings
 from tests.fakes.fixed_configuration import KEY
+from tests.fakes.fixtures import router
 from tests.fakes.router import Router
 
-
-@pytest.fixture
-async def router() -> AsyncIterator[Router]:
-    """A router above two backend servers."""
-    started = Router(LimitSettings(drain_grace_seconds=0))
-    await started.start(backends=2)
-    yield started
-    await started.stop()
+__all__ = ('router',)
 
 
 @pytest.fixture
