Print ids as they were typed in the commands' messages

Square brackets were read as markup of the terminal and a slash in a data centre's id ended up as another path. Messages are escaped and ids quoted.

--- a/src/pollenloom/console/commands/data_centre_command.py
+++ b/src/pollenloom/console/commands/data_centre_command.py
@@ -5,6 +5,7 @@
 
 import cappa
 
+from pollenloom.console.command_end import command_end
 from pollenloom.console.operator_exit import OperatorExit
 from pollenloom.console.operator_options import OperatorOptions
 from pollenloom.core.ids import DataCentreId
@@ -33,7 +34,7 @@
         )
         self.show(change, describe(change))
         if change.missing:
-            raise cappa.Exit(
+            raise command_end(
                 f'Not confirmed by: {", ".join(change.missing)}. A router '
                 'that is cut off takes the change over when it rejoins; '
                 '`pollenloom status` shows which have it.',
--- a/src/pollenloom/console/commands/explain_command.py
+++ b/src/pollenloom/console/commands/explain_command.py
@@ -8,6 +8,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from pollenloom.console.command_end import command_end
 from pollenloom.console.operator_client import OperatorClient
 from pollenloom.console.operator_exit import OperatorExit
 from pollenloom.console.operator_options import OperatorOptions
@@ -51,7 +52,7 @@
         explanation = self.wait_for(explain(self.client(), self.subject))
         report = explanation.report
         if not report.events and not explanation.now:
-            raise cappa.Exit(
+            raise command_end(
                 f'No router has event records of {self.subject!r}.'
                 f'{told_by(report)} Check the id; old records are dropped.',
                 code=OperatorExit.NOT_FOUND,
--- a/src/pollenloom/console/commands/move_command.py
+++ b/src/pollenloom/console/commands/move_command.py
@@ -5,6 +5,7 @@
 
 import cappa
 
+from pollenloom.console.command_end import command_end
 from pollenloom.console.operator_exit import OperatorExit
 from pollenloom.console.operator_options import OperatorOptions
 from pollenloom.console.status_tables import move_table
@@ -37,7 +38,7 @@
         )
         if self.move and not moves:
             known = ', '.join(move.move for move in status.moves)
-            raise cappa.Exit(
+            raise command_end(
                 f'No move named {self.move!r} is configured. '
                 f'Known moves: {known or "none"}.',
                 code=OperatorExit.NOT_FOUND,
--- a/src/pollenloom/console/commands/router_command.py
+++ b/src/pollenloom/console/commands/router_command.py
@@ -8,6 +8,7 @@
 import cappa
 from pydantic import ValidationError
 
+from pollenloom.console.command_end import command_end
 from pollenloom.console.router_exit import RouterExit
 from pollenloom.console.router_process import run_router
 from pollenloom.settings.router_settings import RouterSettings
@@ -41,7 +42,7 @@
         """Run until a signal."""
         code = run_router(read_settings(self.settings))
         if code is not RouterExit.STOPPED:
-            raise cappa.Exit(
+            raise command_end(
                 f'The router ended with {code.name.lower()}; see its log.',
                 code=code,
             )
@@ -60,4 +61,4 @@
         message = f'{path} is not valid: {problems}'
     except (OSError, ValueError) as error:
         message = f'Cannot read the settings file {path}: {error}'
-    raise cappa.Exit(message, code=USAGE_ERROR)
+    raise command_end(message, code=USAGE_ERROR)
--- a/src/pollenloom/console/operator_client.py
+++ b/src/pollenloom/console/operator_client.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from typing import Final, TypeVar
+from urllib.parse import quote
 
 import aiohttp
 import msgspec
@@ -68,7 +69,7 @@
     ) -> Result[DataCentreChange, Failure]:
         """Take a data centre out of service or bring it back."""
         action = 'drain' if state is DataCentreState.OUT else 'restore'
-        path = f'/data-centres/{data_centre}/{action}'
+        path = f'/data-centres/{quote(data_centre, safe="")}/{action}'
         return await self.ask('POST', path, DataCentreChange)
 
     async def ask(
--- a/src/pollenloom/console/operator_options.py
+++ b/src/pollenloom/console/operator_options.py
@@ -13,6 +13,7 @@
 from expression import Result
 from rich.console import Console, RenderableType
 
+from pollenloom.console.command_end import command_end
 from pollenloom.console.operator_client import OperatorClient
 from pollenloom.console.operator_exit import OperatorExit
 from pollenloom.core.error_kind import ErrorKind
@@ -72,7 +73,7 @@
         listed = os.environ.get(OPERATORS_VARIABLE, '').split(',')
         addresses = self.operator or [entry for entry in listed if entry]
         if not addresses:
-            raise cappa.Exit(
+            raise command_end(
                 'No router is named. Give --operator HOST:PORT or set '
                 f'{OPERATORS_VARIABLE}.',
                 code=OperatorExit.UNREACHABLE,
@@ -83,7 +84,7 @@
         """Return the operators' token."""
         path = self.token_file or os.environ.get(TOKEN_VARIABLE)
         if not path:
-            raise cappa.Exit(
+            raise command_end(
                 'No token is given. Name its file with --token-file or set '
                 f'{TOKEN_VARIABLE}.',
                 code=OperatorExit.REFUSED,
@@ -91,7 +92,7 @@
         try:
             return Path(path).read_text(encoding='utf-8').strip()
         except OSError as error:
-            raise cappa.Exit(
+            raise command_end(
                 f'Cannot read the token file {path}: {error.strerror}.',
                 code=OperatorExit.REFUSED,
             ) from error
@@ -125,7 +126,7 @@
     unreachable = failure.kind is ErrorKind.PEER_UNAVAILABLE
     advice = ADVICE.get(failure.kind, '')
     reason = 'No router answered: ' if unreachable else ''
-    return cappa.Exit(
+    return command_end(
         f'{reason}{failure.detail}. {advice}'.strip(),
         code=OperatorExit.UNREACHABLE if unreachable else OperatorExit.REFUSED,
     )
--- a/src/pollenloom/operations/operator_server.py
+++ b/src/pollenloom/operations/operator_server.py
@@ -140,6 +140,7 @@
             self.change_data_centre,
             '/data-centres/<data_centre:str>/<action:str>',
             methods=['POST'],
+            unquote=True,
         )
         return app
 
--- a/tests/console/test_commands.py
+++ b/tests/console/test_commands.py
@@ -21,6 +21,12 @@
 Command = Callable[..., Any]
 
 
+@pytest.fixture(autouse=True)
+def wide_terminal(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Keep messages with long paths on one line."""
+    monkeypatch.setenv('COLUMNS', '400')
+
+
 @pytest.fixture
 def operator_token(tmp_path: Path) -> Path:
     path = tmp_path / 'token'
@@ -43,10 +49,8 @@
 async def test_status_for_people_and_programs(
     command: Command,
     capsys: pytest.CaptureFixture[str],
-    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a status that leaves out a part of the fleet."""
-    monkeypatch.setenv('COLUMNS', '160')
     assert await command('status') == 0
     shown = capsys.readouterr().out
     parts = ('operator-1', 'vm-3', 'almelo', 'server-1', 'striker-club')
@@ -134,6 +138,15 @@
     assert "'unknown-id'" in capsys.readouterr().err
 
 
+async def test_unknown_data_centre_is_told_as_typed(
+    command: Command,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against ids read as a path or as markup of the terminal."""
+    assert await command('drain', '[b]a/b[/b]') == OperatorExit.REFUSED
+    assert "no data centre named '[b]a/b[/b]'" in capsys.readouterr().err
+
+
 async def test_move_state(
     command: Command,
     capsys: pytest.CaptureFixture[str],
