Add the relay and tests of the stand-ins and the platform client

Network partitions need links that go silent without closing. Headers of 64 KiB are accepted, for long lists of prefix hashes.

--- a/src/pollenloom_standins/__main__.py
+++ b/src/pollenloom_standins/__main__.py
@@ -9,6 +9,7 @@
 )
 from pollenloom_standins.commands.engine_command import EngineCommand
 from pollenloom_standins.commands.platform_command import PlatformCommand
+from pollenloom_standins.commands.relay_command import RelayCommand
 
 
 @cappa.command(name='pollenloom-standins')
@@ -21,7 +22,7 @@
     """
 
     command: cappa.Subcommands[
-        PlatformCommand | EngineCommand | ApplicationCommand
+        PlatformCommand | EngineCommand | ApplicationCommand | RelayCommand
     ]
 
 
--- a/src/pollenloom_standins/serving/http_listener.py
+++ b/src/pollenloom_standins/serving/http_listener.py
@@ -15,6 +15,8 @@
 REQUEST_ID: Final = 'X-Request-Id'
 # Above the router's limit of 1 MiB, so that the router's own check decides.
 BODY_BYTES: Final = 2_097_152
+# The prefix hashes of a body of 1 MiB fit into one header.
+HEADER_BYTES: Final = 65_536
 # Requests still open after this are cut when the process stops.
 SHUTDOWN_SECONDS: Final = 0.5
 
@@ -41,6 +43,7 @@
             application,
             access_log=None,
             handler_cancellation=True,
+            max_field_size=HEADER_BYTES,
             shutdown_timeout=SHUTDOWN_SECONDS,
         )
         await self.runner.setup()
--- a/src/pollenloom_standins/serving/runner.py
+++ b/src/pollenloom_standins/serving/runner.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+import uvloop
 
 from pollenloom_standins.serving.ready_line import ReadyLine
 
@@ -23,8 +24,6 @@
     # libuv reads the variable when it makes the loop; io_uring is not
     # available where the stand-ins run.
     os.environ['UV_USE_IO_URING'] = '0'
-    import uvloop
-
     uvloop.run(serve(kernel, ready_line))
 
 
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform client."""
--- /dev/null
+++ b/tests/standin_runner.py
@@ -0,0 +1,86 @@
+"""Runs stand-ins inside the test's event loop."""
+
+from collections.abc import AsyncGenerator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+from multidict import CIMultiDictProxy
+
+from pollenloom.kernel.kernel import Kernel
+from pollenloom_standins.commands.application_command import (
+    ApplicationCommand,
+)
+from pollenloom_standins.commands.engine_command import EngineCommand
+from pollenloom_standins.commands.platform_command import PlatformCommand
+
+HttpCommand = ApplicationCommand | EngineCommand | PlatformCommand
+
+
+@dataclass
+class RunningStandin:
+    """A started stand-in and a client for its control calls."""
+
+    kernel: Kernel
+    url: str
+    session: aiohttp.ClientSession
+
+    @property
+    def address(self) -> str:
+        return self.url.removeprefix('http://')
+
+    async def get(self, path: str) -> Any:
+        async with self.session.get(self.url + path) as response:
+            assert response.status == 200
+            return await response.json()
+
+    async def put(self, path: str, body: object) -> Any:
+        async with self.session.put(self.url + path, json=body) as response:
+            assert response.status == 200, await response.text()
+            return await response.json()
+
+    async def set_faults(self, **faults: object) -> None:
+        await self.put('/control/faults', faults)
+
+    async def post(
+        self,
+        path: str,
+        body: object = None,
+        **headers: str,
+    ) -> 'Answer':
+        """Post JSON; `X_Request_Id='a'` sets the header `X-Request-Id`."""
+        async with self.session.post(
+            self.url + path,
+            json=body,
+            headers={
+                name.replace('_', '-'): text for name, text in headers.items()
+            },
+        ) as response:
+            return Answer(
+                response.status,
+                await response.text(),
+                response.headers,
+            )
+
+
+@dataclass
+class Answer:
+    """An answer that was read to its end."""
+
+    status: int
+    text: str
+    headers: CIMultiDictProxy[str]
+
+
+@asynccontextmanager
+async def run_standin(
+    command: HttpCommand,
+) -> AsyncGenerator[RunningStandin, None]:
+    """Start a stand-in on a port chosen by the system; stop it at the end."""
+    kernel, listener = command.build()
+    await kernel.start()
+    timeout = aiohttp.ClientTimeout(total=30)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        yield RunningStandin(kernel, f'http://{listener.address}', session)
+    await kernel.stop()
--- /dev/null
+++ b/tests/standins/conftest.py
@@ -0,0 +1,21 @@
+"""Fixtures for the tests of the stand-ins."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack
+
+import pytest
+
+from tests.standin_runner import HttpCommand, RunningStandin, run_standin
+
+Start = Callable[[HttpCommand], Awaitable[RunningStandin]]
+
+
+@pytest.fixture
+async def start() -> AsyncIterator[Start]:
+    """Starts stand-ins, which are stopped after the test."""
+    async with AsyncExitStack() as stack:
+
+        async def start_one(command: HttpCommand) -> RunningStandin:
+            return await stack.enter_async_context(run_standin(command))
+
+        yield start_one
