Compute the prompt digest of an engine answer once

Each token hashed the whole prompt again and joined the messages again. The digest is now made once for each request and tokens come from it.

--- a/src/pollenloom_standins/engine/completion.py
+++ b/src/pollenloom_standins/engine/completion.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from functools import cached_property
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -24,7 +25,7 @@
 LAST_EVENT: Final = b'data: [DONE]\n\n'
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Completion:
     """The answer to a request, apart from the time that it takes.
 
@@ -42,12 +43,12 @@
     created: int
     version: str
 
-    @property
+    @cached_property
     def tokens(self) -> TokenGenerator:
         """Tokens of the answer."""
         return TokenGenerator(self.request.prompt_text)
 
-    @property
+    @cached_property
     def length(self) -> int:
         """Tokens of the whole answer."""
         return self.tokens.length(self.request.token_limit)
@@ -55,7 +56,7 @@
     @property
     def finish_reason(self) -> str:
         """Whether the answer ended by itself or by the limit."""
-        return 'stop' if self.length == self.tokens.length() else 'length'
+        return 'stop' if self.length == self.tokens.natural_length else 'length'
 
     def body(self) -> bytes:
         """Return the body of an answer that is not a stream."""
--- a/src/pollenloom_standins/engine/token_generator.py
+++ b/src/pollenloom_standins/engine/token_generator.py
@@ -1,7 +1,6 @@
 """Tokens computed from the prompt, so that a caller can check an answer."""
 
 import re
-from dataclasses import dataclass
 from typing import Final
 
 import xxhash
@@ -14,35 +13,35 @@
 PROMPT_TOKEN_CHARACTERS: Final = 4
 
 
-@dataclass(frozen=True, slots=True)
 class TokenGenerator:
     """The one answer to a prompt, the same on every engine and version.
 
     Attributes:
-        prompt: Text of the prompt; see `CompletionRequest.prompt_text`.
+        prompt_tokens: Length of the prompt in tokens.
+        natural_length: Length of the answer without a limit.
     """
 
-    prompt: str
-
-    @property
-    def prompt_tokens(self) -> int:
-        """Length of the prompt in tokens."""
-        return len(self.prompt) // PROMPT_TOKEN_CHARACTERS + 1
-
-    def length(self, limit: int | None = None) -> int:
-        """Length of the answer in tokens; `limit` is `max_tokens`."""
-        directive = LENGTH_DIRECTIVE.search(self.prompt)
+    def __init__(self, prompt: str) -> None:
+        """Take the text of `CompletionRequest.prompt_text`."""
+        encoded = prompt.encode()
+        self.digest = xxhash.xxh64_digest(encoded)
+        self.prompt_tokens = len(prompt) // PROMPT_TOKEN_CHARACTERS + 1
+        directive = LENGTH_DIRECTIVE.search(prompt)
         if directive is None:
-            digest = xxhash.xxh64_intdigest(self.prompt.encode())
-            length = SHORTEST + digest % LENGTH_RANGE
+            number = xxhash.xxh64_intdigest(encoded)
+            self.natural_length = SHORTEST + number % LENGTH_RANGE
         else:
-            length = int(directive.group(1))
-        return length if limit is None else min(length, limit)
+            self.natural_length = int(directive.group(1))
+
+    def length(self, limit: int | None = None) -> int:
+        """Return the length of the answer; `limit` is `max_tokens`."""
+        if limit is None:
+            return self.natural_length
+        return min(self.natural_length, limit)
 
     def token(self, index: int) -> str:
         """Return the token at an index, with the space after it."""
-        digest = xxhash.xxh64_hexdigest(self.prompt.encode(), seed=index)
-        return f'{digest[:6]} '
+        return f'{xxhash.xxh64_hexdigest(self.digest, seed=index)[:6]} '
 
     def text(self, limit: int | None = None) -> str:
         """Return the whole answer."""
