Add the publisher, the check and publish commands and the settings loader

After an answer that was lost it reads to the end before it appends the same publish id again. The whole publish is bounded in time; if its fate stays unknown, the next run tells that the files are in force.

Settings and service files share the quality of errors. Relative paths of a settings file start at its directory.

--- a/src/pollenloom/configuration/file_collector.py
+++ b/src/pollenloom/configuration/file_collector.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from pollenloom.validation.file_problem import FileProblem
+from pollenloom.validation.text_file import read_text
 
 FILE_NAME = 'pollenloom.toml'
 
@@ -67,15 +68,3 @@
     """Return the name of a file in the configuration."""
     root = directory.resolve()
     return (Path(root.name) / path.relative_to(root)).as_posix()
-
-
-def read_text(path: Path, name: str) -> tuple[str, FileProblem | None]:
-    """Return the text of a file, or the problem that kept it unread."""
-    try:
-        return path.read_text(encoding='utf-8'), None
-    except UnicodeDecodeError as error:
-        found = f'byte {error.object[error.start]:#04x} at {error.start}'
-        return '', FileProblem(name, '', 'UTF-8 text', found)
-    except OSError as error:
-        found = str(error.strerror)
-        return '', FileProblem(name, '', 'a readable file', found)
--- /dev/null
+++ b/src/pollenloom/configuration/publisher.py
@@ -0,0 +1,185 @@
+"""Publishes service files through the platform's log."""
+
+import asyncio
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Final
+
+import uuid_utils
+from expression import Result
+
+from pollenloom.configuration.capacity_warnings import find_warnings
+from pollenloom.configuration.file_loader import load_services
+from pollenloom.configuration.history_reader import HistoryReader
+from pollenloom.configuration.log_entries import ConfigurationChange
+from pollenloom.configuration.publish_outcome import (
+    PublishFate,
+    PublishOutcome,
+)
+from pollenloom.configuration.publish_result import (
+    PublishResult,
+    PublishState,
+)
+from pollenloom.core.error_kind import ErrorKind
+from pollenloom.core.failure import Failure
+from pollenloom.core.ids import PublishId
+from pollenloom.kernel.clock import Clock
+from pollenloom.platform.log_entry import encode_entry
+from pollenloom.platform.platform import Platform
+from pollenloom.validation.file_problem import FileProblem
+
+FIRST_PAUSE_SECONDS = 0.1
+LONGEST_PAUSE_SECONDS = 2.0
+# A running fleet that has a configuration repeats it within this time when
+# the platform returns from an outage that was longer than the retention.
+SNAPSHOT_WAIT_SECONDS = 5.0
+
+STATES: Final = MappingProxyType(
+    {
+        PublishFate.ACCEPTED: PublishState.PUBLISHED,
+        PublishFate.LOST: PublishState.LOST,
+        PublishFate.INVALID: PublishState.INVALID,
+    }
+)
+
+
+class Publisher:
+    """One publish, from reading the base revision to its decision."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        clock: Clock,
+        publisher: str,
+        timeout_seconds: float,
+    ) -> None:
+        self.platform = platform
+        self.clock = clock
+        self.publisher = publisher
+        self.deadline = clock.monotonic() + timeout_seconds
+        self.publish_id = PublishId(str(uuid_utils.uuid7()))
+        self.reader = HistoryReader(platform)
+        self.pause_seconds = FIRST_PAUSE_SECONDS
+        self.in_doubt = False
+        self.detail = ''
+
+    async def publish(self, files: Mapping[str, str]) -> PublishResult:
+        """Publish all files of the configuration as one change."""
+        if not await self.read_base():
+            return self.make_result(PublishState.UNAVAILABLE)
+        history = self.reader.history
+        loaded = load_services(
+            files,
+            self.clock.wall(),
+            history.dates_in_force(),
+        )
+        if loaded.problems:
+            return self.make_result(PublishState.INVALID, loaded.problems)
+        if files == history.state.files:
+            return self.make_result(PublishState.UNCHANGED)
+        outcome = await self.append(
+            ConfigurationChange(
+                publish_id=self.publish_id,
+                base_revision=history.revision,
+                publisher=self.publisher,
+                files=dict(files),
+            )
+        )
+        if outcome is None:
+            unknown = PublishState.UNKNOWN
+            unavailable = PublishState.UNAVAILABLE
+            return self.make_result(unknown if self.in_doubt else unavailable)
+        vm_list = await self.platform.list_vms()
+        warnings: tuple[FileProblem, ...] = ()
+        if vm_list.is_ok():
+            warnings = tuple(find_warnings(loaded.services, vm_list.ok))
+        return PublishResult(
+            state=STATES[outcome.fate],
+            publish_id=self.publish_id,
+            revision=outcome.revision,
+            publisher=outcome.winner,
+            problems=outcome.problems,
+            warnings=warnings,
+        )
+
+    async def read_base(self) -> bool:
+        """Read the configuration in force; return whether that worked."""
+        opened = await self.reader.open()
+        while opened.is_error():
+            self.detail = opened.error.detail
+            if not await self.pause():
+                return False
+            opened = await self.reader.open()
+        return await self.wait_for_snapshot()
+
+    async def wait_for_snapshot(self) -> bool:
+        """Wait for the fleet to repeat a trimmed configuration."""
+        until = self.clock.monotonic() + SNAPSHOT_WAIT_SECONDS
+        while not self.reader.history.complete:
+            if self.clock.monotonic() >= until:
+                self.reader.history.settle()
+                break
+            if not await self.pause():
+                self.detail = 'the log holds no configuration yet'
+                return False
+            await self.reader.read_to_end()
+        return True
+
+    async def append(
+        self,
+        change: ConfigurationChange,
+    ) -> PublishOutcome | None:
+        """Append until the log shows the decision; None if time is up.
+
+        After an append without an answer the log is read to its end before
+        the change is appended again. Should the first copy arrive late, the
+        second one changes nothing.
+        """
+        payload = encode_entry(change)
+        appended = False
+        may_append = True
+        while True:
+            if may_append and not appended:
+                appended = self.note_append(await self.platform.append(payload))
+            read = await self.reader.read_to_end()
+            outcome = self.reader.history.find_outcome(self.publish_id)
+            if outcome is not None:
+                return outcome
+            may_append = read.is_ok() or not self.in_doubt
+            if not await self.pause():
+                return None
+
+    def note_append(self, answer: Result[int, Failure]) -> bool:
+        """Note the answer to an append; return whether it was confirmed."""
+        if answer.is_ok():
+            self.in_doubt = True
+            return True
+        failure = answer.error
+        self.detail = failure.detail
+        if failure.kind is not ErrorKind.PLATFORM_UNAVAILABLE:
+            self.in_doubt = True
+        return False
+
+    async def pause(self) -> bool:
+        """Wait before the next attempt; return whether there is time."""
+        if self.clock.monotonic() >= self.deadline:
+            return False
+        await asyncio.sleep(self.pause_seconds)
+        self.pause_seconds = min(self.pause_seconds * 2, LONGEST_PAUSE_SECONDS)
+        return True
+
+    def make_result(
+        self,
+        state: PublishState,
+        problems: tuple[FileProblem, ...] = (),
+    ) -> PublishResult:
+        """Return a result without a decision of the log."""
+        in_force = self.reader.history.state
+        return PublishResult(
+            state=state,
+            publish_id=self.publish_id,
+            revision=in_force.revision,
+            publisher=in_force.publisher,
+            detail=self.detail,
+            problems=problems,
+        )
--- a/src/pollenloom/console/commands/check_command.py
+++ b/src/pollenloom/console/commands/check_command.py
@@ -6,7 +6,13 @@
 
 import cappa
 
+from pollenloom.configuration.file_collector import collect_files
+from pollenloom.configuration.file_loader import load_services
 from pollenloom.console.exit_code import ExitCode
+from pollenloom.console.output import write_json, write_line, write_problems
+from pollenloom.kernel.clock import Clock
+from pollenloom.settings.settings_loader import load_settings
+from pollenloom.validation.file_problem import FileProblem
 
 
 @cappa.command(name='check')
@@ -16,14 +22,39 @@
 
     Attributes:
         directories: Directories to look for pollenloom.toml files in.
-        settings: Router settings file to check, too.
+        settings: Router settings file to check.
         json: Print the result as one JSON object.
     """
 
-    directories: tuple[Path, ...] = ()
+    directories: list[Path] = field(default_factory=list)
     settings: Annotated[Path | None, cappa.Arg(long=True)] = None
-    json: Annotated[bool, cappa.Arg(long=True)] = field(default=False)
+    json: Annotated[bool, cappa.Arg(long=True)] = False
 
     def __call__(self) -> int:
         """Run the command."""
-        return ExitCode.FAILURE
+        if self.settings is None and not self.directories:
+            raise cappa.Exit(
+                'expected a directory or --settings, found nothing to check',
+                code=ExitCode.USAGE,
+            )
+        problems: list[FileProblem] = []
+        if self.settings is not None:
+            problems.extend(load_settings(self.settings).problems)
+        services = 0
+        if self.directories:
+            collected = collect_files(self.directories)
+            loaded = load_services(collected.files, Clock().wall())
+            problems.extend((*collected.problems, *loaded.problems))
+            services = len(loaded.services)
+        self.report(problems, services)
+        return ExitCode.INVALID_FILE if problems else ExitCode.OK
+
+    def report(self, problems: list[FileProblem], services: int) -> None:
+        """Write the result."""
+        if self.json:
+            found = [problem.to_json() for problem in problems]
+            write_json({'valid': not problems, 'problems': found})
+            return
+        write_problems(problems)
+        if not problems:
+            write_line(f'valid; services: {services}')
--- /dev/null
+++ b/src/pollenloom/console/output.py
@@ -0,0 +1,33 @@
+"""Output of the commands: results on stdout, problems on stderr."""
+
+import sys
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+
+from pollenloom.validation.file_problem import FileProblem
+
+
+def write_json(fields: dict[str, Any]) -> None:
+    """Write a result as one JSON object on a line of its own."""
+    write_line(msgspec.json.encode(fields).decode())
+
+
+def write_line(text: str) -> None:
+    """Write a line of a result."""
+    sys.stdout.write(f'{text}\n')
+
+
+def write_error(text: str) -> None:
+    """Write a line for the operator."""
+    sys.stderr.write(f'{text}\n')
+
+
+def write_problems(
+    problems: Sequence[FileProblem],
+    label: str = 'error',
+) -> None:
+    """Write problems, one a line."""
+    for problem in problems:
+        write_error(f'{label}: {problem.render()}')
--- a/tests/configuration/test_configuration_store.py
+++ b/tests/configuration/test_configuration_store.py
@@ -126,7 +126,7 @@
     assert offered == {'good', 'second'}
     configuration.set_data_centre_state(ENSCHEDE, DataCentreState.OUT)
     assert [one.server for one in configuration.servers(MINUTES)] == ['second']
-    assert configuration.servers(ServiceId('unknown')) == ()
+    assert not configuration.servers(ServiceId('unknown'))
 
 
 async def test_states_with_the_platform_down(fleet: Fleet) -> None:
--- /dev/null
+++ b/tests/configuration/test_publisher.py
@@ -0,0 +1,170 @@
+"""Operators that race, and answers that are lost."""
+
+import asyncio
+from itertools import starmap
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollenloom.configuration.history_reader import (
+    FIRST_WINDOW,
+    HistoryReader,
+)
+from pollenloom.configuration.publish_outcome import PublishFate
+from pollenloom.configuration.publish_result import (
+    PublishResult,
+    PublishState,
+)
+from pollenloom.configuration.publisher import Publisher
+from pollenloom.platform.log_entry import encode_entry
+from tests.configuration.service_texts import NOW, service_text
+from tests.fakes.memory_platform import AppendFault, MemoryPlatform
+from tests.manual_clock import ManualClock
+
+
+class PassingClock(ManualClock):
+    """Time passes with each look at it."""
+
+    def monotonic(self) -> float:
+        self.advance(0.05)
+        return self.now
+
+
+def make_publisher(
+    platform: MemoryPlatform,
+    name: str = 'ann',
+    timeout_seconds: float = 1000,
+) -> Publisher:
+    clock = PassingClock(NOW)
+    publisher = Publisher(platform, clock, name, timeout_seconds)
+    publisher.pause_seconds = 0
+    return publisher
+
+
+def files(share: int) -> dict[str, str]:
+    return {'a.toml': service_text(share=str(share))}
+
+
+@pytest.fixture
+def platform() -> MemoryPlatform:
+    return MemoryPlatform(ManualClock(NOW))
+
+
+@given(
+    counts=st.lists(st.integers(1, 3), min_size=2, max_size=4),
+    delays=st.lists(st.integers(0, 3), max_size=60),
+    faults=st.lists(st.sampled_from(AppendFault), max_size=8),
+)
+def test_racing_operators_are_told_the_truth(
+    counts: list[int],
+    delays: list[int],
+    faults: list[AppendFault],
+) -> None:
+    """Guards against two winners, a lost winner and a wrong answer."""
+    platform = MemoryPlatform(ManualClock(NOW))
+    platform.delays.extend(delays)
+    platform.faults.extend(faults)
+    results: list[PublishResult] = []
+
+    async def operate(number: int, count: int) -> None:
+        for turn in range(count):
+            publisher = make_publisher(platform, f'operator {number}')
+            share = 1 + number * 10 + turn
+            results.append(await publisher.publish(files(share)))
+
+    async def race() -> HistoryReader:
+        await asyncio.gather(
+            *starmap(operate, enumerate(counts)),
+        )
+        reader = HistoryReader(platform)
+        await reader.open()
+        return reader
+
+    history = asyncio.run(race()).history
+    published = [
+        result for result in results if result.state is PublishState.PUBLISHED
+    ]
+    revisions = sorted(result.revision for result in published)
+    assert revisions == list(range(1, history.revision + 1))
+    assert history.state.publish_id in {
+        result.publish_id for result in published
+    }
+    for result in results:
+        outcome = history.find_outcome(result.publish_id)
+        assert outcome is not None
+        won = outcome.fate is PublishFate.ACCEPTED
+        assert won is (result.state is PublishState.PUBLISHED)
+        assert (result.revision, result.publisher) == (
+            outcome.revision,
+            outcome.winner,
+        )
+
+
+async def test_platform_down(platform: MemoryPlatform) -> None:
+    """Guards against a publish that never ends."""
+    platform.down = True
+    publisher = make_publisher(platform, timeout_seconds=0.5)
+    result = await publisher.publish(files(1))
+    assert result.state is PublishState.UNAVAILABLE
+    platform.down = False
+    platform.faults.extend(AppendFault.REFUSED for _ in range(50))
+    publisher = make_publisher(platform, timeout_seconds=0.5)
+    result = await publisher.publish(files(1))
+    assert result.state is PublishState.UNAVAILABLE
+    assert not platform.records
+
+
+async def test_fate_unknown_then_unchanged(platform: MemoryPlatform) -> None:
+    """Guards against a second publish of what took effect unseen."""
+    publisher = make_publisher(platform, timeout_seconds=0.5)
+    platform.faults.append(AppendFault.LOST_AFTER)
+    append = platform.append
+
+    async def append_then_down(payload: bytes) -> object:
+        answer = await append(payload)
+        platform.down = True
+        return answer
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(platform, 'append', append_then_down)
+        result = await publisher.publish(files(1))
+    assert result.state is PublishState.UNKNOWN
+    platform.down = False
+    again = await make_publisher(platform).publish(files(1))
+    assert again.state is PublishState.UNCHANGED
+    assert (again.revision, len(platform.records)) == (1, 1)
+
+
+async def test_invalid_files_are_not_appended(platform: MemoryPlatform) -> None:
+    """Guards against invalid files in a log that all routers read."""
+    result = await make_publisher(platform).publish(files(-1))
+    assert result.state is PublishState.INVALID
+    assert result.problems
+    assert not platform.records
+
+
+async def test_base_is_found_behind_many_orders(
+    platform: MemoryPlatform,
+) -> None:
+    """Guards against a base revision of 0 when the log is long."""
+    first = await make_publisher(platform).publish(files(1))
+    reader = HistoryReader(platform)
+    await reader.open()
+    for _ in range(FIRST_WINDOW * 2):
+        platform.add(b'')
+    platform.add(encode_entry(reader.history.state))
+    for _ in range(FIRST_WINDOW * 2):
+        platform.add(b'')
+    second = await make_publisher(platform).publish(files(2))
+    assert (first.revision, second.revision) == (1, 2)
+
+
+async def test_trimmed_log_of_a_new_fleet() -> None:
+    """Guards against a wait for a snapshot that no router can write."""
+    clock = ManualClock(NOW)
+    platform = MemoryPlatform(clock, retention_seconds=10)
+    platform.add(b'')
+    clock.advance(11)
+    result = await make_publisher(platform).publish(files(1))
+    assert (result.state, result.revision) == (PublishState.PUBLISHED, 1)
--- a/tests/fakes/memory_platform.py
+++ b/tests/fakes/memory_platform.py
@@ -1,5 +1,6 @@
 """The platform in memory, with the faults that it may show."""
 
+import asyncio
 from collections import deque
 from enum import Enum, auto
 
@@ -29,6 +30,7 @@
     Attributes:
         down: Whether all calls fail without effect.
         faults: Faults of the next appends; none once they are used up.
+        delays: Turns of the event loop that the next calls take.
     """
 
     def __init__(self, clock: Clock, retention_seconds: float = 3600) -> None:
@@ -36,10 +38,10 @@
         self.retention_seconds = retention_seconds
         self.down = False
         self.faults: deque[AppendFault] = deque()
+        self.delays: deque[int] = deque()
         self.records: list[LogRecord] = []
         self.end = Offset(0)
         self.vms: tuple[VmEntry, ...] = ()
-        self.reads = 0
 
     async def start(self) -> None:
         """Nothing to start."""
@@ -49,6 +51,7 @@
 
     async def append(self, payload: bytes) -> Result[Offset, Failure]:
         """Append a record, or show the next fault."""
+        await self.delay()
         fault = self.faults.popleft() if self.faults else AppendFault.NONE
         if self.down or fault is AppendFault.REFUSED:
             return Error(Failure(ErrorKind.PLATFORM_UNAVAILABLE, 'down'))
@@ -65,7 +68,7 @@
         limit: int,
     ) -> Result[LogPage, Failure]:
         """Return retained records."""
-        self.reads += 1
+        await self.delay()
         if self.down:
             return Error(Failure(ErrorKind.PLATFORM_UNAVAILABLE, 'down'))
         self.trim()
@@ -89,6 +92,11 @@
             return Error(Failure(ErrorKind.PLATFORM_UNAVAILABLE, 'down'))
         return Ok(VmList(as_of=self.clock.wall(), vms=self.vms))
 
+    async def delay(self) -> None:
+        """Let other callers run first."""
+        for _ in range(self.delays.popleft() if self.delays else 0):
+            await asyncio.sleep(0)
+
     def add(self, payload: bytes) -> Offset:
         """Append a record without faults."""
         offset = self.end
--- /dev/null
+++ b/tests/settings/test_settings_loader.py
@@ -0,0 +1,67 @@
+"""Failures of reading the settings of a router."""
+
+from pathlib import Path
+
+from pollenloom.settings.settings_loader import load_settings
+
+SETTINGS = """
+vm = 'enschede-1'
+data_centre = 'enschede'
+callers = '127.0.0.1:8001'
+operators = '127.0.0.1:8002'
+operator_token_file = 'operator.token'
+
+[platform]
+url = 'http://127.0.0.1:7000'
+
+[peers]
+listen = '127.0.0.1:8003'
+fleet_key_file = '/run/fleet.key'
+"""
+
+
+def write(directory: Path, text: str) -> Path:
+    path = directory / 'router.toml'
+    path.write_text(text, encoding='utf-8')
+    return path
+
+
+def test_paths_start_at_the_file(tmp_path: Path) -> None:
+    """Guards against key files that depend on the working directory."""
+    settings = load_settings(write(tmp_path, SETTINGS)).model
+    assert settings is not None
+    assert settings.operator_token_file == tmp_path / 'operator.token'
+    assert settings.peers.fleet_key_file == Path('/run/fleet.key')
+
+
+def test_problems_name_unit_and_range(tmp_path: Path) -> None:
+    """Guards against a router that starts with values it cannot use."""
+    text = SETTINGS.replace(
+        '[peers]',
+        'timeout_seconds = 0\n[peers]\nfleet_key = "hidden"',
+    ).replace("'/run/fleet.key'", '17')
+    path = write(tmp_path, text)
+    problems = [problem.render() for problem in load_settings(path).problems]
+    assert problems == [
+        (
+            f'{path}: platform.timeout_seconds: expected a number (seconds)'
+            ' above 0 and at most 60, found 0'
+        ),
+        (
+            f'{path}: peers.fleet_key_file: expected the path of a file,'
+            ' found a value of type int (not shown)'
+        ),
+        (
+            f'{path}: peers.fleet_key: expected one of the keys advertise,'
+            ' fleet_key_file, listen, seeds, found an unknown key'
+        ),
+    ]
+
+
+def test_addresses_that_cannot_be_used(tmp_path: Path) -> None:
+    """Guards against operators' calls on the callers' address."""
+    text = SETTINGS.replace('8002', '8001').replace('8003', '80030')
+    path = write(tmp_path, text)
+    keys = [problem.key for problem in load_settings(path).problems]
+    assert keys == ['peers.listen', 'operators']
+    assert load_settings(tmp_path).problems[0].found == 'Is a directory'
