--- a/src/pollenloom/admission/admission_scope.py
+++ b/src/pollenloom/admission/admission_scope.py
@@ -66,15 +66,15 @@
             clock=kernel.clock,
             configuration=kernel.find(
                 KernelServiceName.CONFIGURATION,
-                ConfigurationService,  # type: ignore[type-abstract]
+                ConfigurationService,
             ),
             membership=kernel.find(
                 KernelServiceName.MEMBERSHIP,
-                Membership,  # type: ignore[type-abstract]
+                Membership,
             ),
             peers=kernel.find(
                 KernelServiceName.PEERS,
-                PeerNetwork,  # type: ignore[type-abstract]
+                PeerNetwork,
             ),
             # Milliseconds tell the lives of one VM apart.
             stream=int(kernel.clock.wall() * 1000),
--- a/src/pollenloom/configuration/configuration_store.py
+++ b/src/pollenloom/configuration/configuration_store.py
@@ -59,15 +59,15 @@
         self.events = kernel.find(KernelServiceName.EVENTS, EventLog)
         log = kernel.find(
             KernelServiceName.LOG,
-            LogTail,  # type: ignore[type-abstract]
+            LogTail,
         )
         self.registers = kernel.find(
             KernelServiceName.REGISTERS,
-            Registers,  # type: ignore[type-abstract]
+            Registers,
         )
         self.own = kernel.find(
             KernelServiceName.MEMBERSHIP,
-            Membership,  # type: ignore[type-abstract]
+            Membership,
         ).own.vm
         self.follower = ChangeFollower(log, self.registers, self.events)
         upkeep = LogUpkeep(kernel, self.follower, log, self.registers)
--- a/src/pollenloom/configuration/log_upkeep.py
+++ b/src/pollenloom/configuration/log_upkeep.py
@@ -57,11 +57,11 @@
         self.registers = registers
         self.platform = kernel.find(
             KernelServiceName.PLATFORM,
-            Platform,  # type: ignore[type-abstract]
+            Platform,
         )
         self.membership = kernel.find(
             KernelServiceName.MEMBERSHIP,
-            Membership,  # type: ignore[type-abstract]
+            Membership,
         )
         self.events = kernel.find(KernelServiceName.EVENTS, EventLog)
         self.duty = UpkeepDuty()
--- a/src/pollenloom/console/application.py
+++ b/src/pollenloom/console/application.py
@@ -6,10 +6,25 @@
 import cappa
 
 from pollenloom.console.commands.check_command import CheckCommand
+from pollenloom.console.commands.drain_command import DrainCommand
+from pollenloom.console.commands.explain_command import ExplainCommand
+from pollenloom.console.commands.move_command import MoveCommand
 from pollenloom.console.commands.publish_command import PublishCommand
+from pollenloom.console.commands.restore_command import RestoreCommand
+from pollenloom.console.commands.router_command import RouterCommand
+from pollenloom.console.commands.status_command import StatusCommand
 
 # A new command: import its class above and add it to this union.
-AnyCommand = CheckCommand | PublishCommand
+AnyCommand = (
+    CheckCommand
+    | DrainCommand
+    | ExplainCommand
+    | MoveCommand
+    | PublishCommand
+    | RestoreCommand
+    | RouterCommand
+    | StatusCommand
+)
 
 
 @cappa.command(name='pollenloom')
--- a/src/pollenloom/console/service_catalogue.py
+++ b/src/pollenloom/console/service_catalogue.py
@@ -19,6 +19,16 @@
     return EventLog(kernel.clock)
 
 
+def make_log_reader(kernel: Kernel, settings: RouterSettings) -> KernelService:
+    """Return the service that follows the platform's log."""
+    return LogReader.from_config(kernel, settings.platform)
+
+
+def make_configuration(kernel: Kernel, _: RouterSettings) -> KernelService:
+    """Return the service that holds the configuration in force."""
+    return ConfigurationStore(kernel)
+
+
 def service_factories(_: RouterSettings) -> tuple[ServiceFactory, ...]:
     """Return one factory for each service, in the order of their start.
 
--- a/src/pollenloom/membership/gossip_membership.py
+++ b/src/pollenloom/membership/gossip_membership.py
@@ -44,7 +44,7 @@
         self.peers = kernel.find(
             KernelServiceName.PEERS,
             # The kernel only checks the type and makes no instance.
-            PeerLinks,  # type: ignore[type-abstract]
+            PeerLinks,
         )
         self.heartbeats = Heartbeats(
             kernel,
--- a/src/pollenloom/membership/register_store.py
+++ b/src/pollenloom/membership/register_store.py
@@ -58,7 +58,7 @@
         self.peers = kernel.find(
             KernelServiceName.PEERS,
             # The kernel only checks the type and makes no instance.
-            PeerLinks,  # type: ignore[type-abstract]
+            PeerLinks,
         )
         self.membership = kernel.find(
             KernelServiceName.MEMBERSHIP,
--- a/src/pollenloom/operations/neighbours.py
+++ b/src/pollenloom/operations/neighbours.py
@@ -21,7 +21,7 @@
         """Admission policy."""
         return self.kernel.find(
             KernelServiceName.ADMISSION,
-            Admission,  # type: ignore[type-abstract]
+            Admission,
         )
 
     @property
@@ -29,7 +29,7 @@
         """Configuration in force and data centre states."""
         return self.kernel.find(
             KernelServiceName.CONFIGURATION,
-            ConfigurationService,  # type: ignore[type-abstract]
+            ConfigurationService,
         )
 
     @property
@@ -42,7 +42,7 @@
         """Members of the fleet."""
         return self.kernel.find(
             KernelServiceName.MEMBERSHIP,
-            Membership,  # type: ignore[type-abstract]
+            Membership,
         )
 
     @property
@@ -50,7 +50,7 @@
         """Network between routers."""
         return self.kernel.find(
             KernelServiceName.PEERS,
-            PeerNetwork,  # type: ignore[type-abstract]
+            PeerNetwork,
         )
 
     @property
@@ -58,5 +58,5 @@
         """Registers that all routers hold."""
         return self.kernel.find(
             KernelServiceName.REGISTERS,
-            Registers,  # type: ignore[type-abstract]
+            Registers,
         )
--- a/src/pollenloom/peers/address_book.py
+++ b/src/pollenloom/peers/address_book.py
@@ -22,7 +22,7 @@
         return self.kernel.find(
             KernelServiceName.MEMBERSHIP,
             # The kernel only checks the type and makes no instance.
-            Membership,  # type: ignore[type-abstract]
+            Membership,
         )
 
     def lookup(self, vm: 'VmId') -> str | None:
--- a/src/pollenloom/platform/log_reader.py
+++ b/src/pollenloom/platform/log_reader.py
@@ -52,7 +52,7 @@
         """Start reading the log and the VM list."""
         self.platform = self.kernel.find(
             KernelServiceName.PLATFORM,
-            Platform,  # type: ignore[type-abstract]
+            Platform,
         )
         self.events = self.kernel.find(KernelServiceName.EVENTS, EventLog)
         self.group = ReaderGroup.from_kernel(self.kernel)
--- a/src/pollenloom/platform/reader_group.py
+++ b/src/pollenloom/platform/reader_group.py
@@ -44,11 +44,11 @@
             kernel.clock,
             kernel.find(
                 KernelServiceName.MEMBERSHIP,
-                Membership,  # type: ignore[type-abstract]
+                Membership,
             ),
             kernel.find(
                 KernelServiceName.REGISTERS,
-                Registers,  # type: ignore[type-abstract]
+                Registers,
             ),
         )
 
--- a/src/pollenloom_standins/__main__.py
+++ b/src/pollenloom_standins/__main__.py
@@ -23,7 +23,11 @@
     """
 
     command: cappa.Subcommands[
-        PlatformCommand | EngineCommand | ApplicationCommand | RelayCommand | DemoCommand
+        PlatformCommand
+        | EngineCommand
+        | ApplicationCommand
+        | RelayCommand
+        | DemoCommand
     ]
 
 
--- a/src/pollenloom_standins/backend/backend_control.py
+++ b/src/pollenloom_standins/backend/backend_control.py
@@ -31,7 +31,7 @@
         """The service that this controls."""
         return self.kernel.find(
             KernelServiceName.STANDIN_BACKEND,
-            BackendService,  # type: ignore[type-abstract]
+            BackendService,
         )
 
     def routes(self) -> list[web.RouteDef]:
--- a/tests/dispatch/requests.py
+++ b/tests/dispatch/requests.py
@@ -3,8 +3,8 @@
 from pollenloom.core.caller_request import CallerRequest
 from pollenloom.core.ids import AccountId, RequestId, RouteId
 from pollenloom.core.states import Resource
-from tests.fakes.fixed_configuration import APPLICATION, MODEL
 from tests.fakes.caller_router import Router
+from tests.fakes.fixed_configuration import APPLICATION, MODEL
 
 
 def model_request(
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -8,6 +8,7 @@
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.states import Outcome
 from tests.dispatch.requests import application_request, model_request
+from tests.fakes.caller_router import Router
 from tests.fakes.fake_backend import (
     Behaviour,
     drop,
@@ -16,7 +17,6 @@
     refuse,
 )
 from tests.fakes.ready_admission import EPOCH
-from tests.fakes.caller_router import Router
 
 
 async def cross(request: web.Request) -> web.StreamResponse:  # ruff: ignore[unused-async]
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -5,9 +5,9 @@
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.states import Outcome
 from tests.dispatch.requests import model_request
+from tests.fakes.caller_router import Router
 from tests.fakes.fake_backend import TOKENS, drop, event, refuse, stream
 from tests.fakes.list_sink import ListSink
-from tests.fakes.caller_router import Router
 
 WHOLE = b''.join(event(token) for token in range(TOKENS)) + b'data: [DONE]\n\n'
 
--- a/tests/frontend/conftest.py
+++ b/tests/frontend/conftest.py
@@ -6,9 +6,9 @@
 import openai
 import pytest
 
+from tests.fakes.caller_router import Router
 from tests.fakes.fixed_configuration import KEY
 from tests.fakes.fixtures import router
-from tests.fakes.caller_router import Router
 
 __all__ = ('router',)
 
--- a/tests/frontend/test_model_routes.py
+++ b/tests/frontend/test_model_routes.py
@@ -3,8 +3,8 @@
 import openai
 from openai.types.chat import ChatCompletionUserMessageParam
 
-from tests.fakes.fixed_configuration import MODEL
 from tests.fakes.caller_router import Router
+from tests.fakes.fixed_configuration import MODEL
 
 MESSAGES = (
     ChatCompletionUserMessageParam(
