Register all services of a router and join the commands

Cause: the parts were written side by side and have to run in one process. Change: the service catalogue, one command line, one settings loader.

--- a/src/pollenloom/console/commands/router_command.py
+++ b/src/pollenloom/console/commands/router_command.py
@@ -1,19 +1,17 @@
 """`pollenloom router`."""
 
-import tomllib
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated, Final
+from typing import Annotated
 
 import cappa
-from pydantic import ValidationError
 
 from pollenloom.console.command_end import command_end
+from pollenloom.console.exit_code import ExitCode
 from pollenloom.console.router_exit import RouterExit
 from pollenloom.console.router_process import run_router
 from pollenloom.settings.router_settings import RouterSettings
-
-USAGE_ERROR: Final = 2
+from pollenloom.settings.settings_loader import load_settings
 
 
 @cappa.command(
@@ -49,16 +47,13 @@
 
 
 def read_settings(path: Path) -> RouterSettings:
-    """Return the settings; end the command if they are not valid."""
-    try:
-        content = tomllib.loads(path.read_text(encoding='utf-8'))
-        return RouterSettings.model_validate(content)
-    except ValidationError as error:
-        problems = '; '.join(
-            f'{".".join(map(str, problem["loc"]))}: {problem["msg"]}'
-            for problem in error.errors()
-        )
-        message = f'{path} is not valid: {problems}'
-    except (OSError, ValueError) as error:
-        message = f'Cannot read the settings file {path}: {error}'
-    raise command_end(message, code=USAGE_ERROR)
+    """Return the settings of a file.
+
+    Raises:
+        cappa.Exit: With all problems of the file.
+    """
+    checked = load_settings(path)
+    if checked.model is None:
+        problems = '\n'.join(problem.render() for problem in checked.problems)
+        raise cappa.Exit(problems, code=ExitCode.INVALID_FILE)
+    return checked.model
--- a/src/pollenloom/console/service_catalogue.py
+++ b/src/pollenloom/console/service_catalogue.py
@@ -5,10 +5,22 @@
 
 from collections.abc import Callable
 
+from pollenloom.admission.admission_factory import make_admission
+from pollenloom.configuration.configuration_store import ConfigurationStore
+from pollenloom.dispatch.dispatcher import Dispatcher
+from pollenloom.frontend.caller_server import CallerServer
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
+from pollenloom.membership.gossip_membership import GossipMembership
+from pollenloom.membership.register_store import RegisterStore
+from pollenloom.moves.move_controller import MoveController
 from pollenloom.observability.event_log import EventLog
+from pollenloom.observability.metrics import Metrics
 from pollenloom.operations.operator_server import OperatorServer
+from pollenloom.orders.order_desk import OrderDesk
+from pollenloom.peers.websocket_peer_network import WebsocketPeerNetwork
+from pollenloom.platform.http_platform import HttpPlatform
+from pollenloom.platform.log_reader import LogReader
 from pollenloom.settings.router_settings import RouterSettings
 
 ServiceFactory = Callable[[Kernel, RouterSettings], KernelService]
@@ -19,6 +31,16 @@
     return EventLog(kernel.clock)
 
 
+def make_metrics(_kernel: Kernel, _: RouterSettings) -> KernelService:
+    """Return the metrics of the process."""
+    return Metrics()
+
+
+def make_platform(_: Kernel, settings: RouterSettings) -> KernelService:
+    """Return the client of the platform."""
+    return HttpPlatform.from_config(settings.platform)
+
+
 def make_log_reader(kernel: Kernel, settings: RouterSettings) -> KernelService:
     """Return the service that follows the platform's log."""
     return LogReader.from_config(kernel, settings.platform)
@@ -35,7 +57,19 @@
     The operators' address comes up early, so that a router that waits for
     the rest of its services answers `/healthz`. Callers are let in last.
     """
-    return (
+    return (  # noqa: WPS227 - the list of all services
         make_event_log,
+        make_metrics,
         OperatorServer.from_config,
+        make_platform,
+        WebsocketPeerNetwork.from_config,
+        GossipMembership.from_config,
+        RegisterStore.from_config,
+        make_log_reader,
+        make_configuration,
+        MoveController.from_config,
+        make_admission,
+        Dispatcher.from_config,
+        OrderDesk.from_config,
+        CallerServer.from_config,
     )
--- a/tests/fakes/fixtures.py
+++ b/tests/fakes/fixtures.py
@@ -5,7 +5,7 @@
 import pytest
 
 from pollenloom.settings.router_settings import DispatchSettings, LimitSettings
-from tests.fakes.router import Router
+from tests.fakes.caller_router import Router
 
 
 @pytest.fixture
