--- a/src/pollenloom/console/service_catalogue.py
+++ b/src/pollenloom/console/service_catalogue.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+from typing import Final
 
 from pollenloom.admission.admission_factory import make_admission
 from pollenloom.configuration.configuration_store import ConfigurationStore
@@ -51,25 +52,27 @@
     return ConfigurationStore(kernel)
 
 
+# Order of start. The operators' address comes up early, so that a router that
+# waits for the rest of its services answers `/healthz`. Callers are let in
+# last.
+FACTORIES: Final[tuple[ServiceFactory, ...]] = (
+    make_event_log,
+    make_metrics,
+    OperatorServer.from_config,
+    make_platform,
+    WebsocketPeerNetwork.from_config,
+    GossipMembership.from_config,
+    RegisterStore.from_config,
+    make_log_reader,
+    make_configuration,
+    MoveController.from_config,
+    make_admission,
+    Dispatcher.from_config,
+    OrderDesk.from_config,
+    CallerServer.from_config,
+)
+
+
 def service_factories(_: RouterSettings) -> tuple[ServiceFactory, ...]:
-    """Return one factory for each service, in the order of their start.
-
-    The operators' address comes up early, so that a router that waits for
-    the rest of its services answers `/healthz`. Callers are let in last.
-    """
-    return (
-        make_event_log,
-        make_metrics,
-        OperatorServer.from_config,
-        make_platform,
-        WebsocketPeerNetwork.from_config,
-        GossipMembership.from_config,
-        RegisterStore.from_config,
-        make_log_reader,
-        make_configuration,
-        MoveController.from_config,
-        make_admission,
-        Dispatcher.from_config,
-        OrderDesk.from_config,
-        CallerServer.from_config,
-    )
+    """Return one factory for each service, in the order of their start."""
+    return FACTORIES
