Give ordered cold starts a length of their own

A stand-in that started warm (--cold-seconds 0) could not turn cold: the order started a cold time of length 0. The faults now hold cold_seconds, and turn_cold without a length is refused. The VM list keeps an hour of values, so that larger lags than a minute can be set.

--- a/src/pollenloom_standins/backend/backend_control.py
+++ b/src/pollenloom_standins/backend/backend_control.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom_standins.backend.backend_faults import BackendFaults
 from pollenloom_standins.backend.backend_reports import (
     CancelReport,
     HistoryReport,
@@ -73,6 +74,8 @@
         backend = self.backend
         faults = await read_changes(request, backend.switches.faults)
         now = self.kernel.clock.monotonic()
+        check_cold_start(faults)
+        backend.capacity.cold_seconds = faults.cold_seconds
         if faults.turn_cold:
             backend.capacity.turn_cold(now)
         backend.switches.put(faults)
@@ -104,3 +107,13 @@
                 refusals=dict(backend.refusals),
             ),
         )
+
+
+def check_cold_start(faults: BackendFaults) -> None:
+    """Refuse a cold start that would end at once.
+
+    Raises:
+        web.HTTPBadRequest: If cold starts have no length.
+    """
+    if faults.turn_cold and faults.cold_seconds <= 0:
+        raise web.HTTPBadRequest(text='turn_cold needs cold_seconds above 0\n')
--- a/src/pollenloom_standins/backend/backend_faults.py
+++ b/src/pollenloom_standins/backend/backend_faults.py
@@ -15,6 +15,7 @@
 
     Attributes:
         turn_cold: Start a cold start now; reads as false afterwards.
+        cold_seconds: Length of cold starts from now on.
         leaving: Refuse new work with the reason "leaving".
         frozen: Neither start, go on with nor answer anything.
         next_errors: Answer 500 without running.
@@ -29,6 +30,7 @@
     """
 
     turn_cold: bool = False
+    cold_seconds: float = 0
     leaving: bool = False
     frozen: bool = False
     next_errors: int = 0
--- a/src/pollenloom_standins/backend/backend_service.py
+++ b/src/pollenloom_standins/backend/backend_service.py
@@ -52,7 +52,10 @@
         self.fencing = FencingCheck(settings.fencing)
         self.version = VersionBehaviour(settings.version_faults, settings.seed)
         self.switches = FaultSwitches(
-            BackendFaults(load_lag_seconds=settings.load_lag_seconds),
+            BackendFaults(
+                load_lag_seconds=settings.load_lag_seconds,
+                cold_seconds=settings.limits.cold_seconds,
+            ),
         )
         self.meter = LoadMeter(settings, self.capacity, self.fencing)
         self.history = RunHistory()
--- a/src/pollenloom_standins/backend/capacity_model.py
+++ b/src/pollenloom_standins/backend/capacity_model.py
@@ -37,7 +37,7 @@
     Attributes:
         slots: Requests it bears when warm.
         cold_slots: Requests it bears when cold.
-        cold_seconds: Length of a cold start.
+        cold_seconds: Length of the first cold start; 0 starts warm.
         full_at: Requests in progress at which it refuses more.
         cold_overload: What a cold server does above its cold slots.
     """
@@ -54,6 +54,7 @@
 
     def __init__(self, limits: CapacityLimits, now: float) -> None:
         self.limits = limits
+        self.cold_seconds = limits.cold_seconds
         self.running = 0
         self.cold_since = now
         self.cold_until = now + limits.cold_seconds
@@ -65,7 +66,7 @@
         """Start the cold time, or restart it if it is running."""
         if not self.is_cold(now):
             self.cold_since = now
-        self.cold_until = now + self.limits.cold_seconds
+        self.cold_until = now + self.cold_seconds
 
     def is_cold(self, now: float) -> bool:
         """Whether the server is, or lately was, in a cold start."""
--- a/src/pollenloom_standins/backend/load_meter.py
+++ b/src/pollenloom_standins/backend/load_meter.py
@@ -1,6 +1,6 @@
 """Reports the load of a backend server with a lag."""
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import msgspec
 
@@ -12,6 +12,9 @@
     from pollenloom_standins.backend.capacity_model import CapacityModel
     from pollenloom_standins.backend.fencing import FencingCheck
 
+# Bounds the lag of the load report that can be set.
+KEPT_SECONDS: Final = 60
+
 
 class LoadMeter:
     """Keeps the load of the last minute."""
@@ -26,7 +29,7 @@
         self.capacity = capacity
         self.fencing = fencing
         self.leaving = False
-        self.reports = LaggedValue(self.current())
+        self.reports = LaggedValue(self.current(), KEPT_SECONDS)
 
     def note(self, now: float) -> None:
         """Keep the present load for later reports."""
--- a/src/pollenloom_standins/lagged_value.py
+++ b/src/pollenloom_standins/lagged_value.py
@@ -18,7 +18,7 @@
 class LaggedValue(Generic[ValueT]):
     """Keeps the values of the last `kept_seconds`."""
 
-    def __init__(self, first: ValueT, kept_seconds: float = 60) -> None:
+    def __init__(self, first: ValueT, kept_seconds: float) -> None:
         self.kept_seconds = kept_seconds
         self.history = deque([TimedValue(float('-inf'), first)])
 
--- a/src/pollenloom_standins/platform/platform_service.py
+++ b/src/pollenloom_standins/platform/platform_service.py
@@ -25,6 +25,8 @@
     from pollenloom.kernel.clock import Clock
 
 MAXIMUM_PAGE: Final = 10_000
+# Bounds the lag of the VM list that can be set.
+KEPT_LIST_SECONDS: Final = 3600
 
 
 class PlatformService(RouteSource):
@@ -45,7 +47,10 @@
         self.rate_limit = rate_limit
         self.faults = faults
         self.draw = FaultDraw(seed)
-        self.vms: LaggedValue[tuple[VmEntry, ...]] = LaggedValue(())
+        self.vms: LaggedValue[tuple[VmEntry, ...]] = LaggedValue(
+            (),
+            KEPT_LIST_SECONDS,
+        )
 
     def routes(self) -> list[web.RouteDef]:
         """Return the platform's routes and those of its control."""
@@ -120,7 +125,7 @@
         if self.vms.current():
             self.vms.put(vms, self.clock.monotonic())
         else:
-            self.vms = LaggedValue(vms)
+            self.vms = LaggedValue(vms, KEPT_LIST_SECONDS)
         return json_answer(VmListBody(vms=vms))
 
     async def pass_faults(self, request: web.Request) -> None:
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -198,6 +198,18 @@
         stream.close()
 
 
+async def test_engine_turns_cold_at_work(start: Start) -> None:
+    """Guards against an engine that is cold only after its start."""
+    engine = await start(EngineCommand(cold_seconds=0))
+    streams = await open_streams(engine, 3)
+    await engine.set_faults(turn_cold=True, cold_seconds=60)
+    assert (await engine.post(TEXT_PATH, BODY)).status == 500
+    state = await engine.get('/control/state')
+    assert (state['load']['cold'], state['cold_overloads']) == (True, 1)
+    for stream in streams:
+        stream.close()
+
+
 async def test_full_and_leaving_engine_refuses(start: Start) -> None:
     """Guards against refusals that do not prove "not run"."""
     engine = await start(EngineCommand(full_at=1))
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -1,6 +1,7 @@
 """Failures of the platform stand-in."""
 
 from pollenloom_standins.commands.platform_command import PlatformCommand
+from pollenloom_standins.fault_draw import FaultDraw, one_less
 from pollenloom_standins.lagged_value import LaggedValue
 from pollenloom_standins.platform.record_log import RecordLog
 from tests.standins.conftest import Start
@@ -20,7 +21,7 @@
 
 def test_readers_see_values_late() -> None:
     """Guards against a lag that shows new values or hides all."""
-    lagged = LaggedValue('first')
+    lagged = LaggedValue('first', kept_seconds=60)
     lagged.put('second', now=10)
     assert lagged.seen(now=11, lag_seconds=2) == 'first'
     assert lagged.seen(now=12, lag_seconds=2) == 'second'
@@ -45,6 +46,16 @@
     assert (await platform.get('/vms'))['vms'][0]['state'] == 'leaving'
 
 
+def test_fraction_of_calls_is_hit() -> None:
+    """Guards against fractions that hit all calls or none."""
+    draw = FaultDraw(seed=1)
+    hits = sum(draw.hits(0.25, next_calls=0) for _ in range(1000))
+    assert 200 < hits < 300
+    assert not draw.hits(0, next_calls=0)
+    assert draw.hits(0, next_calls=1)
+    assert [one_less(count) for count in (2, 1, 0, -1)] == [1, 0, 0, -1]
+
+
 async def test_unknown_fault_is_refused(start: Start) -> None:
     """Guards against a misspelt fault that a test believes in."""
     platform = await start(PlatformCommand())
