Answer hostile requests with a problem

Cause: a target that cannot be parsed made Sanic fail while it built the answer, and a body above the limit was answered by a reset connection. Change: such a target has no route; bodies are read within the limit and the rest is dropped before the answer. Conclusion: no input of these kinds reached an engine or stopped the server.

--- a/src/pollenloom/frontend/caller_server.py
+++ b/src/pollenloom/frontend/caller_server.py
@@ -138,10 +138,12 @@
     ) -> None:
         """Tie a path to a handler, behind the gate for shutdowns."""
         self.app.add_route(
-            GuardedRoute(self.gate, handler).serve,
+            GuardedRoute(self.gate, handler),
             path,
             methods=methods,
             name=route_name,
+            stream=True,
+            error_format='json',
         )
 
     async def health(self, _request: Request) -> HTTPResponse:
--- a/src/pollenloom/frontend/guarded_route.py
+++ b/src/pollenloom/frontend/guarded_route.py
@@ -9,6 +9,7 @@
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
 from pollenloom.frontend.answers import new_request_id
+from pollenloom.frontend.body_reader import read_body
 from pollenloom.frontend.call_handler import CallHandler
 from pollenloom.frontend.drain_gate import DrainGate
 from pollenloom.frontend.raw_call import RawCall
@@ -21,15 +22,19 @@
         self.gate = gate
         self.handler = handler
 
-    async def serve(
+    async def __call__(
         self,
         request: Request,
         **_path_parts: str,
     ) -> HTTPResponse | None:
         """Serve one request of a connection."""
-        call = read_raw(request, self.handler.kernel.clock.monotonic())
+        arrived_at = self.handler.kernel.clock.monotonic()
+        body = await read_body(request, self.handler.limits.body_bytes)
+        call = read_raw(request, body.default_value(b''), arrived_at)
         if not self.gate.ready:
             close_after_answer(request)
+        if body.is_error():
+            return self.handler.refuse(body.error, call)
         if self.gate.refusing:
             return self.handler.refuse(
                 Failure(ErrorKind.SHUTTING_DOWN, 'try another router'),
@@ -51,8 +56,9 @@
         request.stream.keep_alive = False
 
 
-def read_raw(request: Request, now: float) -> RawCall:
+def read_raw(request: Request, body: bytes, arrived_at: float) -> RawCall:
     """Return a request without the server library's types."""
+    query = f'?{request.query_string}' if request.query_string else ''
     headers: dict[str, str] = {}
     for name, text in request.headers.items():
         lowered = name.lower()
@@ -62,8 +68,8 @@
     return RawCall(
         request_id=new_request_id(),
         method=request.method,
-        target=request.raw_url.decode('ascii', errors='replace'),
+        target=f'{request.path}{query}',
         headers=headers,
-        body=request.body,
-        arrived_at=now,
+        body=body,
+        arrived_at=arrived_at,
     )
--- a/src/pollenloom/frontend/problem_handler.py
+++ b/src/pollenloom/frontend/problem_handler.py
@@ -41,7 +41,7 @@
         return problem_answer(
             failure,
             request_id,
-            for_model=request.raw_url.startswith(b'/v1/'),
+            for_model=request.path.startswith('/v1/'),
         )
 
 
--- a/src/pollenloom/frontend/sanic_app.py
+++ b/src/pollenloom/frontend/sanic_app.py
@@ -10,6 +10,7 @@
 
 from pollenloom.frontend.problem_handler import ProblemHandler
 from pollenloom.frontend.request_reader import MAX_TIMEOUT_SECONDS
+from pollenloom.frontend.tolerant_request import TolerantRequest
 from pollenloom.settings.router_settings import LimitSettings
 
 # Sanic refuses two applications of the same name in one process.
@@ -40,6 +41,7 @@
         f'callers-{next(app_numbers)}',
         config=config,
         error_handler=ProblemHandler(),
+        request_class=TolerantRequest,
         configure_logging=False,
     )
     app.ctx.connection_limit = limits.connections
--- /dev/null
+++ b/tests/frontend/test_hostile_input.py
@@ -0,0 +1,156 @@
+"""Hostile input: always a problem, never a crash."""
+
+import asyncio
+import re
+from http import HTTPStatus
+
+import aiohttp
+import msgspec
+import pytest
+from hypothesis import HealthCheck, example, given, settings
+from hypothesis import strategies as st
+from yarl import URL
+
+from tests.fakes.fixed_configuration import KEY
+from tests.fakes.router import Router
+
+BACKSLASH = bytes((92,))
+CHAT = b'/v1/chat/completions'
+HEAD = (
+    b'POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n'
+    b'Authorization: Bearer %b\r\n' % KEY.encode()
+)
+CLIENT_ERRORS = range(400, 500)
+json_texts = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(
+            st.sampled_from(('model', 'messages', 'stream', 'n', 'max_tokens')),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=8,
+)
+
+many = settings(
+    max_examples=60,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+
+
+async def exchange(router: Router, sent: bytes) -> bytes:
+    """Send bytes on a new connection and return the first answer."""
+    host, port = router.callers.address.split(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(sent)
+    async with asyncio.timeout(10):
+        head = await reader.readuntil(b'\r\n\r\n')
+        length = re.search(rb'content-length: (\d+)', head.lower())
+        assert length is not None
+        body = await reader.readexactly(int(length[1]))
+    writer.close()
+    return head + body
+
+
+def check_problem(answer: bytes) -> int:
+    """Check that an answer is a problem; return its status."""
+    head, _, body = answer.partition(b'\r\n\r\n')
+    assert b'application/problem+json' in head, answer
+    problem = msgspec.json.decode(body)
+    assert problem['type'] == f'urn:pollenloom:error:{problem["kind"]}'
+    assert problem['run'] == 'no'
+    status: int = problem['status']
+    assert head.startswith(b'HTTP/1.1 %d ' % status)
+    return status
+
+
+@many
+@given(st.binary(max_size=200))
+@example(b'GET //\xff HTTP/1.1')
+@example(b'GET http://[ HTTP/1.1')
+@example(b'\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03')
+async def test_hostile_head(router: Router, head: bytes) -> None:
+    """Guards against a request head that stops the server."""
+    answer = await exchange(router, head + b'\r\n\r\n')
+    assert check_problem(answer) in CLIENT_ERRORS
+    answer = await exchange(router, b'GET /healthz HTTP/1.1\r\n\r\n')
+    assert answer.startswith(b'HTTP/1.1 200')
+
+
+@many
+@given(
+    st.binary(max_size=300) | json_texts.map(msgspec.json.encode),
+    st.sampled_from((CHAT, b'/v1/completions')),
+)
+@example(b'[' * 100_000, b'/v1/completions')
+@example(
+    b'{"model": "drafts", "messages": [1], "max_tokens": 1e400}',
+    b'/v1/completions',
+)
+@example(b'{"model": "%bud800", "messages": [{}]}' % BACKSLASH, CHAT)
+async def test_hostile_body(router: Router, body: bytes, path: bytes) -> None:
+    """Guards against a body that stops the server or reaches an engine."""
+    head = HEAD.replace(CHAT, path)
+    length = b'Connection: close\r\nContent-Length: %d\r\n\r\n' % len(body)
+    answer = await exchange(router, head + length + body)
+    assert check_problem(answer) in CLIENT_ERRORS
+    assert not router.backends[0].received
+
+
+@pytest.mark.parametrize(
+    'head',
+    [
+        b'X-Timeout-Seconds: nan\r\n',
+        b'X-Timeout-Seconds: -1\r\n',
+        b'X-Evil: a\rb\r\n',
+        b'X-Evil: \xff\r\n',
+        b'X Evil: a\r\n',
+        b'Idempotency-Key: \r\n',
+        b'traceparent: zz\r\n',
+        b'Transfer-Encoding: chunked\r\n',
+    ],
+)
+async def test_hostile_header(router: Router, head: bytes) -> None:
+    """Guards against headers that another server reads differently."""
+    body = b'{"model": "drafts", "messages": [{}]}'
+    length = b'Connection: close\r\nContent-Length: %d\r\n\r\n' % len(body)
+    answer = await exchange(router, HEAD + head + length + body)
+    assert check_problem(answer) == HTTPStatus.BAD_REQUEST
+    assert not router.backends[0].received
+
+
+@pytest.mark.parametrize(
+    'path',
+    [
+        '/stitching/lots/../orders',
+        '/stitching/lots/%2e%2e/orders',
+        '/stitching/lots//orders',
+        '/stitching/lots/a%0ab',
+        '/stitching/%00',
+        '/none/lots/4',
+        '/drafts/v1/chat/completions',
+    ],
+)
+async def test_hostile_path(
+    router: Router,
+    http: aiohttp.ClientSession,
+    path: str,
+) -> None:
+    """Guards against a path that takes one route here, another one there."""
+    url = f'{router.url}{path}'
+    answer = await http.get(URL(url, encoded=True))
+    assert answer.status in {400, 404}
+    assert (await answer.json(content_type=None))['run'] == 'no'
+    assert not router.backends[0].received
+
+
+async def test_limits(router: Router) -> None:
+    """Guards against memory taken by long heads and bodies."""
+    long_head = b'X-Long: %b\r\n\r\n' % (b'a' * 20_000)
+    answer = await exchange(router, HEAD + long_head)
+    assert check_problem(answer) == HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+    long_body = b'Content-Length: 2000000\r\n\r\n' + b'a' * 2_000_000
+    answer = await exchange(router, HEAD + long_body)
+    assert check_problem(answer) == HTTPStatus.REQUEST_ENTITY_TOO_LARGE
