--- a/src/pollenloom/membership/heartbeat_monitor.py
+++ b/src/pollenloom/membership/heartbeat_monitor.py
@@ -3,11 +3,11 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
+from pollenloom.membership.member_table import SILENCE_SECONDS
+
 if TYPE_CHECKING:
     from pollenloom.core.ids import VmId
 
-# Three heartbeats of 0.5 s.
-SILENCE_SECONDS = 1.5
 # Longest silence allowed to a neighbour that only others hear.
 MAX_PATIENCE_SECONDS = 24
 
--- a/src/pollenloom/membership/member_table.py
+++ b/src/pollenloom/membership/member_table.py
@@ -12,6 +12,8 @@
     from pollenloom.core.ids import VmId
     from pollenloom.membership.member import Member
 
+# Three heartbeats of 0.5 s.
+SILENCE_SECONDS = 1.5
 # Time that a suspect has to refute before its neighbours declare it dead.
 SUSPECT_SECONDS = 1.5
 # Routers without a link to a suspect leave the verdict to its neighbours, so
@@ -148,7 +150,7 @@
         if current is None or vm not in self.deadlines:
             return
         if current.state is MemberState.SUSPECT:
-            self.deadlines[vm] = now + SUSPECT_SECONDS
+            self.deadlines[vm] = now + SILENCE_SECONDS + SUSPECT_SECONDS
         elif current.state is MemberState.LEAVING:
             self.deadlines.pop(vm)
 
--- a/src/pollenloom/membership/register_store.py
+++ b/src/pollenloom/membership/register_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import defaultdict
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,7 @@
 )
 from pollenloom.membership.register_table import (
     RegisterTable,
+    rank,
     version_of,
 )
 from pollenloom.membership.register_value import RegisterValue
@@ -33,7 +35,7 @@
 RegisterListener = Callable[[str, RegisterValue], None]
 
 # Changes of one moment are offered in one message.
-COALESCE_SECONDS = 0.01
+COALESCE_SECONDS = 0.02
 # Repairs what got lost with a connection, well within the 3 s in which a
 # configuration must be in force.
 COMPARE_SECONDS = 1
@@ -53,6 +55,7 @@
         self.table = RegisterTable()
         self.watchers: list[tuple[str, RegisterListener]] = []
         self.unoffered: dict[str, RegisterVersion] = {}
+        self.holders: defaultdict[str, set[VmId]] = defaultdict(set)
         self.has_unoffered = asyncio.Event()
         self.linked: frozenset[VmId] = frozenset()
         self.peers = kernel.find(
@@ -114,6 +117,7 @@
         if not self.table.put(key, register):
             return False
         self.unoffered[key] = version_of(key, register)
+        self.holders.pop(key, None)
         self.has_unoffered.set()
         for prefix, listener in self.watchers:
             if key.startswith(prefix):
@@ -133,8 +137,13 @@
             await asyncio.sleep(COALESCE_SECONDS)
             self.has_unoffered.clear()
             offer = RegisterOffer(tuple(self.unoffered.values()))
+            # Routers that offered all of it themselves need no offer.
+            holders = set.intersection(
+                *[self.holders[key] for key in self.unoffered],
+            )
             self.unoffered.clear()
-            self.peers.send_all(self.membership.links(), offer)
+            self.holders.clear()
+            self.peers.send_all(self.membership.links() - holders, offer)
 
     async def run_comparison(self) -> None:
         """Compare all registers with one linked router at a time."""
@@ -164,6 +173,10 @@
     def offer_received(self, sender: VmId, offer: RegisterOffer) -> None:
         """Fetch what is newer here, and offer what the sender lacks."""
         self.fetcher.offered(sender, offer.versions)
+        for version in offer.versions:
+            unoffered = self.unoffered.get(version.key)
+            if unoffered and rank(version) >= rank(unoffered):
+                self.holders[version.key].add(sender)
         if offer.is_complete:
             newer = self.table.newer_than(offer.versions)
             if newer:
--- a/src/pollenloom/peers/peer_codec.py
+++ b/src/pollenloom/peers/peer_codec.py
@@ -13,6 +13,7 @@
 )
 from pollenloom.peers.peer_message import PeerMessage
 
+FrameParts = tuple[FrameKind, int, list[Any]]
 # CBOR has a type of its own for them, so they need no base64 text.
 NATIVE_TYPES = (bytes,)
 
@@ -64,18 +65,16 @@
 
     def frame_of(self, parts: Any) -> PeerFrame:
         """Return the frame made of decoded CBOR values."""
-        match parts:
-            case [int(kind), int(correlation), [str(tag), *_] as fields]:
-                message_type = self.types.get(tag)
-            case _:
-                raise FrameError('not a frame')
+        try:
+            kind, correlation, fields = msgspec.convert(parts, FrameParts)
+            tag = str(fields[0])
+        except (ValueError, TypeError, IndexError) as error:
+            raise FrameError(f'not a frame: {error}') from error
+        message_type = self.types.get(tag)
         if message_type is None:
-            raise UnknownMessageError(f'unknown message type {tag[:64]}')
+            raise UnknownMessageError(f'unknown message type {tag[:64]!r}')
         try:
-            return PeerFrame(
-                FrameKind(kind),
-                correlation,
-                msgspec.convert(fields, message_type),
-            )
+            message = msgspec.convert(fields, message_type)
         except (ValueError, TypeError, RecursionError) as error:
             raise FrameError(f'broken {tag}: {error}') from error
+        return PeerFrame(kind, correlation, message)
--- a/src/pollenloom/peers/peer_connection.py
+++ b/src/pollenloom/peers/peer_connection.py
@@ -24,18 +24,28 @@
         remote: Who is at the other end.
         connector: VM id of the side that connected.
         opened_at: Monotonic time of the end of the handshake.
+        frames: Frames read and written.
+        swept_frames: Frames at the last search for idle connections.
     """
 
     socket: 'Connection'
     remote: 'PeerIdentity'
     connector: str
     opened_at: float
+    frames: int = 0
+    swept_frames: int = -1
 
     @property
     def is_open(self) -> bool:
         """Whether frames can be sent."""
         return self.socket.state is State.OPEN
 
+    def is_idle(self) -> bool:
+        """Whether no frame passed since the last call."""
+        is_idle = self.frames == self.swept_frames
+        self.swept_frames = self.frames
+        return is_idle
+
     def replaces(self, current: 'PeerConnection', own_vm: str) -> bool:
         """Whether this new connection takes over from the current one.
 
--- a/src/pollenloom/peers/peer_connections.py
+++ b/src/pollenloom/peers/peer_connections.py
@@ -10,6 +10,7 @@
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
 from pollenloom.peers.address_book import AddressBook
+from pollenloom.peers.idle_sweeper import IDLE_REASON
 from pollenloom.peers.peer_connection import PeerConnection
 from pollenloom.peers.peer_dialler import (
     MAX_FRAME_BYTES,
@@ -213,7 +214,9 @@
         socket = connection.socket
         try:
             while True:
-                self.dispatcher.receive(vm, await socket.recv(decode=False))
+                encoded = await socket.recv(decode=False)
+                connection.frames += 1
+                self.dispatcher.receive(vm, encoded)
         except FrameError as error:
             self.reporter.reject(vm, str(error))
             await socket.close(PROTOCOL_ERROR_CODE)
@@ -233,6 +236,7 @@
             frame = link.queue.pop()
             if frame.abandoned:
                 continue
+            connection.frames += 1
             self.dispatcher.replies.mark_sent(frame.correlation)
             self.reporter.counters.count_sent(len(frame.encoded))
             try:
@@ -247,8 +251,9 @@
         link = self.links.get(vm)
         if link is None or not link.release(connection):
             return
-        self.dispatcher.replies.connection_lost(vm)
-        self.reporter.notify(vm, LinkEvent.LOST)
+        if connection.socket.close_reason != IDLE_REASON:
+            self.dispatcher.replies.connection_lost(vm)
+            self.reporter.notify(vm, LinkEvent.LOST)
         self.dial_if_wanted(link)
 
     def discard(self, link: PeerLink, reason: str) -> None:
--- a/src/pollenloom/peers/pending_replies.py
+++ b/src/pollenloom/peers/pending_replies.py
@@ -1,6 +1,7 @@
 """Requests that wait for their replies."""
 
 import asyncio
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -65,14 +66,11 @@
     ) -> ReplyResult:
         """Return the reply or why there is none, and forget the request."""
         pending = self.pending[correlation]
-        try:
-            async with asyncio.timeout(timeout_seconds):
-                return await pending.future
-        except TimeoutError:
-            pending.fail(f'no reply in {timeout_seconds} s')
-            return pending.future.result()
-        finally:
-            self.pending.pop(correlation, None)
+        with ExitStack() as cleanup:
+            cleanup.callback(self.pending.pop, correlation, None)
+            await asyncio.wait((pending.future,), timeout=timeout_seconds)
+        pending.fail(f'no reply in {timeout_seconds} s')
+        return pending.future.result()
 
     def mark_sent(self, correlation: int) -> None:
         """Note that the other side may handle the request from now on."""
--- a/src/pollenloom/peers/websocket_peer_network.py
+++ b/src/pollenloom/peers/websocket_peer_network.py
@@ -13,6 +13,7 @@
 from pollenloom.core.ids import DataCentreId, VmId
 from pollenloom.peers.fleet_key import FleetKey
 from pollenloom.peers.handshake import HANDSHAKE_SECONDS, Handshake
+from pollenloom.peers.idle_sweeper import IdleSweeper
 from pollenloom.peers.peer_connections import PeerConnections
 from pollenloom.peers.peer_dialler import (
     CLOSE_SECONDS,
@@ -53,6 +54,7 @@
         advertise: str,
         fleet_key: FleetKey,
     ) -> None:
+        self.kernel = kernel
         self.vm = vm
         self.data_centre = data_centre
         self.listen = listen
@@ -113,6 +115,8 @@
             max_queue=READ_AHEAD_FRAMES,
             logger=library_logger,
         )
+        sweeper = IdleSweeper(self.vm, self.connections.connections)
+        self.kernel.spawn('peer sweeper', sweeper.run())
         if self.advertised.endswith(':0'):
             bound = next(iter(self.server.sockets)).getsockname()
             host = self.advertised.partition(':')[0]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,7 @@
 """Fixtures shared by all tests."""
 
+from pathlib import Path
+
 import pytest
 from hypothesis import settings
 
@@ -13,3 +15,10 @@
 @pytest.fixture
 def clock() -> ManualClock:
     return ManualClock()
+
+
+@pytest.fixture
+def fleet_key_file(tmp_path: Path) -> Path:
+    path = tmp_path / 'fleet.key'
+    path.write_bytes(b'key of the fleet in tests')
+    return path
--- /dev/null
+++ b/tests/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of membership and registers."""
--- /dev/null
+++ b/tests/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the network between routers."""
