--- /dev/null
+++ b/scripts/generate_docs.py
@@ -0,0 +1,178 @@
+"""Writes docs/configuration.md and docs/errors.md from the code.
+
+Needs `src` in PYTHONPATH. With --check it writes nothing and fails if a page
+is out of date.
+"""
+
+import inspect
+import re
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+from pydantic import BaseModel
+
+from pollenloom.configuration.account_entry import AccountEntry
+from pollenloom.configuration.move_entry import MoveEntry
+from pollenloom.configuration.route_entry import RouteEntry
+from pollenloom.configuration.service_file import ServiceFile
+from pollenloom.core.error_answers import ERROR_ANSWERS
+from pollenloom.settings.router_settings import (
+    AdmissionSettings,
+    LimitSettings,
+    PeerSettings,
+    PlatformSettings,
+    RouterSettings,
+)
+from pollenloom.validation.field_schema import (
+    Schema,
+    describe_schema,
+    model_schema,
+    resolve,
+)
+
+ROOT = Path(__file__).resolve().parent.parent
+NOTICE = (
+    '<!-- Made by scripts/generate_docs.py from the code; edit the docstrings'
+    ' there. -->'
+)
+SERVICE_MODELS: tuple[tuple[str, type[BaseModel]], ...] = (
+    ('Top level', ServiceFile),
+    ('`[[accounts]]`', AccountEntry),
+    ('`[[routes]]`', RouteEntry),
+    ('`[move]`', MoveEntry),
+)
+ROUTER_MODELS: tuple[tuple[str, type[BaseModel]], ...] = (
+    ('Top level', RouterSettings),
+    ('`[platform]`', PlatformSettings),
+    ('`[peers]`', PeerSettings),
+    ('`[admission]`', AdmissionSettings),
+    ('`[limits]`', LimitSettings),
+)
+ATTRIBUTE = re.compile(r'^ {4}(\w+): (.*(?:\n {5,}.*)*)', re.MULTILINE)
+
+
+def attribute_texts(model: type[BaseModel]) -> dict[str, str]:
+    """Return the descriptions in the docstring's list of attributes."""
+    document = inspect.getdoc(model) or ''
+    _, _, attributes = document.partition('Attributes:')
+    return {
+        name: ' '.join(text.split())
+        for name, text in ATTRIBUTE.findall(attributes)
+    }
+
+
+def describe_entries(root: Schema, schema: Schema, key: str) -> str:
+    """Return what a key expects, with the entries of a list."""
+    text = describe_schema(schema, key)
+    entry = resolve(root, schema.get('items', {}))
+    if not entry or entry.get('type') == 'object':
+        return text
+    return f'{text}; each {describe_schema(entry, key)}'
+
+
+def describe_default(model: type[BaseModel], key: str, field: Schema) -> str:
+    """Return the default of a key in TOML form, or that it is required."""
+    if key in model_schema(model).get('required', ()):
+        return 'required'
+    default = field.get('default')
+    if isinstance(default, bool):
+        return f'`{str(default).lower()}`'
+    if isinstance(default, int | float | str):
+        return f'`{default!r}`'
+    return 'none'
+
+
+def model_table(model: type[BaseModel]) -> Iterator[str]:
+    """Return the rows for the keys of a model."""
+    texts = attribute_texts(model)
+    names = {
+        field.alias or name: name for name, field in model.model_fields.items()
+    }
+    root = model_schema(model)
+    yield '| key | value | default | meaning |'
+    yield '|---|---|---|---|'
+    for key, field in root['properties'].items():
+        expected = describe_entries(root, resolve(root, field), key)
+        default = describe_default(model, key, field)
+        yield f'| `{key}` | {expected} | {default} | {texts[names[key]]} |'
+
+
+def configuration_page() -> str:
+    """Return the reference of service files and router settings."""
+    lines = [
+        '# Configuration',
+        '',
+        NOTICE,
+        '',
+        'All files are TOML 1.0 in UTF-8. Unknown keys are errors. Check',
+        'files with `pollenloom check`; examples are in `examples/`.',
+        '',
+        '## Service files',
+        '',
+        'One `pollenloom.toml` beside each service. `pollenloom publish`',
+        'collects the files below the given directories; together they',
+        'replace the configuration in force on all routers.',
+        '',
+        'Across all files, a service has one file and a key hash belongs to',
+        'one client account. A new shutdown date must be in the future, and',
+        'a move must finish before it.',
+    ]
+    for title, model in SERVICE_MODELS:
+        lines.extend(('', f'### {title}', '', *model_table(model)))
+    lines.extend(
+        (
+            '',
+            '## Router settings',
+            '',
+            'One file for each router, read at its start. Relative paths',
+            'start at the directory of the file.',
+        )
+    )
+    for title, model in ROUTER_MODELS:
+        lines.extend(('', f'### {title}', '', *model_table(model)))
+    return '\n'.join(lines) + '\n'
+
+
+def errors_page() -> str:
+    """Return the table from error kind to answer."""
+    lines = [
+        '# Errors',
+        '',
+        NOTICE,
+        '',
+        'A refusal or failure is answered as problem details (RFC 9457) with',
+        'the members `kind` and `run`. `run` tells whether a backend server',
+        'ran the request: `no` is a proof, `unknown` is none. The same',
+        'request may succeed later where `retry` says yes.',
+        '',
+        '| kind | HTTP status | run | retry | meaning |',
+        '|---|---|---|---|---|',
+    ]
+    for kind, answer in ERROR_ANSWERS.items():
+        retry = 'yes' if answer.retryable else 'no'
+        lines.append(
+            f'| `{kind.value}` | {answer.status.value} | `{answer.run.value}`'
+            f' | {retry} | {answer.title} |'
+        )
+    return '\n'.join(lines) + '\n'
+
+
+def main() -> int:
+    """Write or check the pages; return 1 if one is out of date."""
+    pages = {'configuration.md': configuration_page, 'errors.md': errors_page}
+    outdated = []
+    for name, make_page in pages.items():
+        path = ROOT / 'docs' / name
+        text = make_page()
+        if path.exists() and path.read_text(encoding='utf-8') == text:
+            continue
+        outdated.append(name)
+        if '--check' not in sys.argv:
+            path.write_text(text, encoding='utf-8')
+    sys.stdout.write(f'out of date: {", ".join(outdated) or "none"}\n')
+    return 1 if outdated and '--check' in sys.argv else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/src/pollenloom/configuration/publisher.py
+++ b/src/pollenloom/configuration/publisher.py
@@ -22,7 +22,7 @@
 )
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
-from pollenloom.core.ids import PublishId
+from pollenloom.core.ids import PublishId, Revision
 from pollenloom.kernel.clock import Clock
 from pollenloom.platform.log_entry import encode_entry
 from pollenloom.platform.platform import Platform
@@ -63,8 +63,16 @@
         self.in_doubt = False
         self.detail = ''
 
-    async def publish(self, files: Mapping[str, str]) -> PublishResult:
-        """Publish all files of the configuration as one change."""
+    async def publish(
+        self,
+        files: Mapping[str, str],
+        base: Revision | None = None,
+    ) -> PublishResult:
+        """Publish all files of the configuration as one change.
+
+        With a `base`, only if that is the revision in force; without one,
+        whatever revision is in force when the publish starts.
+        """
         if not await self.read_base():
             return self.make_result(PublishState.UNAVAILABLE)
         history = self.reader.history
@@ -77,6 +85,8 @@
             return self.make_result(PublishState.INVALID, loaded.problems)
         if files == history.state.files:
             return self.make_result(PublishState.UNCHANGED)
+        if base not in {None, history.revision}:
+            return self.make_result(PublishState.LOST)
         outcome = await self.append(
             ConfigurationChange(
                 publish_id=self.publish_id,
--- a/src/pollenloom/console/application.py
+++ b/src/pollenloom/console/application.py
@@ -12,13 +12,16 @@
 AnyCommand = CheckCommand | PublishCommand
 
 
-@cappa.command(name='pollenloom')
+@cappa.command(
+    name='pollenloom',
+    help='Router fleet that shares model and application capacity fairly.',
+    description=(
+        'Exit codes: 0 ok, 1 failure, 2 usage, 3 invalid file, 4 lost to'
+        ' another publisher, 5 platform unavailable or result unknown.'
+    ),
+)
 @dataclass(frozen=True)
 class Application:
-    """Router fleet that shares model and application capacity fairly.
-
-    Exit codes: 0 ok, 1 failure, 2 usage, 3 invalid file, 4 lost to another
-    publisher, 5 platform unavailable or result unknown.
-    """
+    """The command that was asked for."""
 
     command: Annotated[AnyCommand, cappa.Subcommand]
--- a/src/pollenloom/console/commands/check_command.py
+++ b/src/pollenloom/console/commands/check_command.py
@@ -15,20 +15,30 @@
 from pollenloom.validation.file_problem import FileProblem
 
 
-@cappa.command(name='check')
+@cappa.command(
+    name='check',
+    help='Check service files and router settings without publishing them.',
+    description=(
+        'Lists all problems of all files at once. The service files must be'
+        ' all files of the configuration, as for publish.'
+    ),
+)
 @dataclass(frozen=True)
 class CheckCommand:
-    """Check service files and router settings without publishing them.
+    """Checks files and lists their problems."""
 
-    Attributes:
-        directories: Directories to look for pollenloom.toml files in.
-        settings: Router settings file to check.
-        json: Print the result as one JSON object.
-    """
-
-    directories: list[Path] = field(default_factory=list)
-    settings: Annotated[Path | None, cappa.Arg(long=True)] = None
-    json: Annotated[bool, cappa.Arg(long=True)] = False
+    directories: Annotated[
+        list[Path],
+        cappa.Arg(help='Directories to look for pollenloom.toml files in.'),
+    ] = field(default_factory=list)
+    settings: Annotated[
+        Path | None,
+        cappa.Arg(long=True, help='Router settings file to check.'),
+    ] = None
+    json: Annotated[
+        bool,
+        cappa.Arg(long=True, help='Print the result as one JSON object.'),
+    ] = False
 
     def __call__(self) -> int:
         """Run the command."""
--- a/src/pollenloom/console/commands/publish_command.py
+++ b/src/pollenloom/console/commands/publish_command.py
@@ -23,6 +23,7 @@
     write_problems,
 )
 from pollenloom.console.platform_client import open_platform
+from pollenloom.core.ids import Revision
 from pollenloom.kernel.clock import Clock
 from pollenloom.settings.router_settings import PlatformSettings
 
@@ -38,27 +39,53 @@
 )
 
 
-@cappa.command(name='publish')
+@cappa.command(
+    name='publish',
+    help='Publish the service files below directories as one configuration.',
+    description=(
+        'The files replace the whole configuration in force. If another'
+        ' operator publishes at the same time, one of the two loses and is'
+        ' told who won.'
+    ),
+)
 @dataclass(frozen=True)
 class PublishCommand:
-    """Publish the service files below directories as one configuration.
-
-    The files replace the whole configuration in force. If another operator
-    publishes at the same time, one of the two loses and is told who won.
-
-    Attributes:
-        directories: Directories to look for pollenloom.toml files in.
-        platform: Base URL of the platform, such as http://10.0.0.1:7000.
-        publisher: Name that other operators are told.
-        timeout: Time for the whole publish, in seconds.
-        json: Print the result as one JSON object.
-    """
+    """Publishes service files and tells what became of them."""
 
-    directories: Annotated[list[Path], cappa.Arg(num_args=-1, required=True)]
-    platform: Annotated[str, cappa.Arg(long=True)]
-    publisher: Annotated[str, cappa.Arg(long=True)]
-    timeout: Annotated[float, cappa.Arg(long=True)] = 30
-    json: Annotated[bool, cappa.Arg(long=True)] = False
+    directories: Annotated[
+        list[Path],
+        cappa.Arg(
+            num_args=-1,
+            required=True,
+            help='Directories to look for pollenloom.toml files in.',
+        ),
+    ]
+    platform: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            help='Base URL of the platform, such as http://10.0.0.1:7000.',
+        ),
+    ]
+    publisher: Annotated[
+        str,
+        cappa.Arg(long=True, help='Name that other operators are told.'),
+    ]
+    base: Annotated[
+        int | None,
+        cappa.Arg(
+            long=True,
+            help='Only publish if this is the revision in force.',
+        ),
+    ] = None
+    timeout: Annotated[
+        float,
+        cappa.Arg(long=True, help='Seconds for the whole publish.'),
+    ] = 30
+    json: Annotated[
+        bool,
+        cappa.Arg(long=True, help='Print the result as one JSON object.'),
+    ] = False
 
     def __call__(self) -> int:
         """Run the command."""
@@ -96,7 +123,8 @@
                 self.publisher,
                 self.timeout,
             )
-            return await publisher.publish(files)
+            base = None if self.base is None else Revision(self.base)
+            return await publisher.publish(files, base)
 
 
 def write_result(result: PublishResult) -> None:
--- a/tests/configuration/test_publisher.py
+++ b/tests/configuration/test_publisher.py
@@ -3,6 +3,7 @@
 import asyncio
 from itertools import starmap
 
+import cbor2
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -22,6 +23,9 @@
 from tests.fakes.memory_platform import AppendFault, MemoryPlatform
 from tests.manual_clock import ManualClock
 
+# A record of a kind that only the order desk knows.
+ORDER = cbor2.dumps({'kind': 'order'})
+
 
 class PassingClock(ManualClock):
     """Time passes with each look at it."""
@@ -152,10 +156,10 @@
     reader = HistoryReader(platform)
     await reader.open()
     for _ in range(FIRST_WINDOW * 2):
-        platform.add(b'')
+        platform.add(ORDER)
     platform.add(encode_entry(reader.history.state))
     for _ in range(FIRST_WINDOW * 2):
-        platform.add(b'')
+        platform.add(ORDER)
     second = await make_publisher(platform).publish(files(2))
     assert (first.revision, second.revision) == (1, 2)
 
--- a/tests/console/test_commands.py
+++ b/tests/console/test_commands.py
@@ -76,8 +76,10 @@
     assert 'published revision 1' in capsys.readouterr().out
     assert main(arguments) == ExitCode.OK
     assert 'revision 1 by ann' in capsys.readouterr().out
-    platform.down = True
     write(directory, '2')
+    assert main([*arguments, '--base', '0']) == ExitCode.LOST
+    assert 'revision 1 by ann is in force' in capsys.readouterr().err
+    platform.down = True
     code = main([*arguments, '--timeout', '0.2', '--json'])
     assert code == ExitCode.PLATFORM
     result = msgspec.json.decode(capsys.readouterr().out)
