Use only declared libraries in the stand-ins' tests

multidict comes with aiohttp but is not declared. The test client now states the headers as a mapping.

--- a/tests/standin_runner.py
+++ b/tests/standin_runner.py
@@ -1,12 +1,11 @@
 """Runs stand-ins inside the test's event loop."""
 
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import Any
 
 import aiohttp
-from multidict import CIMultiDictProxy
 
 from pollenloom.kernel.kernel import Kernel
 from pollenloom_standins.commands.application_command import (
@@ -66,11 +65,11 @@
 
 @dataclass
 class Answer:
-    """An answer that was read to its end."""
+    """An answer that was read to its end; header names in any case."""
 
     status: int
     text: str
-    headers: CIMultiDictProxy[str]
+    headers: Mapping[str, str]
 
 
 @asynccontextmanager
