--- a/tests/frontend/test_hostile_input.py
+++ b/tests/frontend/test_hostile_input.py
@@ -11,8 +11,8 @@
 from hypothesis import strategies as st
 from yarl import URL
 
+from tests.fakes.caller_router import Router
 from tests.fakes.fixed_configuration import KEY
-from tests.fakes.router import Router
 
 BACKSLASH = bytes((92,))
 CHAT = b'/v1/chat/completions'
