--- a/src/pollenloom/dispatch/http_backend_client.py
+++ b/src/pollenloom/dispatch/http_backend_client.py
@@ -94,8 +94,12 @@
         """Tell the server to give up a request; failures are ignored."""
         request_id = call.request.request_id
         address = call.server.address
+        session = self.sessions.get(True)
+        if session is None:
+            # Closed meanwhile; the lost connections tell the servers, too.
+            return
         try:
-            async with self.session(reuse=True).post(
+            async with session.post(
                 URL(f'http://{address}/cancel/{request_id}', encoded=True),
                 headers={'X-Request-Id': request_id},
                 timeout=aiohttp.ClientTimeout(total=CANCEL_SECONDS),
--- a/src/pollenloom/frontend/caller_server.py
+++ b/src/pollenloom/frontend/caller_server.py
@@ -121,7 +121,13 @@
         self.add_route('completions', completions, '/v1/completions', 'POST')
         self.add_route('models', models, '/v1/models', 'GET')
         self.add_route(
-            'applications',
+            'application',
+            applications,
+            '/<service:str>',
+            *METHODS,
+        )
+        self.add_route(
+            'application-path',
             applications,
             '/<service:str>/<path:path>',
             *METHODS,
--- a/src/pollenloom/frontend/request_reader.py
+++ b/src/pollenloom/frontend/request_reader.py
@@ -92,7 +92,7 @@
         deadline=context.monotonic,
         repeatable=True,
         method=call.method,
-        path=call.path,
+        path=call.path.rstrip('/'),
         body=call.body,
         streaming=bool(body.stream),
         prefix_hashes=hash_prefixes(body.model, prompt),
--- a/src/pollenloom/frontend/sanic_app.py
+++ b/src/pollenloom/frontend/sanic_app.py
@@ -45,8 +45,8 @@
         configure_logging=False,
     )
     app.ctx.connection_limit = limits.connections
-    # Faults are told by the error handler; Sanic's own lines hold URLs.
-    logging.getLogger('sanic').setLevel(logging.CRITICAL)
+    # Event records tell of requests; Sanic's own lines only of faults.
+    logging.getLogger('sanic').setLevel(logging.ERROR)
     return app
 
 
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -10,6 +10,8 @@
 from tests.dispatch.requests import application_request, model_request
 from tests.fakes.fake_backend import (
     Behaviour,
+    Hold,
+    answer,
     drop,
     fail,
     json_response,
@@ -188,13 +190,7 @@
 
 async def test_deadline_ends_the_wait(router: Router) -> None:
     """Guards against an engine that works on for nobody."""
-    hanging = asyncio.Event()
-
-    async def hang(request: web.Request) -> web.StreamResponse:
-        await hanging.wait()
-        return web.Response()
-
-    router.backends[0].script.append(hang)
+    router.backends[0].script.append(Hold(answer))
     answered = await router.dispatcher.call(model_request(router, seconds=0.2))
     assert answered.error.kind is ErrorKind.BACKEND_FAILED
     async with asyncio.timeout(10):
@@ -204,13 +200,7 @@
 
 async def test_cancelled_call_settles(router: Router) -> None:
     """Guards against a slot that stays taken after the caller left."""
-    hanging = asyncio.Event()
-
-    async def hang(request: web.Request) -> web.StreamResponse:
-        await hanging.wait()
-        return web.Response()
-
-    router.backends[0].script.append(hang)
+    router.backends[0].script.append(Hold(answer))
     task = asyncio.create_task(router.dispatcher.call(model_request(router)))
     async with asyncio.timeout(10):
         await router.backends[0].arrived.wait()
--- a/tests/fakes/fake_backend.py
+++ b/tests/fakes/fake_backend.py
@@ -183,6 +183,19 @@
     return web.Response()
 
 
+class Hold:
+    """Holds answers back until the test releases them."""
+
+    def __init__(self, then: Behaviour) -> None:
+        self.released = asyncio.Event()
+        self.then = then
+
+    async def __call__(self, request: web.Request) -> web.StreamResponse:
+        """Wait, then answer."""
+        await self.released.wait()
+        return await self.then(request)
+
+
 def stream(
     tokens: int,
     cut_after: int | None = None,
--- a/tests/fakes/fixed_configuration.py
+++ b/tests/fakes/fixed_configuration.py
@@ -91,6 +91,7 @@
                 repeatable=True,
                 cost=2,
             ),
+            RouteEntry(name=RouteId('root'), path='/', methods=('HEAD',)),
             RouteEntry(
                 name=RouteId('orders'),
                 path='/orders',
--- a/tests/fakes/router.py
+++ b/tests/fakes/router.py
@@ -16,6 +16,7 @@
     MODEL,
     FixedConfiguration,
 )
+from tests.fakes.passing_orders import PassingOrders
 from tests.fakes.ready_admission import ReadyAdmission
 
 
@@ -40,12 +41,14 @@
             RetryBudget(),
             self.settings,
         )
+        self.orders = PassingOrders(self.dispatcher)
         self.callers = CallerServer(self.kernel, '127.0.0.1:0', self.limits)
         for service in (
             self.events,
             self.configuration,
             self.admission,
             self.dispatcher,
+            self.orders,
             self.callers,
         ):
             self.kernel.register(service)
--- a/tests/frontend/test_model_routes.py
+++ b/tests/frontend/test_model_routes.py
@@ -1,8 +1,13 @@
 """Model routes as the published client sees them."""
 
+import asyncio
+
 import openai
+import pytest
 from openai.types.chat import ChatCompletionUserMessageParam
 
+from pollenloom.core.states import Outcome
+from tests.fakes.fake_backend import TOKENS, Hold, answer, drop, stream
 from tests.fakes.fixed_configuration import MODEL
 from tests.fakes.router import Router
 
@@ -28,14 +33,73 @@
     assert router.admission.settlements[0].cost == 32
 
 
-async def test_stream(router: Router, client: openai.AsyncOpenAI) -> None:
-    """Guards against a stream that the published client cannot read."""
-    stream = await client.chat.completions.create(
+async def read_tokens(
+    client: openai.AsyncOpenAI,
+    tokens: list[str],
+) -> None:
+    """Read a stream to its end or failure."""
+    events = await client.chat.completions.create(
         model=MODEL,
         messages=MESSAGES,
         stream=True,
     )
-    text = ''.join(
-        [chunk.choices[0].delta.content or '' async for chunk in stream]
-    )
-    assert text == ''.join(f't{token} ' for token in range(12))
+    async for chunk in events:
+        delta = chunk.choices[0].delta
+        tokens.append(delta.content or '')
+
+
+async def test_stream(router: Router, client: openai.AsyncOpenAI) -> None:
+    """Guards against a cut that the published client would notice."""
+    router.backends[0].script.append(stream(TOKENS, cut_after=4))
+    tokens: list[str] = []
+    await read_tokens(client, tokens)
+    assert tokens == [f't{token} ' for token in range(TOKENS)]
+    assert router.event_names() == ['resume']
+
+
+async def test_stream_that_cannot_be_completed(
+    router: Router,
+    client: openai.AsyncOpenAI,
+) -> None:
+    """Guards against a part of an answer that passes for the whole."""
+    router.backends[0].script.extend([stream(TOKENS, cut_after=4), drop])
+    router.backends[1].script.extend([drop, drop])
+    tokens: list[str] = []
+    with pytest.raises(openai.APIError, match='cut'):
+        await read_tokens(client, tokens)
+    assert tokens == [f't{token} ' for token in range(4)]
+    assert not router.admission.open
+
+
+async def test_errors_are_shown(
+    router: Router,
+    client: openai.AsyncOpenAI,
+) -> None:
+    """Guards against error answers that the published client hides."""
+    with pytest.raises(openai.NotFoundError, match='No service offers') as info:
+        await client.chat.completions.create(model='no', messages=MESSAGES)
+    assert info.value.code == 'unknown_model'
+    assert info.value.request_id
+    router.admission.servers.clear()
+    with pytest.raises(openai.InternalServerError) as refused:
+        await client.chat.completions.create(model=MODEL, messages=MESSAGES)
+    assert refused.value.response.headers['retry-after'] == '1'
+    other = client.with_options(api_key='no key')
+    with pytest.raises(openai.AuthenticationError):
+        await other.models.list()
+
+
+async def test_caller_that_leaves_cancels(
+    router: Router,
+    client: openai.AsyncOpenAI,
+) -> None:
+    """Guards against an engine that works on for a caller that left."""
+    router.backends[0].script.append(Hold(answer))
+    task = asyncio.create_task(read_tokens(client, []))
+    async with asyncio.timeout(10):
+        await router.backends[0].arrived.wait()
+        task.cancel()
+        await router.backends[0].left.wait()
+        await router.backends[0].told.wait()
+    assert router.admission.outcomes() == [Outcome.CANCELLED]
+    assert 'refusal' in router.event_names()
