Close connections of wrong answers and limit slow requests

Cause: the client library takes a connection back as soon as an answer has arrived whole, before the router sees that it belongs to another request; and a caller that dripped bytes held its connection without limit. Change: TracedResponse closes the connection of such an answer; a request has receive_seconds from its first byte to the end of its head and again for its body. Counting of events takes the usual case of whole events first.

--- a/src/pollenloom/dispatch/event_relay.py
+++ b/src/pollenloom/dispatch/event_relay.py
@@ -5,7 +5,8 @@
 from pollenloom.dispatch.caller_left_error import CallerLeftError
 from pollenloom.dispatch.event_sink import EventSink
 
-EVENT_ENDS: Final = (b'\n\n', b'\r\n\r\n')
+EVENT_END: Final = b'\n\n'
+EVENT_END_CRLF: Final = b'\r\n\r\n'
 LAST_EVENT: Final = frozenset((b'data: [DONE]', b'data:[DONE]'))
 # Longer than the last event with its line ends.
 LAST_EVENT_WINDOW: Final = 32
@@ -64,13 +65,19 @@
 
 def find_last_end(buffered: bytes) -> int:
     """Return the number of bytes up to the end of the last whole event."""
-    ends = [buffered.rfind(mark) + len(mark) for mark in EVENT_ENDS]
-    found = [
-        end
-        for end, mark in zip(ends, EVENT_ENDS, strict=True)
-        if end >= len(mark)
-    ]
-    return max(found, default=0)
+    # Engines flush after each event, so that this is the usual case.
+    if buffered.endswith(EVENT_END):
+        return len(buffered)
+    return max(
+        end_of_last(buffered, EVENT_END),
+        end_of_last(buffered, EVENT_END_CRLF),
+    )
+
+
+def end_of_last(buffered: bytes, mark: bytes) -> int:
+    """Return the number of bytes up to the end of the last `mark`."""
+    start = buffered.rfind(mark)
+    return 0 if start < 0 else start + len(mark)
 
 
 def is_last(complete: bytes) -> bool:
@@ -81,7 +88,7 @@
 
 def count_events(complete: bytes) -> int:
     """Count the events in `complete`, without comments such as pings."""
-    ends = sum(complete.count(mark) for mark in EVENT_ENDS)
+    ends = complete.count(EVENT_END) + complete.count(EVENT_END_CRLF)
     if not complete.startswith(COMMENT) and b'\n:' not in complete:
         return ends
     blocks = complete.replace(b'\r\n', b'\n').split(b'\n\n')
--- a/src/pollenloom/dispatch/http_backend_client.py
+++ b/src/pollenloom/dispatch/http_backend_client.py
@@ -25,6 +25,7 @@
     build_headers,
     pass_on,
 )
+from pollenloom.dispatch.traced_response import TracedResponse
 from pollenloom.kernel.clock import Clock
 from pollenloom.settings.router_settings import DispatchSettings
 
@@ -122,7 +123,8 @@
     ) -> AsyncGenerator[aiohttp.ClientResponse, None]:
         """Send a request; the connection is kept only after a whole answer."""
         request = call.request
-        response = await self.session(reuse=request.repeatable).request(
+        session = self.session(reuse=request.repeatable)
+        response = await session.request(
             request.method,
             URL(f'http://{call.server.address}{request.path}', encoded=True),
             data=request.body or None,
@@ -143,8 +145,8 @@
         finally:
             if use.answered:
                 response.release()
-            else:
-                response.close()
+            elif isinstance(response, TracedResponse):
+                response.discard()
 
     def session(self, *, reuse: bool) -> aiohttp.ClientSession:
         """Return the session that does or does not reuse connections.
@@ -170,6 +172,7 @@
             auto_decompress=False,
             skip_auto_headers=SET_BY_CALLERS,
             trace_configs=[trace],
+            response_class=TracedResponse,
         )
         # aiohttp sends GET, PUT and DELETE again if a reused connection
         # breaks; only the retry loop may decide that.
--- a/src/pollenloom/frontend/caller_protocol.py
+++ b/src/pollenloom/frontend/caller_protocol.py
@@ -1,8 +1,9 @@
-"""Limit on the connections of callers."""
+"""Limits on the connections of callers."""
 
 import asyncio
 from typing import Any, Final
 
+from sanic.http import Stage
 from sanic.server import HttpProtocol
 
 TOO_MANY_CONNECTIONS: Final = (
@@ -14,7 +15,7 @@
 
 
 class CallerProtocol(HttpProtocol):
-    """Refuses connections above the limit of the settings."""
+    """Refuses connections above the limit, and requests that come slowly."""
 
     __slots__ = ()
 
@@ -29,3 +30,10 @@
         transport.write(TOO_MANY_CONNECTIONS)
         transport.write(b'Content-Length: %d\r\n\r\n%b' % (len(body), body))
         transport.close()
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes; the time of a request starts with its first one."""
+        started = self._time
+        super().data_received(data)
+        if self._http is not None and self._http.stage is Stage.REQUEST:
+            self._time = started
--- a/src/pollenloom/frontend/caller_server.py
+++ b/src/pollenloom/frontend/caller_server.py
@@ -1,6 +1,8 @@
 """HTTP server for callers."""
 
+import asyncio
 import socket
+from contextlib import suppress
 from typing import ClassVar, Final
 
 import msgspec
@@ -29,6 +31,7 @@
 
 METHODS: Final = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE')
 BACKLOG: Final = 512
+STOP_SECONDS: Final = 2
 
 
 class CallerServer(KernelService):
@@ -101,6 +104,11 @@
         self.server.close()  # type: ignore[no-untyped-call]
         for connection in tuple(self.server.connections):
             connection.close()
+        # Requests of closed connections are cancelled and settle their grants
+        # while the services below still run.
+        with suppress(TimeoutError):
+            async with asyncio.timeout(STOP_SECONDS):
+                await self.gate.idle.wait()
         self.app.unregister_app(self.app)
 
     def add_routes(self) -> None:
--- a/src/pollenloom/frontend/guarded_route.py
+++ b/src/pollenloom/frontend/guarded_route.py
@@ -29,7 +29,7 @@
     ) -> HTTPResponse | None:
         """Serve one request of a connection."""
         arrived_at = self.handler.kernel.clock.monotonic()
-        body = await read_body(request, self.handler.limits.body_bytes)
+        body = await read_body(request, self.handler.limits)
         call = read_raw(request, body.default_value(b''), arrived_at)
         if not self.gate.ready:
             close_after_answer(request)
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -158,6 +158,17 @@
     assert len(router.backends[0].received) == 2
 
 
+async def test_connection_of_a_crossed_answer_is_closed(
+    router: Router,
+) -> None:
+    """Guards against the right answer, late, on a connection in use again."""
+    router.backends[0].script.append(cross)
+    for _ in range(2):
+        await router.dispatcher.call(model_request(router))
+    crossed, later = router.backends[0].received
+    assert crossed.peer != later.peer
+
+
 async def test_late_answer_is_not_taken_for_the_next(router: Router) -> None:
     """Guards against an older answer that is still on a connection."""
     router.backends[0].script.append(answer_twice)
--- a/tests/fakes/fake_backend.py
+++ b/tests/fakes/fake_backend.py
@@ -23,6 +23,7 @@
     path: str
     headers: Mapping[str, str]
     body: bytes
+    peer: tuple[str, int]
 
 
 Behaviour = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -85,6 +86,7 @@
                 request.path_qs,
                 request.headers.copy(),
                 await request.read(),
+                request.get_extra_info('peername'),
             )
         )
         self.arrived.set()
--- a/tests/fakes/fixtures.py
+++ b/tests/fakes/fixtures.py
@@ -12,7 +12,7 @@
 async def router() -> AsyncIterator[Router]:
     """A router above two backend servers."""
     started = Router(
-        LimitSettings(drain_grace_seconds=0),
+        LimitSettings(drain_grace_seconds=0, receive_seconds=1),
         settings=DispatchSettings(idle_seconds=0.5),
     )
     await started.start(backends=2)
--- a/tests/frontend/test_hostile_input.py
+++ b/tests/frontend/test_hostile_input.py
@@ -20,6 +20,7 @@
     b'POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n'
     b'Authorization: Bearer %b\r\n' % KEY.encode()
 )
+LENGTH = b'Content-Length: 999\r\n\r\n'
 CLIENT_ERRORS = range(400, 500)
 json_texts = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
@@ -154,3 +155,23 @@
     long_body = b'Content-Length: 2000000\r\n\r\n' + b'a' * 2_000_000
     answer = await exchange(router, HEAD + long_body)
     assert check_problem(answer) == HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+
+
+@pytest.mark.parametrize('part', [b'', HEAD, HEAD + LENGTH])
+async def test_slow_request(router: Router, part: bytes) -> None:
+    """Guards against connections held by requests that never end."""
+    host, port = router.callers.address.split(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    dripping = asyncio.create_task(drip(writer, part or b'GET'))
+    async with asyncio.timeout(20):
+        check_problem(await reader.read())
+    dripping.cancel()
+    writer.close()
+
+
+async def drip(writer: asyncio.StreamWriter, part: bytes) -> None:
+    """Send a part of a request, then a byte now and then."""
+    writer.write(part)
+    while not writer.is_closing():
+        await asyncio.sleep(0.1)
+        writer.write(b'a')
