--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -11,6 +11,8 @@
 from tests.fakes.caller_router import Router
 from tests.fakes.fake_backend import (
     Behaviour,
+    Hold,
+    answer,
     drop,
     fail,
     json_response,
@@ -156,6 +158,17 @@
     assert len(router.backends[0].received) == 2
 
 
+async def test_connection_of_a_crossed_answer_is_closed(
+    router: Router,
+) -> None:
+    """Guards against the right answer, late, on a connection in use again."""
+    router.backends[0].script.append(cross)
+    for _ in range(2):
+        await router.dispatcher.call(model_request(router))
+    crossed, later = router.backends[0].received
+    assert crossed.peer != later.peer
+
+
 async def test_late_answer_is_not_taken_for_the_next(router: Router) -> None:
     """Guards against an older answer that is still on a connection."""
     router.backends[0].script.append(answer_twice)
@@ -188,13 +201,7 @@
 
 async def test_deadline_ends_the_wait(router: Router) -> None:
     """Guards against an engine that works on for nobody."""
-    hanging = asyncio.Event()
-
-    async def hang(request: web.Request) -> web.StreamResponse:
-        await hanging.wait()
-        return web.Response()
-
-    router.backends[0].script.append(hang)
+    router.backends[0].script.append(Hold(answer))
     answered = await router.dispatcher.call(model_request(router, seconds=0.2))
     assert answered.error.kind is ErrorKind.BACKEND_FAILED
     async with asyncio.timeout(10):
@@ -204,13 +211,7 @@
 
 async def test_cancelled_call_settles(router: Router) -> None:
     """Guards against a slot that stays taken after the caller left."""
-    hanging = asyncio.Event()
-
-    async def hang(request: web.Request) -> web.StreamResponse:
-        await hanging.wait()
-        return web.Response()
-
-    router.backends[0].script.append(hang)
+    router.backends[0].script.append(Hold(answer))
     task = asyncio.create_task(router.dispatcher.call(model_request(router)))
     async with asyncio.timeout(10):
         await router.backends[0].arrived.wait()
--- a/tests/fakes/fake_backend.py
+++ b/tests/fakes/fake_backend.py
@@ -23,6 +23,7 @@
     path: str
     headers: Mapping[str, str]
     body: bytes
+    peer: tuple[str, int]
 
 
 Behaviour = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -85,6 +86,7 @@
                 request.path_qs,
                 request.headers.copy(),
                 await request.read(),
+                request.get_extra_info('peername'),
             )
         )
         self.arrived.set()
@@ -183,6 +185,19 @@
     return web.Response()
 
 
+class Hold:
+    """Holds answers back until the test releases them."""
+
+    def __init__(self, then: Behaviour) -> None:
+        self.released = asyncio.Event()
+        self.then = then
+
+    async def __call__(self, request: web.Request) -> web.StreamResponse:
+        """Wait, then answer."""
+        await self.released.wait()
+        return await self.then(request)
+
+
 def stream(
     tokens: int,
     cut_after: int | None = None,
