Test membership and registers

Cause: failure detection, healing and convergence had only been tried by hand.

Change: property tests of the member and register tables and of the link choice; a fleet of 8 routers on loopback addresses that is killed, frozen (a process under SIGSTOP), drained, partitioned, cut one way, slowed and restarted empty.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,8 +1,9 @@
 """Routers of one fleet inside the test process."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 
 from pollenloom.core.ids import DataCentreId, VmId
@@ -43,6 +44,53 @@
         entry = self.membership.table.entries.get(vm)
         return entry.state if entry else None
 
+    def sees(self, nodes: 'Iterable[FleetNode]') -> bool:
+        """Whether exactly these routers are live here."""
+        vms = sorted(node.vm for node in nodes)
+        return self.membership.live() == tuple(vms)
+
+    def filter_frames(
+        self,
+        deliver: Callable[[VmId, Callable[[], None]], None],
+    ) -> None:
+        """Let a function decide when each received frame is delivered.
+
+        A frame that it never delivers is lost without an error on either
+        side, as in a network partition.
+        """
+        dispatcher = self.network.dispatcher
+        receive = type(dispatcher).receive
+
+        def receive_filtered(sender: VmId, encoded: bytes) -> None:
+            deliver(sender, partial(receive, dispatcher, sender, encoded))
+
+        dispatcher.receive = receive_filtered  # type: ignore[method-assign]
+
+    def lose_frames_of(self, vms: Collection[VmId]) -> None:
+        """Receive nothing from these routers, until called again."""
+
+        def deliver(sender: VmId, receive: Callable[[], None]) -> None:
+            if sender not in vms:
+                receive()
+
+        self.filter_frames(deliver)
+
+    def receive_late(
+        self,
+        vms: Collection[VmId],
+        seconds: Callable[[], float],
+    ) -> None:
+        """Receive the frames of these routers some time after they came."""
+        loop = asyncio.get_running_loop()
+
+        def deliver(sender: VmId, receive: Callable[[], None]) -> None:
+            if sender in vms:
+                loop.call_later(seconds(), receive)
+            else:
+                receive()
+
+        self.filter_frames(deliver)
+
     async def kill(self) -> None:
         """End the router without any farewell, as a killed process does."""
         self.network.connections.is_stopping = True
--- /dev/null
+++ b/tests/membership/conftest.py
@@ -0,0 +1,74 @@
+"""Fleets of routers inside the test process."""
+
+import asyncio
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from pollenloom.core.ids import VmId
+from tests.fleet import FleetNode, eventually, make_node
+
+FLEET_SIZE = 8
+PROCESS_VM = 'vm-9'
+
+
+class Fleet:
+    """Routers of two data centres that joined through the first one."""
+
+    def __init__(self, key_file: Path) -> None:
+        self.key_file = key_file
+        self.nodes: list[FleetNode] = []
+
+    async def add(self, vm: str, listen: str, *seeds: str) -> FleetNode:
+        """Start one more router."""
+        data_centre = 'enschede' if int(vm[-1]) % 2 else 'hengelo'
+        node = make_node(self.key_file, vm, data_centre, seeds, listen)
+        await node.kernel.start()
+        self.nodes.append(node)
+        return node
+
+    async def kill(self, vm: str) -> FleetNode:
+        """End a router as a killed process ends."""
+        node = self.node(vm)
+        self.nodes.remove(node)
+        await node.kill()
+        return node
+
+    def node(self, vm: str) -> FleetNode:
+        """Router on a VM."""
+        return next(node for node in self.nodes if node.vm == VmId(vm))
+
+    def is_whole(self) -> bool:
+        """Whether all routers see each other live."""
+        return all(node.sees(self.nodes) for node in self.nodes)
+
+
+@pytest.fixture
+async def fleet(fleet_key_file: Path) -> AsyncIterator[Fleet]:
+    fleet = Fleet(fleet_key_file)
+    first = await fleet.add('vm-0', '127.0.0.10:0')
+    for number in range(1, FLEET_SIZE):
+        listen = f'127.0.0.{10 + number}:0'
+        await fleet.add(f'vm-{number}', listen, first.network.address)
+    await eventually(fleet.is_whole)
+    yield fleet
+    await asyncio.gather(*[node.kernel.stop() for node in fleet.nodes])
+
+
+@pytest.fixture
+async def router_process(
+    fleet: Fleet,
+) -> AsyncIterator[asyncio.subprocess.Process]:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'tests.fleet_process',
+        str(fleet.key_file),
+        PROCESS_VM,
+        fleet.nodes[0].network.address,
+    )
+    yield process
+    process.kill()
+    await process.wait()
--- /dev/null
+++ b/tests/membership/test_register_table.py
@@ -0,0 +1,77 @@
+"""Failures of the merge of registers."""
+
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollenloom.membership.register_messages import KeyedRegister
+from pollenloom.membership.register_table import (
+    MAX_PAYLOAD_BYTES,
+    RegisterTable,
+    version_of,
+)
+from pollenloom.membership.register_value import RegisterValue
+
+DELIVERIES = st.lists(
+    st.builds(
+        lambda key, counter, origin: KeyedRegister(
+            key,
+            RegisterValue(counter, origin, f'{counter}{origin}'.encode()),
+        ),
+        st.sampled_from(['configuration', 'vm_list']),
+        st.integers(0, 4),
+        st.sampled_from(['vm-1', 'vm-2']),
+    ),
+    max_size=10,
+)
+
+
+def delivered(deliveries: list[KeyedRegister]) -> RegisterTable:
+    """Return a table that took the values in that order."""
+    table = RegisterTable()
+    for keyed in deliveries:
+        table.put(keyed.key, keyed.register)
+    return table
+
+
+@given(deliveries=DELIVERIES, seed=st.randoms(use_true_random=False))
+def test_highest_version_holds_in_any_order(
+    deliveries: list[KeyedRegister],
+    seed: Random,
+) -> None:
+    """Guards against a configuration that goes back to a lower revision."""
+    shuffled = [*deliveries, *deliveries]
+    seed.shuffle(shuffled)
+    table = delivered(deliveries)
+    assert table.registers == delivered(shuffled).registers
+    assert table.digest == delivered(shuffled).digest
+    for keyed in deliveries:
+        assert not keyed.register.supersedes(table.registers[keyed.key])
+
+
+@given(ours=DELIVERIES, theirs=DELIVERIES)
+def test_exchange_of_lacking_versions_makes_tables_equal(
+    ours: list[KeyedRegister],
+    theirs: list[KeyedRegister],
+) -> None:
+    """Guards against a comparison that misses a difference."""
+    first, second = delivered(ours), delivered(theirs)
+    for giver, taker in ((first, second), (second, first)):
+        for version in giver.newer_than(taker.versions()):
+            assert taker.lacks(version)
+            taker.put(version.key, giver.registers[version.key])
+    assert first.registers == second.registers
+    assert first.digest == second.digest
+
+
+def test_batches_fit_into_a_frame() -> None:
+    """Guards against values that no frame can carry."""
+    table = RegisterTable()
+    for number in range(4):
+        table.put(str(number), RegisterValue(1, '', bytes(400_000)))
+    assert len(table.batch(['0', '1', '2', '3'])) == 2
+    assert version_of('0', table.registers['0']) in table.versions()
+    with pytest.raises(ValueError, match='too large'):
+        table.put('4', RegisterValue(1, '', bytes(MAX_PAYLOAD_BYTES + 1)))
