Show no superseded state after a restart of the whole fleet

A reader that starts reads the log from its earliest record on and put each accepted revision in force on the way, so keys that had been withdrawn were valid again for as long as the reading took. States of the log are now held back until its end was reached and all records were applied.

--- a/src/pollenloom/configuration/change_follower.py
+++ b/src/pollenloom/configuration/change_follower.py
@@ -16,8 +16,8 @@
     ConfigurationSnapshot,
 )
 from pollenloom.configuration.publish_outcome import PublishOutcome
+from pollenloom.configuration.register_gate import RegisterGate
 from pollenloom.core.ids import Offset
-from pollenloom.membership.registers import Registers
 from pollenloom.observability.event_log import EventLog
 from pollenloom.platform.log_tail import LogTail
 from pollenloom.validation.file_problem import render_problems
@@ -39,10 +39,10 @@
     def __init__(
         self,
         log: LogTail,
-        registers: Registers,
+        gate: RegisterGate,
         events: EventLog,
     ) -> None:
-        self.registers = registers
+        self.gate = gate
         self.events = events
         self.history = ChangeHistory()
         self.steps: asyncio.Queue[Step] = asyncio.Queue()
@@ -99,7 +99,7 @@
         outcomes = await asyncio.to_thread(step)
         state = self.history.state
         if state.revision > before:
-            self.registers.put(CONFIGURATION_KEY, encode_snapshot(state))
+            self.gate.put(CONFIGURATION_KEY, encode_snapshot(state))
         for outcome in outcomes:
             self.events.record(
                 f'publish_{outcome.fate.value}',
--- a/src/pollenloom/configuration/change_history.py
+++ b/src/pollenloom/configuration/change_history.py
@@ -96,7 +96,11 @@
             return []
         if snapshot.revision > self.revision:
             position = max(self.state.position, snapshot.position)
-            self.state = msgspec.structs.replace(snapshot, position=position)
+            self.state = msgspec.structs.replace(
+                snapshot,
+                position=position,
+                data_centres=(),
+            )
         elif not self.complete:
             self.skip_to(snapshot.position)
         if self.complete or self.state.position >= self.gap_end:
--- a/src/pollenloom/configuration/configuration_store.py
+++ b/src/pollenloom/configuration/configuration_store.py
@@ -17,6 +17,7 @@
 )
 from pollenloom.configuration.data_centre_register import (
     DATA_CENTRE_PREFIX,
+    make_key,
     make_register,
     read_register,
 )
@@ -26,8 +27,10 @@
     DataCentreChange,
 )
 from pollenloom.configuration.log_upkeep import LogUpkeep
+from pollenloom.configuration.register_gate import RegisterGate
+from pollenloom.configuration.startup_loader import StartupLoader
 from pollenloom.core.backend_server import BackendServer
-from pollenloom.core.ids import DataCentreId, Offset, Revision, ServiceId
+from pollenloom.core.ids import DataCentreId, Revision, ServiceId
 from pollenloom.core.states import DataCentreState
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
@@ -36,6 +39,7 @@
 from pollenloom.membership.registers import Registers
 from pollenloom.observability.event_log import EventLog
 from pollenloom.platform.log_tail import LogTail
+from pollenloom.platform.platform import Platform
 from pollenloom.platform.vm_entry import VmList
 from pollenloom.platform.vm_list_codec import VM_LIST_KEY, decode_vm_list
 
@@ -69,15 +73,21 @@
             KernelServiceName.MEMBERSHIP,
             Membership,  # type: ignore[type-abstract]
         ).own.vm
-        self.follower = ChangeFollower(log, self.registers, self.events)
-        upkeep = LogUpkeep(kernel, self.follower, log, self.registers)
-        log.subscribe(DataCentreChange, self.take_data_centre)
+        platform = kernel.find(
+            KernelServiceName.PLATFORM,
+            Platform,  # type: ignore[type-abstract]
+        )
+        gate = RegisterGate(self.registers)
+        self.follower = ChangeFollower(log, gate, self.events)
+        upkeep = LogUpkeep(kernel, self.follower, log, gate)
+        loader = StartupLoader(platform, log, self.registers)
         self.registers.watch(CONFIGURATION_KEY, self.configuration_changed)
         self.registers.watch(DATA_CENTRE_PREFIX, self.data_centre_changed)
         self.registers.watch(VM_LIST_KEY, self.vm_list_changed)
         kernel.spawn('configuration loader', self.follow_register())
         kernel.spawn('configuration changes', self.follower.follow())
         kernel.spawn('log upkeep', upkeep.follow())
+        kernel.spawn('configuration at startup', loader.run())
 
     async def stop(self) -> None:
         """Nothing to release; the kernel ends the tasks."""
@@ -121,7 +131,7 @@
         Also raises the version if the state is the same, so that the last
         order wins over one that was given elsewhere before.
         """
-        key = f'{DATA_CENTRE_PREFIX}{data_centre}'
+        key = make_key(data_centre)
         known = self.registers.get(key)
         change = DataCentreChange(
             data_centre=data_centre,
@@ -145,16 +155,6 @@
                 # One listener's fault must not stop the others.
                 logging.exception('configuration_listener_failed')
 
-    def take_data_centre(
-        self,
-        offset: Offset,
-        appended_at: float,
-        entry: DataCentreChange,
-    ) -> None:
-        """Put a state of the log into its register unless that is newer."""
-        key = f'{DATA_CENTRE_PREFIX}{entry.data_centre}'
-        self.registers.put(key, make_register(entry))
-
     def data_centre_changed(self, key: str, register: RegisterValue) -> None:
         """Put a data centre state in force."""
         try:
--- a/src/pollenloom/configuration/data_centre_register.py
+++ b/src/pollenloom/configuration/data_centre_register.py
@@ -16,6 +16,11 @@
     state: DataCentreState
 
 
+def make_key(data_centre: DataCentreId) -> str:
+    """Return the key of a data centre's register."""
+    return f'{DATA_CENTRE_PREFIX}{data_centre}'
+
+
 def make_register(change: DataCentreChange) -> RegisterValue:
     """Return the register of a state."""
     payload = msgspec.json.encode(DataCentrePayload(change.state))
--- a/src/pollenloom/configuration/history_reader.py
+++ b/src/pollenloom/configuration/history_reader.py
@@ -6,9 +6,10 @@
 from pollenloom.configuration.log_entries import (
     ConfigurationChange,
     ConfigurationSnapshot,
+    DataCentreChange,
 )
 from pollenloom.core.failure import Failure
-from pollenloom.core.ids import Offset
+from pollenloom.core.ids import DataCentreId, Offset
 from pollenloom.platform.log_cursor import LogCursor
 from pollenloom.platform.log_entry import decode_entry
 from pollenloom.platform.log_page import LogPage, LogRecord
@@ -26,12 +27,14 @@
 
     Attributes:
         history: What the records say.
+        data_centres: Latest states of data centres.
         cursor: How far they have been read.
     """
 
     def __init__(self, platform: Platform) -> None:
         self.platform = platform
         self.history = ChangeHistory()
+        self.data_centres: dict[DataCentreId, DataCentreChange] = {}
         self.cursor = LogCursor()
 
     async def open(self) -> Result[None, Failure]:
@@ -90,5 +93,17 @@
     def take_record(self, record: LogRecord) -> None:
         """Apply a record if it is one of the configuration."""
         entry = decode_entry(record.payload)
+        if isinstance(entry, DataCentreChange):
+            self.take_data_centre(entry)
+        if isinstance(entry, ConfigurationSnapshot):
+            for change in entry.data_centres:
+                self.take_data_centre(change)
         if isinstance(entry, ConfigurationChange | ConfigurationSnapshot):
             self.history.apply(record.offset, record.appended_at, entry)
+
+    def take_data_centre(self, change: DataCentreChange) -> None:
+        """Keep a state unless a later one is known."""
+        known = self.data_centres.get(change.data_centre)
+        version = (change.counter, change.origin)
+        if known is None or version > (known.counter, known.origin):
+            self.data_centres[change.data_centre] = change
--- a/src/pollenloom/configuration/log_entries.py
+++ b/src/pollenloom/configuration/log_entries.py
@@ -36,6 +36,27 @@
     publisher: str
 
 
+class DataCentreChange(
+    LogEntry,
+    frozen=True,
+    kw_only=True,
+    tag='data_centre_change',
+):
+    """State of a data centre as the operators set it.
+
+    Attributes:
+        data_centre: The data centre.
+        state: Whether it may receive new work.
+        counter: Version of the register, compared first.
+        origin: VM that the state was set on; breaks ties.
+    """
+
+    data_centre: DataCentreId
+    state: DataCentreState
+    counter: int
+    origin: VmId
+
+
 class ConfigurationSnapshot(
     LogEntry,
     frozen=True,
@@ -53,6 +74,7 @@
         publisher: Who published it.
         files: Texts by file name.
         recent: Latest accepted publishes, oldest first.
+        data_centres: States of data centres; only in the log.
     """
 
     position: Offset
@@ -61,24 +83,4 @@
     publisher: str = ''
     files: dict[str, str] = msgspec.field(default_factory=dict)
     recent: tuple[AcceptedPublish, ...] = ()
-
-
-class DataCentreChange(
-    LogEntry,
-    frozen=True,
-    kw_only=True,
-    tag='data_centre_change',
-):
-    """State of a data centre as the operators set it.
-
-    Attributes:
-        data_centre: The data centre.
-        state: Whether it may receive new work.
-        counter: Version of the register, compared first.
-        origin: VM that the state was set on; breaks ties.
-    """
-
-    data_centre: DataCentreId
-    state: DataCentreState
-    counter: int
-    origin: VmId
+    data_centres: tuple[DataCentreChange, ...] = ()
--- a/src/pollenloom/configuration/log_upkeep.py
+++ b/src/pollenloom/configuration/log_upkeep.py
@@ -9,6 +9,8 @@
 from pollenloom.configuration.change_follower import ChangeFollower
 from pollenloom.configuration.data_centre_register import (
     DATA_CENTRE_PREFIX,
+    make_key,
+    make_register,
     read_register,
 )
 from pollenloom.configuration.log_entries import (
@@ -16,6 +18,7 @@
     ConfigurationSnapshot,
     DataCentreChange,
 )
+from pollenloom.configuration.register_gate import RegisterGate
 from pollenloom.configuration.upkeep_duty import UpkeepDuty
 from pollenloom.configuration.upkeep_schedule import UpkeepSchedule
 from pollenloom.core.ids import DataCentreId, Offset
@@ -23,7 +26,6 @@
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.membership.membership import Membership
 from pollenloom.membership.register_value import RegisterValue
-from pollenloom.membership.registers import Registers
 from pollenloom.observability.event_log import EventLog
 from pollenloom.platform.log_entry import LogEntry, encode_entry
 from pollenloom.platform.log_position import decode_position
@@ -49,12 +51,13 @@
         kernel: Kernel,
         follower: ChangeFollower,
         log: LogTail,
-        registers: Registers,
+        gate: RegisterGate,
     ) -> None:
         self.clock = kernel.clock
         self.follower = follower
         self.log = log
-        self.registers = registers
+        self.gate = gate
+        self.registers = gate.registers
         self.platform = kernel.find(
             KernelServiceName.PLATFORM,
             Platform,  # type: ignore[type-abstract]
@@ -70,7 +73,7 @@
         log.subscribe(ConfigurationChange, self.take_configuration)
         log.subscribe(ConfigurationSnapshot, self.take_configuration)
         log.subscribe(DataCentreChange, self.take_data_centre)
-        registers.watch(POSITION_PREFIX, self.position_changed)
+        self.registers.watch(POSITION_PREFIX, self.position_changed)
 
     def take_configuration(
         self,
@@ -80,6 +83,9 @@
     ) -> None:
         """Note a record of a configuration."""
         self.schedule.note_record(name_state(entry), appended_at)
+        if isinstance(entry, ConfigurationSnapshot):
+            for change in entry.data_centres:
+                self.take_data_centre(offset, appended_at, change)
 
     def take_data_centre(
         self,
@@ -87,8 +93,9 @@
         appended_at: float,
         entry: DataCentreChange,
     ) -> None:
-        """Note a record of a data centre state."""
+        """Put a state of the log into its register unless that is newer."""
         self.schedule.note_record(name_state(entry), appended_at)
+        self.gate.put(make_key(entry.data_centre), make_register(entry))
 
     def position_changed(self, key: str, register: RegisterValue) -> None:
         """Note which readers reach the platform."""
@@ -110,6 +117,7 @@
             now = self.clock.monotonic()
             if not self.log.caught_up or not self.follower.is_idle:
                 continue
+            self.gate.open()
             if not self.follower.history.complete:
                 self.wait_for_snapshot(now)
             elif self.is_responsible(now):
@@ -148,14 +156,27 @@
 
     def current_states(self) -> Iterator[LogEntry]:
         """Return what the log should hold."""
+        data_centres = tuple(self.data_centre_states())
         state = self.follower.history.state
         if state.revision:
-            # All records below the position have been applied.
-            yield msgspec.structs.replace(state, position=self.log.position)
+            yield msgspec.structs.replace(
+                state,
+                # All records below the position have been applied.
+                position=self.log.position,
+                data_centres=data_centres,
+            )
+        yield from data_centres
+
+    def data_centre_states(self) -> Iterator[DataCentreChange]:
+        """Return the states in the registers."""
         for key in self.registers.keys(DATA_CENTRE_PREFIX):
             register = self.registers.get(key)
-            if register is not None:
+            if register is None:
+                continue
+            try:
                 yield read_register(key, register)
+            except ValueError as error:
+                logging.warning('register_unreadable %s %s', key, error)
 
     async def append(self, name: str, entry: LogEntry, now: float) -> None:
         """Append one state."""
--- /dev/null
+++ b/src/pollenloom/configuration/startup_loader.py
@@ -0,0 +1,58 @@
+"""Brings the configuration to a fleet that restarted as a whole."""
+
+import asyncio
+
+from pollenloom.configuration.configuration_register import (
+    CONFIGURATION_KEY,
+    encode_snapshot,
+)
+from pollenloom.configuration.data_centre_register import (
+    make_key,
+    make_register,
+)
+from pollenloom.configuration.history_reader import HistoryReader
+from pollenloom.membership.registers import Registers
+from pollenloom.platform.log_tail import LogTail
+from pollenloom.platform.platform import Platform
+
+RETRY_SECONDS = 1.0
+
+
+class StartupLoader:
+    """Finds the latest snapshot from the end of the log.
+
+    Reading the whole log in order takes about a minute for an hour of orders
+    at 200 records a second; peers that have a configuration are faster.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        log: LogTail,
+        registers: Registers,
+    ) -> None:
+        self.platform = platform
+        self.log = log
+        self.registers = registers
+
+    async def run(self) -> None:
+        """Read until this or another router has found a configuration."""
+        while self.registers.get(CONFIGURATION_KEY) is None:
+            if self.log.is_reader:
+                reader = HistoryReader(self.platform)
+                opened = await reader.open()
+                if opened.is_ok() and reader.history.complete:
+                    self.spread(reader)
+                    return
+            await asyncio.sleep(RETRY_SECONDS)
+
+    def spread(self, reader: HistoryReader) -> None:
+        """Put what was found into the registers."""
+        state = reader.history.state
+        if state.revision:
+            self.registers.put(CONFIGURATION_KEY, encode_snapshot(state))
+        for change in reader.data_centres.values():
+            self.registers.put(
+                make_key(change.data_centre),
+                make_register(change),
+            )
--- a/tests/configuration/test_configuration_store.py
+++ b/tests/configuration/test_configuration_store.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 
+import cbor2
 import pytest
 
 from pollenloom.configuration.configuration_store import ConfigurationStore
@@ -12,6 +13,7 @@
 )
 from pollenloom.core.ids import (
     DataCentreId,
+    Offset,
     PublishId,
     Revision,
     ServiceId,
@@ -20,6 +22,7 @@
 )
 from pollenloom.core.states import DataCentreState, VmListState, VmRole
 from pollenloom.platform.log_entry import decode_entry, encode_entry
+from pollenloom.platform.log_reader import PAGE_RECORDS
 from pollenloom.platform.vm_entry import VmEntry
 from tests.configuration.service_texts import NOW, service_text
 from tests.fakes.memory_platform import AppendFault, MemoryPlatform
@@ -173,6 +176,34 @@
     await fleet.until(lambda: store(restarted).current.revision == 2)
 
 
+async def test_restart_shows_no_superseded_state(fleet: Fleet) -> None:
+    """Guards against old keys and closed data centres after a restart."""
+    order = cbor2.dumps({'kind': 'order'})
+    for revision in range(3):
+        publish(fleet, f'p{revision}', revision, service_text(share='2'))
+        state = (DataCentreState.OUT, DataCentreState.IN_SERVICE)[revision % 2]
+        change = DataCentreChange(
+            data_centre=ENSCHEDE,
+            state=state,
+            counter=revision,
+            origin=VmId('vm9'),
+        )
+        fleet.platform.add(encode_entry(change))
+        for _ in range(PAGE_RECORDS):
+            fleet.platform.add(order)
+    fleet.platform.cut_at = Offset(PAGE_RECORDS)
+    router = await start(fleet, 'vm1')
+    configuration = store(router)
+    await fleet.until(lambda: 'publish_accepted' in router.event_names)
+    assert configuration.current.revision == 0
+    fleet.platform.cut_at = None
+    await fleet.until(lambda: configuration.current.revision == 3)
+    await fleet.until(lambda: router.log.caught_up)
+    names = router.event_names
+    assert names.count('configuration_in_force') == 1
+    assert names.count('data_centre_state_changed') == 1
+
+
 async def test_lower_revision_of_a_peer_is_ignored(fleet: Fleet) -> None:
     """Guards against a router that goes back when partitions join."""
     first = await start(fleet, 'vm1')
--- a/tests/fakes/memory_platform.py
+++ b/tests/fakes/memory_platform.py
@@ -30,6 +30,7 @@
     Attributes:
         down: Whether all calls fail without effect.
         faults: Faults of the next appends; none once they are used up.
+        cut_at: Reads from this offset on fail.
         delays: Turns of the event loop that the next calls take.
     """
 
@@ -37,6 +38,7 @@
         self.clock = clock
         self.retention_seconds = retention_seconds
         self.down = False
+        self.cut_at: Offset | None = None
         self.faults: deque[AppendFault] = deque()
         self.delays: deque[int] = deque()
         self.records: list[LogRecord] = []
@@ -69,7 +71,8 @@
     ) -> Result[LogPage, Failure]:
         """Return retained records."""
         await self.delay()
-        if self.down:
+        is_cut = self.cut_at is not None and start >= self.cut_at
+        if self.down or is_cut:
             return Error(Failure(ErrorKind.PLATFORM_UNAVAILABLE, 'down'))
         self.trim()
         found = [record for record in self.records if record.offset >= start][
