Find lost grants by gaps instead of by asking for each long one

Cause: the owner asked each router every second for all grants older than a second, and a router forgot its numbers when a pool was out of service, so that an owner that still knew them would have ignored later demand. Links are kept.

--- a/src/pollenloom/admission/demand_sender.py
+++ b/src/pollenloom/admission/demand_sender.py
@@ -56,11 +56,15 @@
         return known
 
     def leave(self, link: PoolLink) -> None:
-        """Forget a pool once its owner has all settlements."""
+        """State no more demand for a pool that is gone.
+
+        The link is kept, since its owner still gets settlements and numbers
+        must not restart when the pool comes back.
+        """
         link.stated.clear()
         link.changed.clear()
-        if not link.settlements:
-            self.links.pop(link.pool)
+        if link.owner not in self.scope.routers():
+            link.settlements.clear()
 
     def report(self, pool: PoolId, settled: SettledGrant) -> None:
         """Send a settlement until the owner acknowledges it."""
@@ -89,10 +93,8 @@
             link.restate(self.accounts_for(link))
             link.stated_at = now
         is_due = bool(link.due_settlements(now - RESEND_SECONDS))
-        if link.changed or is_due:
+        if link.changed or link.missed or is_due:
             self.flush_soon(link.pool)
-        if link.pool not in self.scope.pool_map.pools:
-            self.leave(link)
 
     def repeat_seconds(self) -> float:
         """Time between two statements of unchanged demand."""
@@ -130,7 +132,7 @@
         """Send one message with changed demand and open settlements."""
         accounts = tuple(self.changed_demand(link, now))
         due = link.due_settlements(now - RESEND_SECONDS)
-        if not accounts and not due:
+        if not accounts and not due and not link.missed:
             return
         link.sequence += 1
         for sent in due:
@@ -141,9 +143,11 @@
             stream=self.scope.stream,
             sequence=link.sequence,
             acknowledged=link.received,
+            missed=link.missed,
             accounts=accounts,
             settled=tuple(settlement.settled for settlement in due),
         )
+        link.missed = False
         self.scope.send(link.owner, demand)
 
     def changed_demand(
--- a/src/pollenloom/admission/grant_ledger.py
+++ b/src/pollenloom/admission/grant_ledger.py
@@ -49,6 +49,12 @@
         """Open grants that one router holds."""
         return [grant for grant in self.open.values() if grant.router == router]
 
+    def check(self, grant_id: GrantId, now: float) -> None:
+        """Ask about a grant, and soon."""
+        grant = self.open.get(grant_id)
+        if grant is not None:
+            grant.check_at = now
+
     def check_router(self, router: VmId, now: float) -> None:
         """Ask about all grants of a router, and soon."""
         for grant in self.of_router(router):
--- a/src/pollenloom/admission/messages.py
+++ b/src/pollenloom/admission/messages.py
@@ -79,6 +79,7 @@
             restarted and holds no grants from before.
         sequence: Number of this message within the stream and pool.
         acknowledged: Highest number of the owner's messages received.
+        missed: Whether messages of the owner were lost on the way.
         accounts: Accounts whose demand changed.
         settled: Grants that ended; repeated until acknowledged.
     """
@@ -87,6 +88,7 @@
     stream: int
     sequence: int
     acknowledged: int
+    missed: bool = False
     accounts: tuple[AccountDemand, ...] = ()
     settled: tuple[SettledGrant, ...] = ()
 
--- a/src/pollenloom/admission/pool_allocator.py
+++ b/src/pollenloom/admission/pool_allocator.py
@@ -22,7 +22,7 @@
 )
 from pollenloom.admission.pool_servers import PoolServers
 from pollenloom.admission.router_stream import RouterStream, SentGrant
-from pollenloom.admission.router_streams import LOST_SECONDS, RouterStreams
+from pollenloom.admission.router_streams import RouterStreams
 from pollenloom.admission.server_choice import ServerChoice
 from pollenloom.admission.server_ramp import ServerAnswer
 from pollenloom.admission.server_state import ServerState
@@ -94,14 +94,14 @@
     def demand(self, router: VmId, demand: Demand, now: float) -> None:
         """Take what a router waits for and what it gives back."""
         stream = self.stream_of(router, demand.stream, now)
-        if demand.sequence > stream.received + 1:
+        if demand.missed or demand.sequence > stream.received + 1:
             self.ledger.check_router(router, now)
         is_new = stream.receive(demand.sequence, now)
         for settled in demand.settled:
             self.settle(settled, now, stream)
         if not is_new:
             return
-        stream.confirm(demand.acknowledged, now - LOST_SECONDS)
+        stream.confirm(demand.acknowledged)
         for account in demand.accounts:
             entry = to_backlog(account, stream, now)
             self.queue.replace(account.account, router, entry)
@@ -215,7 +215,9 @@
         state.note_prefixes(pending.prefixes)
         self.credit.granted(state.server.version, self.servers.versions(), now)
         stream = self.streams[router]
-        stream.on_the_way.append(SentGrant(stream.sent + 1, account, now))
+        stream.on_the_way.append(
+            SentGrant(grant_id, stream.sent + 1, account, now)
+        )
         return Allocation(router, slot)
 
     def hold(
@@ -233,7 +235,7 @@
             server=slot.server,
             charged=slot.charged,
             granted_at=now,
-            check_at=now + LOST_SECONDS,
+            check_at=now + CHECK_SECONDS,
             hint=hint,
         )
         self.ledger.add(grant)
@@ -288,7 +290,8 @@
             self.ledger.close(grant.grant_id, now)
             self.servers.release(grant)
         self.ledger.forget(now)
-        self.streams.forget_lost(now)
+        for grant_id in self.streams.take_lost(now):
+            self.ledger.check(grant_id, now)
 
 
 def to_backlog(
--- a/src/pollenloom/admission/pool_link.py
+++ b/src/pollenloom/admission/pool_link.py
@@ -35,6 +35,7 @@
         owner: Owner that demand is sent to.
         sequence: Number of the last message to an owner; never restarts.
         received: Highest number of the owner's messages.
+        missed: Whether a number was left out since the last message.
         epoch: Fencing number that `received` belongs to.
         valid_from: Grants that answer an earlier message are too old.
         stated: Waiting requests the owner knows of, by account.
@@ -47,6 +48,7 @@
     owner: VmId
     sequence: int = 0
     received: int = 0
+    missed: bool = False
     epoch: int = 0
     valid_from: int = 0
     stated: dict[AccountId, int] = field(default_factory=dict)
@@ -78,6 +80,7 @@
             self.received = 0
         if sequence <= self.received:
             return False
+        self.missed = self.missed or sequence > self.received + 1
         self.received = sequence
         return True
 
--- a/src/pollenloom/admission/router_stream.py
+++ b/src/pollenloom/admission/router_stream.py
@@ -2,13 +2,14 @@
 
 from dataclasses import dataclass, field
 
-from pollenloom.core.ids import AccountId, ServerId
+from pollenloom.core.ids import AccountId, GrantId, ServerId
 
 
 @dataclass(frozen=True, slots=True)
 class SentGrant:
     """A grant that the router may not have received yet."""
 
+    grant_id: GrantId
     sequence: int
     account: AccountId
     sent_at: float
@@ -45,14 +46,20 @@
         self.received = sequence
         return True
 
-    def confirm(self, acknowledged: int, oldest: float) -> None:
-        """Forget grants that arrived, or were sent before `oldest`."""
+    def confirm(self, acknowledged: int) -> None:
+        """Forget grants that arrived."""
         self.on_the_way = [
-            grant
-            for grant in self.on_the_way
-            if grant.sequence > acknowledged and grant.sent_at > oldest
+            grant for grant in self.on_the_way if grant.sequence > acknowledged
         ]
 
+    def take_lost(self, oldest: float) -> list[GrantId]:
+        """Forget and return grants that were sent before `oldest`."""
+        lost = [grant for grant in self.on_the_way if grant.sent_at < oldest]
+        self.on_the_way = [
+            grant for grant in self.on_the_way if grant.sent_at >= oldest
+        ]
+        return [grant.grant_id for grant in lost]
+
     def covered(self, account: AccountId) -> int:
         """Grants on the way that the router's demand does not show."""
         return sum(1 for grant in self.on_the_way if grant.account == account)
--- a/src/pollenloom/admission/router_streams.py
+++ b/src/pollenloom/admission/router_streams.py
@@ -1,7 +1,7 @@
 """Conversations of a pool owner with all routers."""
 
 from pollenloom.admission.router_stream import RouterStream
-from pollenloom.core.ids import VmId
+from pollenloom.core.ids import GrantId, VmId
 
 # A message that was not acknowledged by then was lost with its connection.
 LOST_SECONDS = 1.0
@@ -44,7 +44,11 @@
             if stream.acknowledge_from <= oldest
         }
 
-    def forget_lost(self, now: float) -> None:
-        """Forget grants on the way that can no longer arrive."""
-        for stream in self.streams.values():
-            stream.confirm(0, now - LOST_SECONDS)
+    def take_lost(self, now: float) -> list[GrantId]:
+        """Forget and return grants that were not acknowledged in time."""
+        oldest = now - LOST_SECONDS
+        return [
+            grant_id
+            for stream in self.streams.values()
+            for grant_id in stream.take_lost(oldest)
+        ]
