Report answers of pool owners to the version moves

Cause: the move service decided on evidence that nobody gave it, and pool owners did not know its shares. Change: settlements carry route and duration; allocators ask for shares and report answers through VersionShares; states of moves are cached, since shares are asked for at each grant.

--- a/src/pollenloom/admission/allocator_admission.py
+++ b/src/pollenloom/admission/allocator_admission.py
@@ -20,6 +20,7 @@
     ReportRequest,
     TakeoverReport,
 )
+from pollenloom.admission.moving_shares import MovingShares
 from pollenloom.admission.pool_allocator import AllocatorOptions
 from pollenloom.admission.pool_owners import PoolOwners
 from pollenloom.admission.settlement import Settlement
@@ -31,6 +32,8 @@
 from pollenloom.core.failure import Failure
 from pollenloom.core.ids import VmId
 from pollenloom.kernel.kernel import Kernel
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.moves.move_service import MoveService
 from pollenloom.settings.router_settings import RouterSettings
 
 IDLE_TICK_SECONDS = 0.1
@@ -79,6 +82,9 @@
         self.client = GrantClient(self.scope)
         self.owners = PoolOwners(self.scope, options)
         self.home = HomePool(self.scope)
+        if KernelServiceName.MOVES in self.kernel.services:
+            moves = self.kernel.find(KernelServiceName.MOVES, MoveService)
+            self.limit_versions(MovingShares(moves))
         self.subscribe()
         self.scope.configuration.watch(self.refresh)
         self.scope.membership.watch(self.refresh)
--- a/src/pollenloom/admission/grant_client.py
+++ b/src/pollenloom/admission/grant_client.py
@@ -119,6 +119,8 @@
             first_byte_seconds=settlement.first_byte_seconds,
             server_cold=settlement.server_cold,
             server_leaving=settlement.server_leaving,
+            route=grant.route,
+            duration_seconds=settlement.duration_seconds,
         )
         self.settled.add(settled, self.scope.now())
         pool = self.scope.pool_map.pool_of.get(server, grant.pool)
--- a/src/pollenloom/admission/messages.py
+++ b/src/pollenloom/admission/messages.py
@@ -12,12 +12,15 @@
     AccountId,
     GrantId,
     PoolId,
+    RouteId,
     ServerId,
     ServiceId,
 )
 from pollenloom.core.states import Outcome
 from pollenloom.peers.peer_message import PeerMessage
 
+NO_ROUTE = RouteId('')
+
 
 class MessagePart(msgspec.Struct, frozen=True, array_like=True):
     """Base of the structs inside messages."""
@@ -68,6 +71,9 @@
     first_byte_seconds: float | None = None
     server_cold: bool = False
     server_leaving: bool = False
+    # Only set while the service moves between versions.
+    route: RouteId = NO_ROUTE
+    duration_seconds: float | None = None
 
 
 class Demand(PeerMessage, frozen=True):
--- /dev/null
+++ b/src/pollenloom/admission/moving_shares.py
@@ -0,0 +1,42 @@
+"""Shares of versions as the service of version moves sets them."""
+
+from pollenloom.admission.messages import SettledGrant
+from pollenloom.admission.version_shares import VersionShares
+from pollenloom.core.ids import ServiceId, VersionId
+from pollenloom.moves.answer_report import AnswerReport
+from pollenloom.moves.move_service import MoveService
+
+
+class MovingShares(VersionShares):
+    """Asks the move service for shares and reports answers to it."""
+
+    def __init__(self, moves: MoveService) -> None:
+        self.moves = moves
+
+    def share(
+        self,
+        service: ServiceId,
+        version: VersionId,
+        now: float,
+    ) -> float:
+        """Return the share of a version in its move, if there is one."""
+        return self.moves.share(service, version)
+
+    def note(
+        self,
+        service: ServiceId,
+        version: VersionId,
+        settled: SettledGrant,
+    ) -> None:
+        """Report an answer to the move service."""
+        self.moves.note(
+            AnswerReport(
+                service=service,
+                route=settled.route,
+                version=version,
+                outcome=settled.outcome,
+                cost=settled.cost,
+                first_byte_seconds=settled.first_byte_seconds,
+                duration_seconds=settled.duration_seconds,
+            ),
+        )
--- a/src/pollenloom/admission/pool_allocator.py
+++ b/src/pollenloom/admission/pool_allocator.py
@@ -155,6 +155,11 @@
                 server_leaving=settled.server_leaving,
             )
             state.ramp.record(answer, now)
+            self.credit.shares.note(
+                self.service,
+                state.server.version,
+                settled,
+            )
         if settled.outcome is Outcome.SERVED and settled.cost > 0:
             self.estimator.learn(grant.account, settled.hint, settled.cost)
 
--- a/src/pollenloom/admission/version_shares.py
+++ b/src/pollenloom/admission/version_shares.py
@@ -2,11 +2,12 @@
 
 from abc import ABC, abstractmethod
 
+from pollenloom.admission.messages import SettledGrant
 from pollenloom.core.ids import ServiceId, VersionId
 
 
 class VersionShares(ABC):
-    """Limits the traffic of versions during a move."""
+    """Limits the traffic of versions during a move, by evidence."""
 
     @abstractmethod
     def share(
@@ -20,6 +21,15 @@
         Versions with 1 are not limited and share by capacity.
         """
 
+    @abstractmethod
+    def note(
+        self,
+        service: ServiceId,
+        version: VersionId,
+        settled: SettledGrant,
+    ) -> None:
+        """Take the end of a request as evidence about a version."""
+
 
 class UnlimitedShares(VersionShares):
     """No version is limited."""
@@ -32,3 +42,11 @@
     ) -> float:
         """All versions share by capacity."""
         return 1
+
+    def note(
+        self,
+        service: ServiceId,
+        version: VersionId,
+        settled: SettledGrant,
+    ) -> None:
+        """Nobody asks for evidence."""
--- a/src/pollenloom/configuration/configuration_store.py
+++ b/src/pollenloom/configuration/configuration_store.py
@@ -75,7 +75,7 @@
         ).own.vm
         platform = kernel.find(
             KernelServiceName.PLATFORM,
-            Platform,  # type: ignore[type-abstract]
+            Platform,
         )
         gate = RegisterGate(self.registers)
         self.follower = ChangeFollower(log, gate, self.events)
--- a/src/pollenloom/moves/move_controller.py
+++ b/src/pollenloom/moves/move_controller.py
@@ -54,6 +54,8 @@
         self.kernel = kernel
         self.books: dict[str, EvidenceBook] = {}
         self.collected: dict[str, CollectedEvidence] = {}
+        # Shares are asked for at each grant, too often to decode registers.
+        self.known: dict[str, MoveRecord] = {}
         self.started_at = 0
 
     @classmethod
@@ -82,6 +84,7 @@
             ConfigurationService,
         )
         self.started_at = int(self.kernel.clock.wall() * 1000)
+        self.registers.watch(REGISTER_PREFIX, self.register_changed)
         self.peers.subscribe(EvidenceReport, self.receive)
         find(KernelServiceName.LOG, LogTail).subscribe(
             MoveLogEntry,
@@ -98,7 +101,7 @@
         if configured is None or configured.move is None:
             return 1
         move = configured.move
-        record = self.record(register_key(service, move))
+        record = self.known.get(register_key(service, move))
         if version == move.to_version:
             return share_of(record)
         if version == move.from_version and share_of(record) >= 1:
@@ -115,15 +118,13 @@
 
     def records(self) -> tuple[MoveRecord, ...]:
         """Return the reports on all known moves, the latest last."""
-        records = [
-            self.record(key) for key in self.registers.keys(REGISTER_PREFIX)
-        ]
-        known = [record for record in records if record is not None]
-        return tuple(sorted(known, key=lambda record: record.decided_at))
+        return tuple(
+            sorted(self.known.values(), key=lambda record: record.decided_at),
+        )
 
-    def record(self, key: str) -> MoveRecord | None:
-        """Return the state of a move."""
-        return read_record(self.registers, key)
+    def register_changed(self, key: str, register: RegisterValue) -> None:
+        """Take over a newer state of a move."""
+        self.known[key] = read_record(register)
 
     def book(self, key: str, move: 'MoveEntry') -> EvidenceBook:
         """Return the counts of a move, for the test that is running."""
@@ -131,7 +132,7 @@
         if book is None:
             book = EvidenceBook(move)
             self.books[key] = book
-        record = self.record(key)
+        record = self.known.get(key)
         if record is not None:
             book.begin_test(record.spent_tests)
         return book
@@ -150,7 +151,7 @@
         if now < move.start.timestamp():
             return
         key = register_key(service, move)
-        record = self.record(key)
+        record = self.known.get(key)
         if record is not None and record.state is not MoveState.RUNNING:
             return
         judge_vm = self.membership.ranked(key)[0]
@@ -188,7 +189,7 @@
         """Decide the next state of a move from the collected counts."""
         key = register_key(service, move)
         judge = MoveJudge(service, move)
-        record = self.record(key)
+        record = self.known.get(key)
         if record is None:
             self.publish(key, judge.begin(now))
             return
--- a/src/pollenloom/moves/move_log.py
+++ b/src/pollenloom/moves/move_log.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from pollenloom.membership.register_value import RegisterValue
 from pollenloom.moves.move_messages import MoveLogEntry
 from pollenloom.moves.move_record import MoveRecord
 from pollenloom.platform.log_entry import encode_entry
@@ -33,13 +34,12 @@
 
     def is_outdated(self, key: str, record: MoveRecord) -> bool:
         """Whether a later state of the move is known."""
-        current = read_record(self.registers, key)
-        return current is not None and current.rank > record.rank
+        register = self.registers.get(key)
+        if register is None:
+            return False
+        return read_record(register).rank > record.rank
 
 
-def read_record(registers: 'Registers', key: str) -> MoveRecord | None:
+def read_record(register: RegisterValue) -> MoveRecord:
     """Return the state of a move that a register holds."""
-    register = registers.get(key)
-    if register is None:
-        return None
     return msgspec.msgpack.decode(register.payload, type=MoveRecord)
--- a/tests/frontend/test_application_routes.py
+++ b/tests/frontend/test_application_routes.py
@@ -6,6 +6,7 @@
 import pytest
 from aiohttp import ClientSession, web
 
+from tests.fakes.caller_router import Router
 from tests.fakes.fake_backend import (
     Behaviour,
     Hold,
@@ -15,7 +16,6 @@
     refuse,
 )
 from tests.fakes.fixed_configuration import OTHER_KEY, make_configuration
-from tests.fakes.caller_router import Router
 
 LOTS = '/stitching/lots/4?x=1'
 ORDERS = '/stitching/orders'
--- a/tests/frontend/test_model_routes.py
+++ b/tests/frontend/test_model_routes.py
@@ -7,9 +7,9 @@
 from openai.types.chat import ChatCompletionUserMessageParam
 
 from pollenloom.core.states import Outcome
+from tests.fakes.caller_router import Router
 from tests.fakes.fake_backend import TOKENS, Hold, answer, drop, stream
 from tests.fakes.fixed_configuration import MODEL
-from tests.fakes.caller_router import Router
 
 MESSAGES = (
     ChatCompletionUserMessageParam(
