Show the states of moves as the move service writes them

Cause: the status page read registers under another key and encoding. Change: the reader uses the key and the record type of the move service. Conclusion: pollenloom move shows real moves.

--- a/src/pollenloom/moves/move_controller.py
+++ b/src/pollenloom/moves/move_controller.py
@@ -17,6 +17,11 @@
 from pollenloom.moves.collected_evidence import CollectedEvidence
 from pollenloom.moves.evidence_book import EvidenceBook
 from pollenloom.moves.move_judge import MoveJudge, share_of
+from pollenloom.moves.move_key import (
+    REGISTER_PREFIX,
+    make_key,
+    register_key,
+)
 from pollenloom.moves.move_log import MoveLog, read_record
 from pollenloom.moves.move_messages import (
     EvidenceReport,
@@ -37,7 +42,6 @@
     from pollenloom.moves.answer_report import AnswerReport
     from pollenloom.settings.router_settings import RouterSettings
 
-REGISTER_PREFIX: Final = 'move/'
 # At 64 pool owners of a service the judge gets 128 small reports a second
 # while a move runs.
 REPORT_SECONDS: Final = 0.5
@@ -223,11 +227,6 @@
         del offset, appended_at
         record = entry.record
         self.registers.put(
-            f'{REGISTER_PREFIX}{record.service}/{record.move}',
+            make_key(record.service, record.move),
             RegisterValue(record.rank, '', msgspec.msgpack.encode(record)),
         )
-
-
-def register_key(service: ServiceId, move: 'MoveEntry') -> str:
-    """Return the key of a move's register."""
-    return f'{REGISTER_PREFIX}{service}/{move.name}'
--- a/src/pollenloom/operations/move_reader.py
+++ b/src/pollenloom/operations/move_reader.py
@@ -2,16 +2,16 @@
 
 from typing import Any, Final
 
-import cbor2
 import msgspec
 
 from pollenloom.configuration.move_entry import MoveEntry
 from pollenloom.core.ids import ServiceId
 from pollenloom.kernel.kernel import Kernel
+from pollenloom.moves.move_key import register_key
+from pollenloom.moves.move_log import read_record
 from pollenloom.operations.fleet_status import MoveView
 from pollenloom.operations.neighbours import Neighbours
 
-MOVE_PREFIX: Final = 'move/'
 NOT_STARTED: Final = 'waiting'
 
 
@@ -33,7 +33,7 @@
 
     def view(self, service: ServiceId, move: MoveEntry) -> MoveView:
         """Return one move with its state."""
-        record = self.record(f'{MOVE_PREFIX}{move.name}')
+        record = self.record(register_key(service, move))
         start, finish_by = move.window()
         return MoveView(
             move=move.name,
@@ -51,23 +51,5 @@
         register = self.neighbours.registers.get(key)
         if register is None:
             return {}
-        return decode_record(register.payload)
-
-
-def decode_record(payload: bytes) -> dict[str, Any]:
-    """Return a register's payload, in JSON or CBOR, as a map."""
-    try:
-        record = msgspec.json.decode(payload)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        record = decode_cbor(payload)
-    if isinstance(record, dict):
-        return {str(key): entry for key, entry in record.items()}
-    return {'record': record}
-
-
-def decode_cbor(payload: bytes) -> object:
-    """Return CBOR decoded; the size of the payload if it is not CBOR."""
-    try:
-        return cbor2.loads(payload)
-    except (cbor2.CBORDecodeError, UnicodeDecodeError):
-        return f'{len(payload)} bytes in an unknown encoding'
+        record: dict[str, Any] = msgspec.to_builtins(read_record(register))
+        return record
