Wait for cancels before a server is tried again

Cause: a request keeps its id over its attempts, so a late cancel of a failed attempt would end the next one if there is only one server. Failures name their cause without the client library's terms.

--- a/src/pollenloom/dispatch/delivery.py
+++ b/src/pollenloom/dispatch/delivery.py
@@ -1,6 +1,7 @@
 """Progress of one request over its attempts."""
 
 from http import HTTPStatus
+from typing import TYPE_CHECKING
 
 from expression import Error, Ok, Result
 
@@ -14,6 +15,9 @@
 from pollenloom.dispatch.backend_answer import BackendAnswer
 from pollenloom.dispatch.event_relay import EventRelay
 
+if TYPE_CHECKING:
+    import asyncio
+
 
 class Delivery:
     """Decides whether a request may be sent again and how it failed.
@@ -26,6 +30,7 @@
         unused_grants: Grants that came too late.
         run: Whether any attempt was run.
         failed_answer: Last answer with a server error, if any.
+        cancels: Tasks that tell servers to give up earlier attempts.
     """
 
     def __init__(
@@ -40,6 +45,7 @@
         self.unused_grants = 0
         self.run = RunStatus.NO
         self.failed_answer: BackendAnswer | None = None
+        self.cancels: set[asyncio.Task[None]] = set()
 
     @property
     def relayed_events(self) -> int:
--- a/src/pollenloom/dispatch/dispatcher.py
+++ b/src/pollenloom/dispatch/dispatcher.py
@@ -135,6 +135,9 @@
         if failure.kind is not ErrorKind.NO_CAPACITY or not delivery.excluded:
             return False
         delivery.excluded.clear()
+        if delivery.cancels:
+            # A late cancel would hit the next attempt, which has the same id.
+            await asyncio.wait(delivery.cancels)
         await asyncio.sleep(BACKOFF_SECONDS * delivery.attempts)
         return True
 
@@ -218,7 +221,9 @@
         if delivery.request.resource is not Resource.MODEL:
             return
         call = make_call(delivery, use.grant, now)
-        self.kernel.spawn('cancel request', self.client.cancel(call))
+        delivery.cancels.add(
+            self.kernel.spawn('cancel request', self.client.cancel(call))
+        )
 
     def record(
         self,
--- a/src/pollenloom/dispatch/http_backend_client.py
+++ b/src/pollenloom/dispatch/http_backend_client.py
@@ -298,7 +298,7 @@
 
 def lost_attempt(use: GrantUse, error: Exception) -> AttemptFailure:
     """Return the failure of an attempt that an exception ended."""
-    detail = str(error) or type(error).__name__
+    detail = describe(error)
     if not use.connected:
         return AttemptFailure(
             kind=ErrorKind.BACKEND_REFUSED,
@@ -312,3 +312,16 @@
             run=RunStatus.UNKNOWN,
         )
     return cut_answer(f'the answer was cut: {detail}')
+
+
+def describe(error: Exception) -> str:
+    """Return what an exception means to people."""
+    if isinstance(error, aiohttp.SocketTimeoutError):
+        return 'the server fell silent'
+    if isinstance(error, aiohttp.ConnectionTimeoutError):
+        return 'it could not be reached in time'
+    if isinstance(error, TimeoutError):
+        return 'the deadline passed'
+    if isinstance(error, aiohttp.ClientPayloadError):
+        return 'it ended before its length'
+    return str(error) or type(error).__name__
