Keep the head limit of callers apart from other applications

Cause: Sanic keeps the longest head in a class, and the operators' application of the same process would lower it to 8 KiB. Change: the callers' protocol reads the limit from its own settings. Conclusion: header_bytes holds whatever else runs in the process.

--- a/src/pollenloom/frontend/caller_protocol.py
+++ b/src/pollenloom/frontend/caller_protocol.py
@@ -6,6 +6,8 @@
 from sanic.http import Stage
 from sanic.server import HttpProtocol
 
+from pollenloom.frontend.caller_http import CallerHttp
+
 TOO_MANY_CONNECTIONS: Final = (
     b'HTTP/1.1 503 Service Unavailable\r\n'
     b'Content-Type: application/problem+json\r\n'
@@ -17,6 +19,7 @@
 class CallerProtocol(HttpProtocol):
     """Refuses connections above the limit, and requests that come slowly."""
 
+    HTTP_CLASS = CallerHttp
     __slots__ = ()
 
     def connection_made(self, transport: Any) -> None:
--- a/tests/frontend/test_hostile_input.py
+++ b/tests/frontend/test_hostile_input.py
@@ -9,6 +9,7 @@
 import pytest
 from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
+from sanic.config import Config
 from yarl import URL
 
 from tests.fakes.fixed_configuration import KEY
@@ -149,6 +150,11 @@
 
 async def test_limits(router: Router) -> None:
     """Guards against memory taken by long heads and bodies."""
+    # Another application of the process, with the library's own limits.
+    assert Config().REQUEST_MAX_HEADER_SIZE == 8192
+    allowed_head = b'X-Long: %b\r\n\r\n' % (b'a' * 12_000)
+    answer = await exchange(router, HEAD + allowed_head)
+    assert check_problem(answer) == HTTPStatus.BAD_REQUEST
     long_head = b'X-Long: %b\r\n\r\n' % (b'a' * 20_000)
     answer = await exchange(router, HEAD + long_head)
     assert check_problem(answer) == HTTPStatus.REQUEST_ENTITY_TOO_LARGE
