Bound the reading of the log and start it after all subscribers

The log reader could read records while later services were still starting, which then missed them; it now waits until all services have started. A VM that has just started read the whole log, because it ranked first until it knew the others; it now stops as soon as it is not a reader.

Exit codes are part of docs/errors.md.

The test of decisions waits for the reader now: records that the reader at startup finds from the end of the log lead to no events.

--- a/scripts/generate_docs.py
+++ b/scripts/generate_docs.py
@@ -16,6 +16,7 @@
 from pollenloom.configuration.move_entry import MoveEntry
 from pollenloom.configuration.route_entry import RouteEntry
 from pollenloom.configuration.service_file import ServiceFile
+from pollenloom.console.exit_code import ExitCode
 from pollenloom.core.error_answers import ERROR_ANSWERS
 from pollenloom.settings.router_settings import (
     AdmissionSettings,
@@ -52,7 +53,7 @@
 ATTRIBUTE = re.compile(r'^ {4}(\w+): (.*(?:\n {5,}.*)*)', re.MULTILINE)
 
 
-def attribute_texts(model: type[BaseModel]) -> dict[str, str]:
+def attribute_texts(model: type) -> dict[str, str]:
     """Return the descriptions in the docstring's list of attributes."""
     document = inspect.getdoc(model) or ''
     _, _, attributes = document.partition('Attributes:')
@@ -155,6 +156,19 @@
             f'| `{kind.value}` | {answer.status.value} | `{answer.run.value}`'
             f' | {retry} | {answer.title} |'
         )
+    texts = attribute_texts(ExitCode)
+    lines.extend(
+        (
+            '',
+            '## Exit codes',
+            '',
+            'The same for all commands of `pollenloom`.',
+            '',
+            '| code | meaning |',
+            '|---|---|',
+            *(f'| {code.value} | {texts[code.name]} |' for code in ExitCode),
+        )
+    )
     return '\n'.join(lines) + '\n'
 
 
--- a/src/pollenloom/__main__.py
+++ b/src/pollenloom/__main__.py
@@ -7,6 +7,8 @@
 import cappa
 
 from pollenloom.console.application import Application
+from pollenloom.console.exit_code import ExitCode
+from pollenloom.console.output import write_error
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -14,7 +16,11 @@
     # libuv reads it when the event loop is made.
     os.environ['UV_USE_IO_URING'] = '0'
     argv = sys.argv[1:] if arguments is None else list(arguments)
-    code: int = cappa.invoke(Application, argv=argv)
+    try:
+        code: int = cappa.invoke(Application, argv=argv)
+    except KeyboardInterrupt:
+        write_error('error: interrupted')
+        return ExitCode.FAILURE
     return code
 
 
--- a/src/pollenloom/configuration/publisher.py
+++ b/src/pollenloom/configuration/publisher.py
@@ -114,6 +114,15 @@
 
     async def read_base(self) -> bool:
         """Read the configuration in force; return whether that worked."""
+        try:
+            async with asyncio.timeout(self.deadline - self.clock.monotonic()):
+                return await self.open_reader()
+        except TimeoutError:
+            self.detail = 'reading the log takes too long'
+        return False
+
+    async def open_reader(self) -> bool:
+        """Read the configuration; return False if time is up."""
         opened = await self.reader.open()
         while opened.is_error():
             self.detail = opened.error.detail
--- a/src/pollenloom/configuration/upkeep_schedule.py
+++ b/src/pollenloom/configuration/upkeep_schedule.py
@@ -9,8 +9,11 @@
 ATTEMPT_SECONDS = 10.0
 # Leaves time for an outage before a third of the retention has passed.
 AGE_SHARE = 0.25
+# Publishers and routers that start look for a snapshot from the end of the
+# log on; at 400 records a second this is at most 360 pages of 1,000 away.
+LONGEST_AGE_SECONDS = 900.0
 # Bounds the appends of a VM whose wall clock is ahead of the platform's.
-OWN_APPEND_SHARE = 0.125
+OWN_APPEND_SHARE = 0.5
 
 
 class UpkeepSchedule:
@@ -44,9 +47,10 @@
         appended_at = self.appended_at.get(state)
         pause = ATTEMPT_SECONDS
         if appended_at is not None:
-            if wall - appended_at < retention_seconds * AGE_SHARE:
+            age = min(retention_seconds * AGE_SHARE, LONGEST_AGE_SECONDS)
+            if wall - appended_at < age:
                 return False
-            pause = retention_seconds * OWN_APPEND_SHARE
+            pause = age * OWN_APPEND_SHARE
         attempted_at = self.attempted_at.get(state)
         return attempted_at is None or now - attempted_at >= pause
 
--- a/src/pollenloom/platform/log_reader.py
+++ b/src/pollenloom/platform/log_reader.py
@@ -27,6 +27,7 @@
 PAGE_RECORDS = 500
 # VMs behind the log readers spare a platform that is down.
 FAILED_FALLBACK_SECONDS = 5.0
+START_CHECK_SECONDS = 0.02
 
 
 class LogReader(LogTail):
@@ -123,6 +124,9 @@
 
     async def follow(self) -> None:
         """Read the log while it is this VM's duty."""
+        while len(self.kernel.started) < len(self.kernel.services):
+            # A service that starts later may still subscribe.
+            await asyncio.sleep(START_CHECK_SECONDS)
         while True:
             pause = self.poll_seconds
             if self.group.must_read():
@@ -142,7 +146,12 @@
                 answer = await self.read_page()
             if answer.is_error():
                 return False
-            progress = self.cursor.position > before and not self.cursor.at_end
+            progress = (
+                self.cursor.position > before
+                and not self.cursor.at_end
+                # A VM that has just started learns of the others meanwhile.
+                and self.group.must_read()
+            )
         self.group.report(self.cursor.position)
         return True
 
--- a/tests/configuration/test_configuration_store.py
+++ b/tests/configuration/test_configuration_store.py
@@ -91,6 +91,8 @@
         )
     ]
     assert {store(router).current.revision for router in routers} == {0}
+    # Decisions are only told about records that are read one after the other.
+    await fleet.until(lambda: routers[0].log.caught_up)
     told: list[int] = []
     last = store(routers[2])
     last.watch(lambda: told.append(last.current.revision))
