--- a/scripts/generate_docs.py
+++ b/scripts/generate_docs.py
@@ -18,13 +18,7 @@
 from pollenloom.configuration.service_file import ServiceFile
 from pollenloom.console.exit_code import ExitCode
 from pollenloom.core.error_answers import ERROR_ANSWERS
-from pollenloom.settings.router_settings import (
-    AdmissionSettings,
-    LimitSettings,
-    PeerSettings,
-    PlatformSettings,
-    RouterSettings,
-)
+from pollenloom.settings.router_settings import RouterSettings
 from pollenloom.validation.field_schema import (
     Schema,
     describe_schema,
@@ -43,16 +37,18 @@
     ('`[[routes]]`', RouteEntry),
     ('`[move]`', MoveEntry),
 )
-ROUTER_MODELS: tuple[tuple[str, type[BaseModel]], ...] = (
-    ('Top level', RouterSettings),
-    ('`[platform]`', PlatformSettings),
-    ('`[peers]`', PeerSettings),
-    ('`[admission]`', AdmissionSettings),
-    ('`[limits]`', LimitSettings),
-)
 ATTRIBUTE = re.compile(r'^ {4}(\w+): (.*(?:\n {5,}.*)*)', re.MULTILINE)
 
 
+def router_models() -> Iterator[tuple[str, type[BaseModel]]]:
+    """Return the router settings and their sections."""
+    yield 'Top level', RouterSettings
+    for name, field in RouterSettings.model_fields.items():
+        section = field.annotation
+        if isinstance(section, type) and issubclass(section, BaseModel):
+            yield f'`[{name}]`', section
+
+
 def attribute_texts(model: type) -> dict[str, str]:
     """Return the descriptions in the docstring's list of attributes."""
     document = inspect.getdoc(model) or ''
@@ -130,7 +126,7 @@
             'start at the directory of the file.',
         )
     )
-    for title, model in ROUTER_MODELS:
+    for title, model in router_models():
         lines.extend(('', f'### {title}', '', *model_table(model)))
     return '\n'.join(lines) + '\n'
 
