--- a/src/pollenloom/console/commands/router_command.py
+++ b/src/pollenloom/console/commands/router_command.py
@@ -10,7 +10,6 @@
 
 from pollenloom.console.command_end import command_end
 from pollenloom.console.router_exit import RouterExit
-from pollenloom.console.router_process import run_router
 from pollenloom.settings.router_settings import RouterSettings
 
 USAGE_ERROR: Final = 2
@@ -40,6 +39,9 @@
 
     def __call__(self) -> None:
         """Run until a signal."""
+        # The other commands start faster without the router's libraries.
+        from pollenloom.console.router_process import run_router
+
         code = run_router(read_settings(self.settings))
         if code is not RouterExit.STOPPED:
             raise command_end(
--- /dev/null
+++ b/tests/console/test_one_binary.py
@@ -0,0 +1,128 @@
+"""Failures of the one executable file that runs on a VM."""
+
+import json
+import os
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.runtime_limits import assert_within_runtime_limits
+
+ROOT = Path(__file__).resolve().parents[2]
+TIMEOUT_SECONDS = 300
+SETTINGS = """
+vm = "vm-1"
+data_centre = "hengelo"
+callers = "127.0.0.1:0"
+operators = "127.0.0.1:0"
+operator_token_file = "{directory}/operator-token"
+
+[platform]
+url = "http://127.0.0.1:9"
+
+[peers]
+listen = "127.0.0.1:0"
+fleet_key_file = "{directory}/fleet-key"
+"""
+SERVICE = """
+service = "stock"
+resource = "application"
+shutdown_date = 2030-01-01T00:00:00Z
+data_centres = ["hengelo"]
+versions = ["v1"]
+
+[[accounts]]
+name = "striker-club"
+share = 1
+
+[[routes]]
+name = "read"
+path = "/items/*"
+methods = ["GET"]
+"""
+
+
+@pytest.fixture(scope='module')
+def binary(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    target = tmp_path_factory.mktemp('binary') / 'pollenloom'
+    environment = os.environ | {
+        # The tests' own environment has the pinned build tools.
+        'POLLENLOOM_ENVIRONMENT': sys.prefix,
+    }
+    subprocess.run(
+        [ROOT / 'scripts' / 'build', target],
+        env=environment,
+        check=True,
+        timeout=TIMEOUT_SECONDS,
+    )
+    return target
+
+
+@pytest.fixture(scope='module')
+def bare_environment(binary: Path) -> dict[str, str]:
+    """Environment with Python alone: neither the checkout nor packages."""
+    return {
+        'PATH': f'{sys.base_prefix}/bin:/usr/bin:/bin',
+        'SHIV_ROOT': str(binary.parent / 'unpacked'),
+        'COLUMNS': '200',
+    }
+
+
+def test_commands_run_from_the_file_alone(
+    binary: Path,
+    bare_environment: dict[str, str],
+    tmp_path: Path,
+) -> None:
+    """Guards against a file that works only beside a checkout."""
+    service = tmp_path / 'stock'
+    service.mkdir()
+    (service / 'pollenloom.toml').write_text(SERVICE, encoding='utf-8')
+    for arguments, expected in (
+        (['--help'], 'router'),
+        (['status', '--help'], '--operator'),
+        (['check', str(tmp_path)], ''),
+    ):
+        result = subprocess.run(
+            [binary, *arguments],
+            env=bare_environment,
+            capture_output=True,
+            text=True,
+            timeout=TIMEOUT_SECONDS,
+            check=False,
+        )
+        assert result.returncode == 0, result.stderr
+        assert expected in result.stdout
+
+
+@pytest.fixture
+def router(
+    binary: Path,
+    bare_environment: dict[str, str],
+    tmp_path: Path,
+) -> Iterator[subprocess.Popen[str]]:
+    """A router started from the file, without a platform or other routers."""
+    (tmp_path / 'operator-token').write_text('let-me-in', encoding='utf-8')
+    (tmp_path / 'fleet-key').write_text('k' * 64, encoding='utf-8')
+    settings = tmp_path / 'router.toml'
+    text = SETTINGS.format(directory=tmp_path)
+    settings.write_text(text, encoding='utf-8')
+    with subprocess.Popen(
+        [binary, 'router', '--settings', settings],
+        env=bare_environment,
+        stdout=subprocess.PIPE,
+        text=True,
+    ) as process:
+        yield process
+        process.kill()
+
+
+def test_router_runs_in_one_process(router: subprocess.Popen[str]) -> None:
+    """Guards against child processes, io_uring and shared memory."""
+    assert router.stdout is not None
+    assert json.loads(router.stdout.readline())['ready']['vm'] == 'vm-1'
+    assert_within_runtime_limits(router.pid)
+    router.terminate()
+    assert router.wait(TIMEOUT_SECONDS) == 0
