--- a/src/pollenloom/console/commands/router_command.py
+++ b/src/pollenloom/console/commands/router_command.py
@@ -9,7 +9,6 @@
 from pollenloom.console.command_end import command_end
 from pollenloom.console.exit_code import ExitCode
 from pollenloom.console.router_exit import RouterExit
-from pollenloom.console.router_process import run_router
 from pollenloom.settings.router_settings import RouterSettings
 from pollenloom.settings.settings_loader import load_settings
 
@@ -38,6 +37,9 @@
 
     def __call__(self) -> None:
         """Run until a signal."""
+        # The other commands start faster without the router's libraries.
+        from pollenloom.console.router_process import run_router
+
         code = run_router(read_settings(self.settings))
         if code is not RouterExit.STOPPED:
             raise command_end(
