Keep checked service files of two configurations only

The cache kept the last 32 files, which is up to 58 MB with 2,600 client accounts a file. It now keeps the files of the last two configurations loaded.

--- a/src/pollenloom/configuration/file_loader.py
+++ b/src/pollenloom/configuration/file_loader.py
@@ -2,18 +2,15 @@
 
 from collections.abc import Mapping
 from datetime import datetime
-from functools import lru_cache
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
+from pollenloom.configuration.file_cache import FileCache
 from pollenloom.configuration.file_checks import NO_DATES, check_services
 from pollenloom.configuration.service_file import ServiceFile
 from pollenloom.core.ids import ServiceId
 from pollenloom.validation.file_problem import FileProblem
-from pollenloom.validation.toml_file import CheckedFile, check_text
 
-# A change usually touches one file, and parsing is the costly part of
-# accepting it. Twice the number of services at the target size.
-KEPT_FILES = 32
+FILE_CACHE: Final = FileCache()
 
 
 class LoadedServices(NamedTuple):
@@ -23,12 +20,6 @@
     problems: tuple[FileProblem, ...]
 
 
-@lru_cache(maxsize=KEPT_FILES)
-def load_file(file: str, text: str) -> CheckedFile[ServiceFile]:
-    """Check one file; results of recent texts are kept."""
-    return check_text(ServiceFile, file, text)
-
-
 def load_services(
     files: Mapping[str, str],
     now: float,
@@ -43,8 +34,7 @@
     """
     problems: list[FileProblem] = []
     valid: dict[str, ServiceFile] = {}
-    for file, text in sorted(files.items()):
-        checked = load_file(file, text)
+    for file, checked in FILE_CACHE.load(files).items():
         problems.extend(checked.problems)
         if checked.model is not None:
             valid[file] = checked.model
@@ -59,9 +49,5 @@
     They are not judged again: the date may have passed since. A file that
     this version cannot read is left out.
     """
-    services = {}
-    for file, text in sorted(files.items()):
-        model = load_file(file, text).model
-        if model is not None:
-            services[model.service] = model
-    return services
+    models = [checked.model for checked in FILE_CACHE.load(files).values()]
+    return {model.service: model for model in models if model is not None}
--- a/tests/configuration/test_file_loader.py
+++ b/tests/configuration/test_file_loader.py
@@ -2,6 +2,7 @@
 
 from pathlib import Path
 
+from pollenloom.configuration.file_cache import FileCache
 from pollenloom.configuration.file_collector import collect_files
 from pollenloom.configuration.file_loader import load_services
 from pollenloom.core.ids import ServiceId
@@ -97,6 +98,17 @@
     assert load_services({'a.toml': text}, NOW, dates).problems == ()
 
 
+def test_unchanged_files_are_not_checked_again() -> None:
+    """Guards against 1,500 full checks a day of files with 2,600 accounts."""
+    cache = FileCache()
+    first = cache.load({'a.toml': service_text(), 'b.toml': 'x = 1'})
+    cache.load({'a.toml': service_text()})
+    third = cache.load({'a.toml': service_text(), 'b.toml': 'x = 1'})
+    assert third['a.toml'] is first['a.toml']
+    assert third['b.toml'] is first['b.toml']
+    assert len(cache.latest) == 2
+
+
 def test_collector_names_files_from_the_directory_on(tmp_path: Path) -> None:
     """Guards against file names that differ between two operators."""
     root = tmp_path / 'carromwerk'
