Race operators with outages of reads and trimmed records in the property test

Until now it only had lost and refused appends. A late reader must agree with one that saw all records.

--- a/tests/configuration/test_publisher.py
+++ b/tests/configuration/test_publisher.py
@@ -7,18 +7,22 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
+from pollenloom.configuration.change_history import ChangeHistory
 from pollenloom.configuration.history_reader import (
     FIRST_WINDOW,
     HistoryReader,
 )
+from pollenloom.configuration.log_entries import ConfigurationChange
 from pollenloom.configuration.publish_outcome import PublishFate
 from pollenloom.configuration.publish_result import (
     PublishResult,
     PublishState,
 )
 from pollenloom.configuration.publisher import Publisher
-from pollenloom.platform.log_entry import encode_entry
+from pollenloom.core.ids import Offset
+from pollenloom.platform.log_entry import decode_entry, encode_entry
 from tests.configuration.service_texts import NOW, service_text
 from tests.fakes.memory_platform import AppendFault, MemoryPlatform
 from tests.manual_clock import ManualClock
@@ -55,20 +59,52 @@
     return MemoryPlatform(ManualClock(NOW))
 
 
+class RacePlatform(MemoryPlatform):
+    """Each call takes a second; one router writes snapshots now and then."""
+
+    def __init__(self, retention_seconds: float) -> None:
+        super().__init__(ManualClock(NOW), retention_seconds)
+        self.manual_clock = ManualClock(NOW)
+        self.clock = self.manual_clock
+        self.history = ChangeHistory()
+        self.written_at = NOW
+
+    async def delay(self) -> None:
+        self.manual_clock.advance(1)
+        state = self.history.state
+        age = self.clock.wall() - self.written_at
+        if state.revision and age > self.retention_seconds / 4:
+            self.written_at = self.clock.wall()
+            self.add(encode_entry(replace(state, position=self.end)))
+        await super().delay()
+
+    def add(self, payload: bytes) -> Offset:
+        offset = super().add(payload)
+        entry = decode_entry(payload)
+        if isinstance(entry, ConfigurationChange):
+            self.history.apply(offset, self.clock.wall(), entry)
+        return offset
+
+
 @given(
     counts=st.lists(st.integers(1, 3), min_size=2, max_size=4),
+    retention=st.sampled_from((40, 100, 1000)),
     delays=st.lists(st.integers(0, 3), max_size=60),
     faults=st.lists(st.sampled_from(AppendFault), max_size=8),
+    read_faults=st.lists(st.booleans(), max_size=20),
 )
 def test_racing_operators_are_told_the_truth(
     counts: list[int],
+    retention: int,
     delays: list[int],
     faults: list[AppendFault],
+    read_faults: list[bool],
 ) -> None:
     """Guards against two winners, a lost winner and a wrong answer."""
-    platform = MemoryPlatform(ManualClock(NOW))
+    platform = RacePlatform(retention)
     platform.delays.extend(delays)
     platform.faults.extend(faults)
+    platform.read_faults.extend(read_faults)
     results: list[PublishResult] = []
 
     async def operate(number: int, count: int) -> None:
@@ -78,22 +114,24 @@
             results.append(await publisher.publish(files(share)))
 
     async def race() -> HistoryReader:
-        await asyncio.gather(
-            *starmap(operate, enumerate(counts)),
-        )
+        await asyncio.gather(*starmap(operate, enumerate(counts)))
+        platform.read_faults.clear()
         reader = HistoryReader(platform)
         await reader.open()
         return reader
 
-    history = asyncio.run(race()).history
-    published = [
-        result for result in results if result.state is PublishState.PUBLISHED
-    ]
-    revisions = sorted(result.revision for result in published)
+    late = asyncio.run(race()).history
+    history = platform.history
+    assert (late.revision, late.state.publish_id) == (
+        history.revision,
+        history.state.publish_id,
+    )
+    revisions = sorted(
+        result.revision
+        for result in results
+        if result.state is PublishState.PUBLISHED
+    )
     assert revisions == list(range(1, history.revision + 1))
-    assert history.state.publish_id in {
-        result.publish_id for result in published
-    }
     for result in results:
         outcome = history.find_outcome(result.publish_id)
         assert outcome is not None
--- a/tests/fakes/memory_platform.py
+++ b/tests/fakes/memory_platform.py
@@ -31,6 +31,7 @@
         down: Whether all calls fail without effect.
         faults: Faults of the next appends; none once they are used up.
         cut_at: Reads from this offset on fail.
+        read_faults: Whether the next reads fail.
         delays: Turns of the event loop that the next calls take.
     """
 
@@ -39,6 +40,7 @@
         self.retention_seconds = retention_seconds
         self.down = False
         self.cut_at: Offset | None = None
+        self.read_faults: deque[bool] = deque()
         self.faults: deque[AppendFault] = deque()
         self.delays: deque[int] = deque()
         self.records: list[LogRecord] = []
@@ -72,7 +74,8 @@
         """Return retained records."""
         await self.delay()
         is_cut = self.cut_at is not None and start >= self.cut_at
-        if self.down or is_cut:
+        fails = self.read_faults.popleft() if self.read_faults else False
+        if self.down or is_cut or fails:
             return Error(Failure(ErrorKind.PLATFORM_UNAVAILABLE, 'down'))
         self.trim()
         found = [record for record in self.records if record.offset >= start][
