Answer operators' faults as problem details and bound long statuses

An unknown path gave Sanic's own error form, a fault inside showed its text, and a router with more than about 7,800 accounts (133 bytes each) would have passed the frame limit of 1 MiB and not answered at all. Errors are now problem details and faults go to the log; a router tells at most 4,000 accounts to others and says how many it left out.

--- a/src/pollenloom/console/status_tables.py
+++ b/src/pollenloom/console/status_tables.py
@@ -49,6 +49,8 @@
     if status.not_answered:
         silent = ', '.join(status.not_answered)
         lines.append(f'No answer within 1 s from: {silent}')
+    if status.accounts_left_out:
+        lines.append(f'Accounts left out: {status.accounts_left_out}')
     return '\n'.join(lines)
 
 
--- a/src/pollenloom/operations/fleet_reporter.py
+++ b/src/pollenloom/operations/fleet_reporter.py
@@ -75,6 +75,9 @@
             pools=pools,
             servers=fleet_merge.merge_servers(servers, pools),
             accounts=fleet_merge.merge_accounts(parts.values()),
+            accounts_left_out=sum(
+                part.accounts_left_out for part in parts.values()
+            ),
             moves=self.moves.moves(),
         )
 
--- a/src/pollenloom/operations/fleet_status.py
+++ b/src/pollenloom/operations/fleet_status.py
@@ -95,6 +95,8 @@
         policy: Admission policy.
         waiting: Requests that wait on the routers that answered.
         accounts: Shares and service; one entry for each account and service.
+        accounts_left_out: Entries that routers cut from long answers; some
+            of them may still be told by other routers.
     """
 
     asked: VmId
@@ -107,4 +109,5 @@
     pools: tuple[PoolStatus, ...]
     servers: tuple[ServerView, ...]
     accounts: tuple[AccountStatus, ...]
+    accounts_left_out: int
     moves: tuple[MoveView, ...]
--- a/src/pollenloom/operations/operator_server.py
+++ b/src/pollenloom/operations/operator_server.py
@@ -5,12 +5,14 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, ClassVar, Final
 
+from absl import logging
 from prometheus_client import (
     CONTENT_TYPE_LATEST,
     CollectorRegistry,
     generate_latest,
 )
 from sanic import HTTPResponse, Request, Sanic
+from sanic.exceptions import NotFound, SanicException
 from sanic.response import raw
 
 from pollenloom.core.error_kind import ErrorKind
@@ -128,9 +130,10 @@
         # It rewrites Sanic's own methods, which fails for a second application
         # in the same process.
         app.config.TOUCHUP = False
-        app.config.FALLBACK_ERROR_FORMAT = 'json'
         app.config.REQUEST_MAX_SIZE = LARGEST_REQUEST_BYTES
         app.register_middleware(self.check_token, 'request')
+        app.error_handler.add(SanicException, self.refused)
+        app.error_handler.add(Exception, self.failed)
         app.add_route(self.healthz, '/healthz')
         app.add_route(self.readyz, '/readyz')
         app.add_route(self.status, '/status')
@@ -153,6 +156,24 @@
         detail = 'the operators token is missing or wrong'
         return problem_answer(Failure(ErrorKind.UNAUTHENTICATED, detail))
 
+    async def refused(self, _: Request, error: SanicException) -> HTTPResponse:
+        """Answer a request that no route takes, or that is malformed."""
+        kind = ErrorKind.INVALID_REQUEST
+        if isinstance(error, NotFound):
+            kind = ErrorKind.UNKNOWN_ROUTE
+        return problem_answer(Failure(kind, str(error)))
+
+    async def failed(self, request: Request, error: Exception) -> HTTPResponse:
+        """Log a fault; the operator is told where to look."""
+        logging.error(
+            'operator_request_failed %s %s',
+            request.method,
+            request.path,
+            exc_info=error,
+        )
+        detail = 'the router could not answer; its log tells why'
+        return problem_answer(Failure(ErrorKind.INTERNAL, detail))
+
     async def healthz(self, _: Request) -> HTTPResponse:
         """Tell that the event loop runs."""
         return state_answer(self.kernel.phase.value, HTTPStatus.OK)
--- a/src/pollenloom/operations/peer_questions.py
+++ b/src/pollenloom/operations/peer_questions.py
@@ -1,5 +1,7 @@
 """Answers to the questions of other routers' operators' servers."""
 
+from typing import Final
+
 from pollenloom.core.ids import VmId
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.operations.data_centre_control import (
@@ -17,6 +19,9 @@
 )
 from pollenloom.operations.neighbours import Neighbours
 
+# 133 bytes each with long names: 532 KB, below the frame limit of 1 MiB.
+ACCOUNTS_OF_ONE_ROUTER: Final = 4000
+
 
 class PeerQuestions:
     """Serves status, event and data centre questions over the network."""
@@ -44,7 +49,8 @@
         request: StatusRequest,
     ) -> StatusReply:
         """Return this router's part of the status."""
-        return StatusReply(self.reporter.reporter.report())
+        status = self.reporter.reporter.report()
+        return StatusReply(status.fit(ACCOUNTS_OF_ONE_ROUTER))
 
     async def answer_events(
         self,
--- a/tests/console/test_router_process.py
+++ b/tests/console/test_router_process.py
@@ -110,3 +110,14 @@
     code, events = end(run_process('broken', 1))
     assert code == RouterExit.START_FAILED
     assert events['router_start_failed']['fields']['error'] == 'address in use'
+
+
+def test_signal_ends_a_start_that_waits(run_process: StartProcess) -> None:
+    """Guards against a router that cannot be stopped before it is ready."""
+    process = run_process('waiting', 30)
+    assert process.stderr is not None
+    assert 'start_began' in process.stderr.readline()
+    process.terminate()
+    code, events = end(process)
+    assert code == RouterExit.STOPPED
+    assert 'router_ready' not in events
--- a/tests/console/waiting_router.py
+++ b/tests/console/waiting_router.py
@@ -1,6 +1,8 @@
 """A router process with one service, run by the process tests.
 
-The argument tells how its service drains: `quick`, or `stuck` (never ends).
+The first argument tells how its service behaves: `quick`, `stuck` (its drain
+never ends), `waiting` (its start never ends) or `broken` (its start fails).
+The second is the limit of the shutdown in seconds.
 """
 
 import asyncio
@@ -37,6 +39,9 @@
     async def start(self) -> None:
         if self.mode == 'broken':
             raise OSError('address in use')
+        if self.mode == 'waiting':
+            logging.info('start_began')
+            await asyncio.Event().wait()
 
     async def drain(self) -> None:
         logging.info('drain_began in phase %s', self.kernel.phase.value)
--- a/tests/operations/test_operator_server.py
+++ b/tests/operations/test_operator_server.py
@@ -3,15 +3,18 @@
 from typing import Any
 
 import aiohttp
+import msgspec
 import pytest
 from prometheus_client import CollectorRegistry, Counter
 
 from pollenloom.configuration.configuration import Configuration
 from pollenloom.core.ids import Revision, VmId
 from pollenloom.core.states import DataCentreState
+from pollenloom.kernel.kernel_phase import KernelPhase
 from pollenloom.observability.metrics_source import MetricsHolder
 from pollenloom.operations.bearer_token import BearerToken
-from tests.operations.fakes import ALMELO, HENGELO, Fleet
+from pollenloom.operations.router_status import RouterStatus
+from tests.operations.fakes import ALMELO, HENGELO, FakeAdmission, Fleet
 from tests.operations.fleet_fixtures import Router
 
 Routers = list[Router]
@@ -100,6 +103,8 @@
     [
         ('/data-centres/henglo/drain', 400, 'almelo, hengelo'),
         ('/data-centres/hengelo/stop', 404, 'drain, restore'),
+        ('/data-centre/hengelo/drain', 404, 'not found'),
+        ('/status', 400, 'not allowed'),
     ],
 )
 async def test_mistyped_change_is_refused(
@@ -180,3 +185,36 @@
     async with operator.get(f'{routers[0].url}/metrics') as response:
         text = await response.text()
     assert 'requests_total 1.0' in text
+
+
+async def test_fault_is_logged_and_not_shown(
+    routers: Routers,
+    operator: aiohttp.ClientSession,
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a fault that leaves no trace, or shows its inside."""
+    monkeypatch.delattr(routers[0].configuration, 'configuration')
+    problem = await get_json(operator, f'{routers[0].url}/status', 500)
+    assert problem['kind'] == 'internal'
+    assert 'configuration' not in problem['detail']
+    assert 'operator_request_failed GET /status' in caplog.text
+
+
+def test_long_status_fits_a_message() -> None:
+    """Guards against a router that cannot tell 10,000 accounts at all."""
+    admission = FakeAdmission(VmId('vm-1'), part=3).status(now=0)
+    busy = admission.accounts[0]
+    idle = msgspec.structs.replace(busy, waiting=0)
+    accounts = (idle, idle, busy, idle)
+    status = RouterStatus(
+        vm=VmId('vm-1'),
+        phase=KernelPhase.RUNNING,
+        revision=Revision(1),
+        admission=msgspec.structs.replace(admission, accounts=accounts),
+        data_centres=(),
+    )
+    fitted = status.fit(2)
+    assert fitted.admission.accounts == (busy, idle)
+    assert fitted.accounts_left_out == 2
+    assert status.fit(4) is status
