Accept bytes that arrive together with their connection

Cause: on uvloop, data_received can run before the task of a connection has set up Sanic's `_http`; the override read it and uvloop closed the connection. Ruled out: keep-alive races of the client (first use of each connection). Conclusion: fixed; guarded by tests/frontend/test_caller_protocol.py.

--- a/src/pollenloom/frontend/caller_protocol.py
+++ b/src/pollenloom/frontend/caller_protocol.py
@@ -38,5 +38,9 @@
         """Take bytes; the time of a request starts with its first one."""
         started = self._time
         super().data_received(data)
-        if self._http is not None and self._http.stage is Stage.REQUEST:
+        # Bytes can arrive before the task of the connection sets it up.
+        if (
+            getattr(self, '_http', None) is not None
+            and self._http.stage is Stage.REQUEST
+        ):
             self._time = started
--- /dev/null
+++ b/tests/frontend/test_caller_protocol.py
@@ -0,0 +1,39 @@
+"""Connections of callers on the event loop of a router."""
+
+import asyncio
+import socket
+
+from tests.fakes.caller_router import Router
+
+CALLERS = 60
+REQUEST = b'GET /healthz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
+
+
+def connect_and_send(host: str, port: int) -> socket.socket:
+    connection = socket.create_connection((host, port))
+    connection.sendall(REQUEST)
+    connection.setblocking(False)
+    return connection
+
+
+async def read_all(connection: socket.socket) -> bytes:
+    loop = asyncio.get_running_loop()
+    answer = b''
+    async with asyncio.timeout(10):
+        while part := await loop.sock_recv(connection, 4096):
+            answer += part
+    connection.close()
+    return answer
+
+
+async def test_bytes_that_arrive_with_the_connection(router: Router) -> None:
+    """Guards against a fault when bytes arrive before Sanic's task starts.
+
+    The requests are in the sockets before the loop accepts any connection.
+    """
+    host, _, port = router.callers.address.rpartition(':')
+    connections = [connect_and_send(host, int(port)) for _ in range(CALLERS)]
+    answers = await asyncio.gather(
+        *(read_all(connection) for connection in connections),
+    )
+    assert all(answer.startswith(b'HTTP/1.1 200') for answer in answers)
