Bound suspicions, searches and records of the membership

Cause: a path that refuses connections to a live router would have it suspected without end; each of hundreds of routers would try the address of a dead VM; operators could not see why a router was dropped.

Change: refusals count for nothing for a doubling time after a refutation. About eight routers of the fleet search for lost ones in a round, however large it is. Each change of a member's state is an event record. A wake-up without changes no longer repeats until the next heartbeat. Live VMs of a data centre are found without reading all members' states.

--- a/src/pollenloom/membership/fleet_joiner.py
+++ b/src/pollenloom/membership/fleet_joiner.py
@@ -18,6 +18,9 @@
 SEARCH_SECONDS = 2
 # Bounds the cost of addresses that nobody listens at any more.
 ADDRESSES_A_ROUND = 4
+# Routers that search in one round, on average, however large the fleet is:
+# else hundreds of them would try each address of a dead VM.
+SEARCHERS = 8
 
 
 class FleetJoiner:
@@ -63,16 +66,19 @@
     async def run(self) -> None:
         """Greet some candidates from time to time."""
         while True:
-            candidates = self.candidates()
-            chosen = random.sample(
-                candidates,
-                min(len(candidates), ADDRESSES_A_ROUND),
-            )
-            await asyncio.gather(*[self.greet(address) for address in chosen])
+            if random.random() * len(self.table.entries) < SEARCHERS:
+                await self.search()
             is_alone = len(self.table.entries) == 1
             pause = ALONE_SECONDS if is_alone else SEARCH_SECONDS
             await asyncio.sleep(pause * random.uniform(0.5, 1))
 
+    async def search(self) -> None:
+        """Greet some of the candidates at the same time."""
+        candidates = self.candidates()
+        count = min(len(candidates), ADDRESSES_A_ROUND)
+        chosen = random.sample(candidates, count)
+        await asyncio.gather(*[self.greet(address) for address in chosen])
+
     async def greet(self, address: str) -> None:
         """Exchange entries with the router at an address, if any."""
         outcome = await self.peers.greet(address)
--- a/src/pollenloom/membership/fleet_view.py
+++ b/src/pollenloom/membership/fleet_view.py
@@ -9,13 +9,16 @@
 from pollenloom.membership.ring_links import RingLinks
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from pollenloom.core.ids import DataCentreId, VmId
     from pollenloom.membership.member import Member
     from pollenloom.membership.member_table import MemberTable
 
 
+Places = tuple[tuple['VmId', 'DataCentreId'], ...]
+
+
 class FleetView:
     """Lists and rankings derived from the table, made once for each change.
 
@@ -32,7 +35,8 @@
         self.listeners: list[Callable[[], None]] = []
         self.members: tuple[Member, ...] = ()
         self.live: tuple[VmId, ...] = ()
-        self.places: tuple[tuple[VmId, DataCentreId], ...] = ()
+        self.places: Places = ()
+        self.live_places: Places = ()
         self.targets: frozenset[VmId] = frozenset()
         self.sources: frozenset[VmId] = frozenset()
         self.rankings: dict[DataCentreId | None, RendezvousRanking] = {}
@@ -54,17 +58,17 @@
             ),
         )
         self.refresh_links()
-        live = tuple(member.vm for member in self.members if member.is_live)
-        if live != self.live:
-            self.live = live
+        live = tuple(member for member in self.members if member.is_live)
+        live_places = places_of(live)
+        if live_places != self.live_places:
+            self.live_places = live_places
+            self.live = tuple(member.vm for member in live)
             self.rankings.clear()
             self.notify()
 
     def refresh_links(self) -> None:
         """Compute the links anew if VMs came or went."""
-        places = tuple(
-            (member.vm, member.data_centre) for member in self.members
-        )
+        places = places_of(self.members)
         if places != self.places:
             self.places = places
             links = RingLinks(self.members)
@@ -74,9 +78,7 @@
     def live_in(self, data_centre: 'DataCentreId') -> tuple['VmId', ...]:
         """Live VMs of one data centre, sorted."""
         return tuple(
-            member.vm
-            for member in self.members
-            if member.is_live and member.data_centre == data_centre
+            vm for vm, place in self.live_places if place == data_centre
         )
 
     def ranked(
@@ -101,3 +103,8 @@
                 listener()
             except Exception:
                 logging.exception('membership_listener_failed')
+
+
+def places_of(members: 'Iterable[Member]') -> Places:
+    """VMs and their data centres."""
+    return tuple((member.vm, member.data_centre) for member in members)
--- a/src/pollenloom/membership/heartbeats.py
+++ b/src/pollenloom/membership/heartbeats.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from pollenloom.core.states import MemberState
+from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.membership.digest_comparison import DigestComparison
 from pollenloom.membership.heartbeat_monitor import HeartbeatMonitor
 from pollenloom.membership.member_table import SUSPECT_SECONDS, precedence
@@ -13,6 +14,8 @@
     MemberDifferences,
     MemberExchange,
 )
+from pollenloom.membership.refusal_judge import RefusalJudge
+from pollenloom.observability.event_log import EventLog
 from pollenloom.peers.peer_links import LinkEvent, PeerLinks
 
 if TYPE_CHECKING:
@@ -49,6 +52,8 @@
         self.view = view
         self.peers = peers
         self.monitor = HeartbeatMonitor()
+        self.refusals = RefusalJudge()
+        self.states: dict[VmId, MemberState] = {}
         self.comparison = DigestComparison()
         self.register_digest = 0
         self.next_exchange: float = 0
@@ -87,6 +92,7 @@
                 await self.changed.wait()
         except TimeoutError:
             return
+        self.changed.clear()
         await asyncio.sleep(COALESCE_SECONDS)
 
     def allow_for_pause(self, late_seconds: float, now: float) -> None:
@@ -113,16 +119,31 @@
         for changed in self.table.changes.values():
             if changed.state is MemberState.DEAD:
                 self.peers.disconnect(changed.vm)
+                self.refusals.reset(changed.vm)
             elif changed.state is not MemberState.SUSPECT:
                 self.monitor.refuted(changed.vm, now)
+                self.refusals.refuted(changed.vm, now)
+        self.record_changes()
         self.view.refresh()
         self.monitor.watch(self.view.sources, now)
         if self.table.changes:
             self.changed.set()
 
+    def record_changes(self) -> None:
+        """Record the members whose state changed."""
+        events = self.kernel.find(KernelServiceName.EVENTS, EventLog)
+        for changed in self.table.changes.values():
+            if self.states.get(changed.vm) is not changed.state:
+                self.states[changed.vm] = changed.state
+                events.record(
+                    'member_state',
+                    changed.vm,
+                    state=changed.state.value,
+                    incarnation=changed.incarnation,
+                )
+
     def beat(self, now: float) -> None:
         """Send a heartbeat with the changes on all links."""
-        self.changed.clear()
         self.next_beat = now + HEARTBEAT_SECONDS
         changes = self.table.take_changes()
         targets = self.view.targets
@@ -211,11 +232,13 @@
         entry = self.table.entries.get(vm)
         if entry is None or entry.state is MemberState.DEAD:
             return
+        now = self.kernel.clock.monotonic()
         if event is LinkEvent.LOST:
             # A message makes the network connect again.
             self.peers.send(vm, self.heartbeat(()))
-        elif event is LinkEvent.REFUSED:
-            now = self.kernel.clock.monotonic()
+        elif event is LinkEvent.OPENED:
+            self.refusals.reset(vm)
+        elif event is LinkEvent.REFUSED and self.refusals.refused(vm, now):
             self.table.suspect(vm, now, REFUSED_SECONDS)
             self.changed.set()
             self.follow(now)
--- a/tests/membership/test_member_table.py
+++ b/tests/membership/test_member_table.py
@@ -20,6 +20,10 @@
     SUSPECT_SECONDS,
     MemberTable,
 )
+from pollenloom.membership.refusal_judge import (
+    MAX_PAUSE_SECONDS,
+    RefusalJudge,
+)
 
 OWN = VmId('vm-own')
 OTHER = VmId('vm-1')
@@ -179,6 +183,22 @@
     assert monitor.next_deadline() == now + SILENCE_SECONDS
 
 
+def test_refusals_count_less_after_each_refutation() -> None:
+    """Guards against endless suspicions over a path that refuses."""
+    judge = RefusalJudge()
+    now: float = 0
+    for pause in (1.5, 3, 6, 12, 24, MAX_PAUSE_SECONDS):
+        assert judge.refused(OTHER, now)
+        judge.refuted(OTHER, now)
+        assert not judge.refused(OTHER, now + pause - 0.1)
+        now += pause
+    judge.refuted(OTHER, now)
+    assert judge.refused(OTHER, now)
+    judge.refuted(OTHER, now)
+    judge.reset(OTHER)
+    assert judge.refused(OTHER, now)
+
+
 def test_pause_of_this_router_blames_nobody() -> None:
     """Guards against a router that suspects all others after a freeze."""
     monitor = HeartbeatMonitor()
--- a/tests/peers/test_websocket_peer_network.py
+++ b/tests/peers/test_websocket_peer_network.py
@@ -16,6 +16,7 @@
 from pollenloom.peers import handshake_messages
 from pollenloom.peers.fleet_key import FleetKey
 from pollenloom.peers.handshake import Handshake
+from pollenloom.peers.idle_sweeper import IDLE_REASON, IdleSweeper
 from pollenloom.peers.peer_identity import PeerIdentity
 from pollenloom.peers.peer_link import QUEUE_LIMIT
 from pollenloom.peers.peer_links import LinkEvent
@@ -172,6 +173,28 @@
     await eventually(lambda: received == [(first.vm, Ping(2))])
 
 
+async def test_idle_connection_closes_without_alarm(
+    peer_fleet: PeerFleet,
+) -> None:
+    """Guards against connections that add up, and a closed one seen as lost."""
+    first = await peer_fleet.add('vm-1')
+    second = await peer_fleet.add('vm-2')
+    second.answer(Ping, pong)
+    events: list[LinkEvent] = []
+    second.observe(lambda _, event: events.append(event))
+    assert await ping(first, 'vm-2')
+    sweeper = IdleSweeper(first.vm, first.connections.connections)
+    assert not sweeper.idle()
+    assert await ping(first, 'vm-2')
+    assert not sweeper.idle()
+    for connection in sweeper.idle():
+        await connection.socket.close(reason=IDLE_REASON)
+    await eventually(lambda: not second.connections.connections)
+    assert not first.connections.connections
+    assert events == [LinkEvent.OPENED]
+    assert await ping(first, 'vm-2')
+
+
 async def test_handler_that_raises_harms_nothing(
     peer_fleet: PeerFleet,
 ) -> None:
