--- a/src/pollenloom/membership/heartbeats.py
+++ b/src/pollenloom/membership/heartbeats.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from pollenloom.core.states import MemberState
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.membership.digest_comparison import DigestComparison
 from pollenloom.membership.heartbeat_monitor import HeartbeatMonitor
 from pollenloom.membership.member_table import SUSPECT_SECONDS, precedence
 from pollenloom.membership.membership_messages import (
@@ -12,6 +14,8 @@
     MemberDifferences,
     MemberExchange,
 )
+from pollenloom.membership.refusal_judge import RefusalJudge
+from pollenloom.observability.event_log import EventLog
 from pollenloom.peers.peer_links import LinkEvent, PeerLinks
 
 if TYPE_CHECKING:
@@ -28,9 +32,9 @@
 REFUSED_SECONDS = 0.5
 # A timer this late means that the process was stopped, not just busy.
 FREEZE_SECONDS = 1
-# Changes in progress make digests differ for a few heartbeats.
-DIFFERENCES_BEFORE_EXCHANGE = 3
 EXCHANGE_SECONDS = 2
+# Bounds the cost when many routers join or return at once.
+EXCHANGE_PAUSE_SECONDS = 1
 
 
 class Heartbeats:
@@ -48,8 +52,12 @@
         self.view = view
         self.peers = peers
         self.monitor = HeartbeatMonitor()
-        self.differences: dict[VmId, int] = {}
-        self.exchanging: set[VmId] = set()
+        self.refusals = RefusalJudge()
+        self.states: dict[VmId, MemberState] = {}
+        self.comparison = DigestComparison()
+        self.register_digest = 0
+        self.next_exchange: float = 0
+        self.targets: frozenset[VmId] = frozenset()
         self.changed = asyncio.Event()
         self.next_beat: float = 0
 
@@ -84,6 +92,7 @@
                 await self.changed.wait()
         except TimeoutError:
             return
+        self.changed.clear()
         await asyncio.sleep(COALESCE_SECONDS)
 
     def allow_for_pause(self, late_seconds: float, now: float) -> None:
@@ -110,25 +119,48 @@
         for changed in self.table.changes.values():
             if changed.state is MemberState.DEAD:
                 self.peers.disconnect(changed.vm)
+                self.refusals.reset(changed.vm)
             elif changed.state is not MemberState.SUSPECT:
                 self.monitor.refuted(changed.vm, now)
+                self.refusals.refuted(changed.vm, now)
+        self.record_changes()
         self.view.refresh()
         self.monitor.watch(self.view.sources, now)
         if self.table.changes:
             self.changed.set()
 
+    def record_changes(self) -> None:
+        """Record the members whose state changed."""
+        events = self.kernel.find(KernelServiceName.EVENTS, EventLog)
+        for changed in self.table.changes.values():
+            if self.states.get(changed.vm) is not changed.state:
+                self.states[changed.vm] = changed.state
+                events.record(
+                    'member_state',
+                    changed.vm,
+                    state=changed.state.value,
+                    incarnation=changed.incarnation,
+                )
+
     def beat(self, now: float) -> None:
         """Send a heartbeat with the changes on all links."""
-        self.changed.clear()
         self.next_beat = now + HEARTBEAT_SECONDS
-        heartbeat = self.heartbeat(self.table.take_changes())
-        self.peers.send_all(self.view.targets, heartbeat)
+        changes = self.table.take_changes()
+        targets = self.view.targets
+        new_targets = targets - self.targets
+        self.targets = targets
+        self.peers.send_all(targets - new_targets, self.heartbeat(changes))
+        if new_targets:
+            # They may not know this VM yet.
+            introduction = self.heartbeat((self.table.own, *changes))
+            self.peers.send_all(new_targets, introduction)
 
     def heartbeat(self, changes: tuple['Member', ...]) -> Heartbeat:
         """Make a heartbeat."""
         return Heartbeat(
             self.table.own.incarnation,
             self.table.digest,
+            self.register_digest,
             changes,
         )
 
@@ -152,36 +184,31 @@
         elif entry.state in {MemberState.SUSPECT, MemberState.DEAD}:
             # The sender refutes when it learns what is said about it.
             self.peers.send(sender, self.heartbeat((entry,)))
-        self.compare_digest(sender, heartbeat.digest)
-
-    def compare_digest(self, sender: 'VmId', digest: int) -> None:
-        """Exchange all entries if the tables differ for some time."""
-        if digest == self.table.digest:
-            self.differences.pop(sender, None)
-            return
-        count = self.differences.get(sender, 0) + 1
-        self.differences[sender] = count
-        if count >= DIFFERENCES_BEFORE_EXCHANGE:
+        is_same = heartbeat.digest == self.table.digest
+        if self.comparison.is_due(sender, is_same=is_same):
             self.spawn_exchange(sender)
 
     def spawn_exchange(self, vm: 'VmId') -> None:
-        """Exchange all entries with a router, unless that is under way."""
-        if vm not in self.exchanging:
+        """Exchange all entries with a router, but not too often."""
+        now = self.kernel.clock.monotonic()
+        if now >= self.next_exchange:
+            self.next_exchange = now + EXCHANGE_PAUSE_SECONDS
             self.kernel.spawn(f'member exchange {vm}', self.exchange(vm))
 
     async def exchange(self, vm: 'VmId') -> None:
         """Exchange all entries with a router."""
-        self.exchanging.add(vm)
-        self.differences.pop(vm, None)
+        is_joining = len(self.table.entries) == 1
         outcome = await self.peers.request(
             vm,
             MemberExchange(tuple(self.table.entries.values())),
             MemberDifferences,
             EXCHANGE_SECONDS,
         )
-        self.exchanging.discard(vm)
         if outcome.is_ok():
             self.merge(outcome.ok.entries)
+            if is_joining:
+                # The others know all of it but the own entry.
+                self.table.changes = {self.table.own.vm: self.table.own}
 
     async def exchange_received(
         self,
@@ -205,11 +232,13 @@
         entry = self.table.entries.get(vm)
         if entry is None or entry.state is MemberState.DEAD:
             return
+        now = self.kernel.clock.monotonic()
         if event is LinkEvent.LOST:
             # A message makes the network connect again.
             self.peers.send(vm, self.heartbeat(()))
-        elif event is LinkEvent.REFUSED:
-            now = self.kernel.clock.monotonic()
+        elif event is LinkEvent.OPENED:
+            self.refusals.reset(vm)
+        elif event is LinkEvent.REFUSED and self.refusals.refused(vm, now):
             self.table.suspect(vm, now, REFUSED_SECONDS)
             self.changed.set()
             self.follow(now)
