Test the service gap over the fleet against a stated bound

Change: gap_bound states the formula; a property test runs 2 to 9 routers with hints wrong by 10x, floods through one to all routers, joins, an owner that restarts empty and a partition. The baselines and fair=off break the bound.

--- a/tests/admission/fake_fleet.py
+++ b/tests/admission/fake_fleet.py
@@ -110,6 +110,7 @@
     served: dict[str, float] = field(default_factory=dict)
     tasks: dict[VmId, Tasks] = field(default_factory=dict)
     numbers: 'itertools.count[int]' = field(default_factory=itertools.count)
+    gaps: list[float] = field(default_factory=list)
     unreachable: dict[VmId, str] = field(default_factory=dict)
     chance: random.Random = field(default_factory=lambda: random.Random(7))
 
@@ -266,11 +267,10 @@
         while await self.serve(router, account, cost()):
             """The next request follows at once."""
 
-    def gap(self, before: dict[str, float] | None = None) -> float:
-        """Largest difference of cost / share served since `before`."""
-        known = before or {}
+    def gap(self) -> float:
+        """Largest difference of cost / share."""
         service = [
-            (self.served.get(account, 0) - known.get(account, 0)) / share
+            self.served.get(account, 0) / share
             for account, share in self.shares.items()
         ]
         return max(service) - min(service)
--- /dev/null
+++ b/tests/admission/test_fleet_fairness.py
@@ -0,0 +1,185 @@
+"""The service gap between backlogged accounts over the whole fleet."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pollenloom.core.ids import VmId
+from pollenloom.settings.router_settings import AdmissionSettings
+from tests.admission import fake_faults
+from tests.admission.fake_fleet import FakeFleet
+from tests.admission.fake_settings import ENSCHEDE, HENGELO
+from tests.admission.gap_bound import gap_bound
+from tests.admission.simulated_loop import simulate
+
+LARGEST_COST = 400
+SLOTS = 16
+# In the data centre whose owner is not restarted.
+SMALL_AT = VmId('r1')
+Disturbance = Callable[[FakeFleet], Coroutine[None, None, int]]
+
+
+async def nothing(fleet: FakeFleet) -> int:
+    await asyncio.sleep(0)
+    return 0
+
+
+async def join(fleet: FakeFleet) -> int:
+    """New routers, of which some become owners."""
+    for name in ('j0', 'j1', 'j2'):
+        await fleet.add_router(name, ENSCHEDE)
+        flood_large(fleet, VmId(name))
+        await asyncio.sleep(0.3)
+    return 3
+
+
+async def restart_empty(fleet: FakeFleet) -> int:
+    """An owner restarts under its own name before anyone notices."""
+    lost = fake_faults.owner(fleet)
+    await fleet.kill(lost)
+    await asyncio.sleep(0.3)
+    await fleet.add_router(lost, ENSCHEDE)
+    flood_large(fleet, lost)
+    return 1
+
+
+async def cut_off(fleet: FakeFleet) -> int:
+    """The data centres lose each other for a while."""
+    near = [vm for vm in fleet.routers if is_near(fleet, vm)]
+    far = [vm for vm in fleet.routers if not is_near(fleet, vm)]
+    fake_faults.split(fleet, near, far)
+    await asyncio.sleep(4)
+    fake_faults.heal(fleet)
+    # The service of the partition is not charged; the bound holds after it.
+    await asyncio.sleep(0.5)
+    fleet.served.clear()
+    fleet.gaps.clear()
+    return 0
+
+
+def is_near(fleet: FakeFleet, vm: VmId) -> bool:
+    return fleet.members[vm].data_centre == ENSCHEDE
+
+
+def flood_large(fleet: FakeFleet, vm: VmId) -> None:
+    router = fleet.routers[vm]
+    fleet.flood(router, 'large', lambda: fleet.chance.choice((50, 100, 400)))
+
+
+async def worst_gap(
+    fleet: FakeFleet,
+    routers: int,
+    flooded: int,
+    disturb: Disturbance = nothing,
+) -> tuple[float, int]:
+    """Run a backlogged fleet; return the largest gap and owner changes."""
+    for number in range(2):
+        fleet.add_server(f'e{number}', ENSCHEDE)
+        fleet.add_server(f'h{number}', HENGELO)
+    for number in range(routers):
+        place = HENGELO if number % 2 else ENSCHEDE
+        await fleet.add_router(f'r{number}', place)
+    fleet.flood(fleet.routers[SMALL_AT], 'small', callers=40)
+    for vm in tuple(fleet.routers)[:flooded]:
+        flood_large(fleet, vm)
+        flood_large(fleet, vm)
+    await asyncio.sleep(1)
+    fleet.served.clear()
+    disturbing = asyncio.create_task(disturb(fleet))
+    for _ in range(80):
+        await asyncio.sleep(0.1)
+        fleet.gaps.append(fleet.gap())
+    changes = await disturbing
+    await fleet.stop()
+    return max(fleet.gaps), changes
+
+
+@settings(max_examples=10)
+@given(
+    routers=st.integers(2, 9),
+    flooded=st.integers(1, 9),
+    delay=st.sampled_from([0.0005, 0.003, 0.02]),
+    disturb=st.sampled_from([nothing, join, restart_empty, cut_off]),
+)
+def test_gap_is_bounded(
+    routers: int,
+    flooded: int,
+    delay: float,
+    disturb: Disturbance,
+) -> None:
+    """Guards against an account that gets more by flooding the fleet.
+
+    Hints are wrong by 10x both ways, the flood comes through one to all
+    routers, and routers join, restart empty or are cut off.
+    """
+    fleet = FakeFleet()
+    fleet.links.delay = delay
+    running = worst_gap(fleet, routers, flooded, disturb)
+    worst, changes = simulate(running)
+    staleness = 0.25 + delay
+    bound = gap_bound(fleet.shares, LARGEST_COST, SLOTS, staleness, changes)
+    assert 0 < worst <= bound
+
+
+@pytest.mark.parametrize(
+    'admission',
+    [
+        AdmissionSettings(fair=False),
+        AdmissionSettings(policy='static_division', routers=8),
+        AdmissionSettings(policy='counter_exchange', routers=8),
+        AdmissionSettings(policy='round_robin'),
+    ],
+    ids=lambda admission: f'{admission.policy}-{admission.fair}',
+)
+def test_baselines_break_the_bound(admission: AdmissionSettings) -> None:
+    """Guards against a bound that any policy would keep."""
+    fleet = FakeFleet(admission=admission)
+    worst, _ = simulate(worst_gap(fleet, 8, 8))
+    bound = gap_bound(fleet.shares, LARGEST_COST, SLOTS, 0.25)
+    assert worst > bound
+
+
+def test_idle_time_gives_no_credit() -> None:
+    """Guards against an account that saves up service while it is idle."""
+
+    async def scenario() -> float:
+        fleet = FakeFleet()
+        fleet.add_server('e0', ENSCHEDE, slots=SLOTS)
+        router = await fleet.add_router('r0')
+        fleet.flood(router, 'large', callers=60)
+        await asyncio.sleep(30)
+        fleet.served.clear()
+        fleet.flood(router, 'small', callers=60)
+        await asyncio.sleep(5)
+        await fleet.stop()
+        return fleet.gap()
+
+    bound = gap_bound({'small': 1, 'large': 3}, 100, SLOTS, 0)
+    assert simulate(scenario()) <= bound
+
+
+def test_no_account_starves() -> None:
+    """Guards against an account of small share that never gets a slot."""
+    shares: dict[str, float] = {f'a{number}': 50 for number in range(12)}
+
+    async def scenario() -> list[float]:
+        fleet = FakeFleet(shares={**shares, 'tiny': 1})
+        fleet.add_server('e0', ENSCHEDE)
+        for name in ('r0', 'r1', 'r2'):
+            await fleet.add_router(name)
+        for router in fleet.routers.values():
+            for account in shares:
+                fleet.flood(router, account, callers=4)
+        times = []
+        for _ in range(3):
+            began = asyncio.get_running_loop().time()
+            assert await fleet.serve(router, 'tiny', 100)
+            times.append(asyncio.get_running_loop().time() - began)
+        await fleet.stop()
+        return times
+
+    # One turn of all others by their shares: 600 x 100 at 4000 a second.
+    assert max(simulate(scenario())) <= 1.2 * 60_000 / 4_000
