Measure the processor time of relayed events and requests

Cause: the target of 8,400 events/s and 18 requests/s a node had only trial figures to be compared with. Change: scripts/measure_hot_path.py runs two routers with the real code path against fast stand-ins, reads the processor clock of the router processes at three sizes, fits slopes and compares with a git revision in the same run.

--- /dev/null
+++ b/src/pollenloom_standins/capacity/hot_path_run.py
@@ -0,0 +1,102 @@
+"""Command line of the measurement of the hot path."""
+
+import argparse
+import asyncio
+import sys
+import tempfile
+from contextlib import AsyncExitStack, ExitStack
+from pathlib import Path
+
+from pollenloom_standins.capacity.code_version import CodeVersion, checked_out
+from pollenloom_standins.capacity.hot_fleet import HotFleet
+from pollenloom_standins.capacity.hot_load import HotLoad
+from pollenloom_standins.capacity.hot_path_experiment import (
+    HotPathExperiment,
+    HotPathSizes,
+)
+from pollenloom_standins.capacity.hot_path_report import report_lines
+from pollenloom_standins.fleet.managed_process import ManagedProcess
+
+
+def read_arguments() -> argparse.Namespace:
+    """Read the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--before', help='git revision to compare with')
+    parser.add_argument('--streams', type=int, default=32)
+    parser.add_argument('--accounts', type=int, default=16)
+    parser.add_argument('--rounds', type=int, default=5)
+    parser.add_argument('--concurrency', type=int, default=4)
+    parser.add_argument('--interval', type=float, default=0.01)
+    parser.add_argument(
+        '--events',
+        type=int,
+        nargs='*',
+        default=(16, 64, 160),
+    )
+    parser.add_argument(
+        '--calls',
+        type=int,
+        nargs='*',
+        default=(100, 200, 400),
+    )
+    return parser.parse_args()
+
+
+def measure_hot_path(root: Path) -> None:
+    """Measure the working tree and, if asked, a revision before it."""
+    arguments = read_arguments()
+    with ExitStack() as stack:
+        directory = Path(
+            stack.enter_context(
+                tempfile.TemporaryDirectory(prefix='pollenloom-'),
+            ),
+        )
+        versions = [CodeVersion('working tree', root)]
+        if arguments.before:
+            before = checked_out(root, arguments.before, directory)
+            versions.insert(0, stack.enter_context(before))
+        asyncio.run(measure(arguments, versions, directory))
+
+
+async def measure(
+    arguments: argparse.Namespace,
+    versions: list[CodeVersion],
+    directory: Path,
+) -> None:
+    """Start the fleets, measure and print the report."""
+    server = ManagedProcess(
+        'fast-server',
+        (
+            sys.executable,
+            '-m',
+            'pollenloom_standins.capacity.fast_server',
+            str(arguments.interval),
+        ),
+        directory,
+    )
+    async with AsyncExitStack() as stack:
+        stack.push_async_callback(server.kill)
+        await server.start()
+        fleets: dict[str, HotFleet] = {}
+        for number, version in enumerate(versions):
+            target = directory / f'fleet-{number}'
+            fleet = HotFleet(version, target, arguments.accounts)
+            stack.push_async_callback(fleet.stop)
+            await fleet.start(server.ready['ready'])
+            fleets[version.label] = fleet
+        load = await stack.enter_async_context(HotLoad.opened())
+        experiment = HotPathExperiment(fleets, load, read_sizes(arguments))
+        await experiment.run()
+    for line in report_lines(experiment):
+        sys.stdout.write(f'{line}\n')
+
+
+def read_sizes(arguments: argparse.Namespace) -> HotPathSizes:
+    """Return the sizes that the command line asks for."""
+    return HotPathSizes(
+        streams=arguments.streams,
+        events=tuple(arguments.events),
+        calls=tuple(arguments.calls),
+        concurrency=arguments.concurrency,
+        rounds=arguments.rounds,
+    )
--- /dev/null
+++ b/src/pollenloom_standins/capacity/linear_fit.py
@@ -0,0 +1,24 @@
+"""Linear fit by least squares."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from statistics import linear_regression
+
+
+@dataclass(frozen=True, slots=True)
+class LinearFit:
+    """Cost as base plus slope for each unit."""
+
+    base: float
+    slope: float
+
+    @classmethod
+    def from_points(cls, points: Sequence[tuple[float, float]]) -> 'LinearFit':
+        """Fit (size, cost) points.
+
+        Raises:
+            statistics.StatisticsError: If there are fewer than two sizes.
+        """
+        sizes, costs = zip(*points, strict=True)
+        fitted = linear_regression(sizes, costs)
+        return cls(base=fitted.intercept, slope=fitted.slope)
