Record histories of runs under faults and check promises on them

Cause: requirements R2 to R11 were shown by single cases only. Change: a load generator records each call with the outcome that its caller saw, a collector fetches what the stand-ins ran and samples revisions and cold overloads, and one checker for each promise judges the history. Routers of a fleet may now be placed behind a relay.

--- a/src/pollenloom_standins/__main__.py
+++ b/src/pollenloom_standins/__main__.py
@@ -11,6 +11,7 @@
 from pollenloom_standins.commands.engine_command import EngineCommand
 from pollenloom_standins.commands.platform_command import PlatformCommand
 from pollenloom_standins.commands.relay_command import RelayCommand
+from pollenloom_standins.commands.soak_command import SoakCommand
 
 
 @cappa.command(name='pollenloom-standins')
@@ -28,6 +29,7 @@
         | ApplicationCommand
         | RelayCommand
         | DemoCommand
+        | SoakCommand
     ]
 
 
--- a/src/pollenloom_standins/fleet/fleet.py
+++ b/src/pollenloom_standins/fleet/fleet.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from pollenloom.core.ids import VmId
-from pollenloom.core.states import Resource
+from pollenloom.core.states import Resource, VmListState
 from pollenloom_standins.fleet.fleet_operator import FleetOperator
 from pollenloom_standins.fleet.fleet_plan import (
     BackendPlan,
@@ -144,7 +144,8 @@
         )
         self.routers[plan.vm] = process
         await process.start()
-        self.seeds[plan.vm] = process.ready['ready']['peers']
+        listening = process.ready['ready']['peers']
+        self.seeds[plan.vm] = plan.advertise or listening
 
     def write_settings(self, plan: RouterPlan) -> Path:
         """Write the settings file and the secrets of one router."""
@@ -181,6 +182,21 @@
             )
             answer.raise_for_status()
 
+    async def put_backend_entry(
+        self,
+        plan: BackendPlan,
+        state: VmListState = VmListState.LIVE,
+    ) -> None:
+        """Change the entry of one backend server in the VM list."""
+        address = self.backends[plan.vm].ready['ready']
+        entry = backend_entry(plan, address, state)
+        async with aiohttp.ClientSession() as session:
+            answer = await session.put(
+                f'{self.platform_url}/control/vms/{plan.vm}',
+                json=msgspec.to_builtins(entry),
+            )
+            answer.raise_for_status()
+
     def operator_addresses(self) -> tuple[str, ...]:
         """Return the operators' addresses of the running routers."""
         return tuple(
@@ -193,21 +209,7 @@
         """Wait until all running routers take requests."""
         for process in self.routers.values():
             if process.is_running:
-                await self.wait_for_router(process)
-
-    async def wait_for_router(self, process: ManagedProcess) -> None:
-        """Wait until a router answers that it is ready.
-
-        Raises:
-            ProcessError: If it takes too long.
-        """
-        url = f'http://{process.ready["ready"]["callers"]}/readyz'
-        try:
-            async with asyncio.timeout(CALL_SECONDS):
-                while not await is_ok(url):
-                    await asyncio.sleep(READY_POLL_SECONDS)
-        except TimeoutError:
-            raise ProcessError(f'{process.label} is not ready') from None
+                await wait_for_router(process)
 
     def callers(self, vm: VmId) -> str:
         """Return the base URL of a router for callers."""
@@ -251,6 +253,21 @@
     return (sys.executable, '-m', 'pollenloom_standins', kind, *options)
 
 
+async def wait_for_router(process: ManagedProcess) -> None:
+    """Wait until a router answers that it is ready.
+
+    Raises:
+        ProcessError: If it takes too long.
+    """
+    url = f'http://{process.ready["ready"]["callers"]}/readyz'
+    try:
+        async with asyncio.timeout(CALL_SECONDS):
+            while not await is_ok(url):
+                await asyncio.sleep(READY_POLL_SECONDS)
+    except TimeoutError:
+        raise ProcessError(f'{process.label} is not ready') from None
+
+
 async def is_ok(url: str) -> bool:
     """Whether a GET of the URL answers with 200."""
     try:
--- a/src/pollenloom_standins/fleet/fleet_plan.py
+++ b/src/pollenloom_standins/fleet/fleet_plan.py
@@ -44,12 +44,17 @@
         data_centre: Where it is.
         host: IP number that it listens on.
         sections: TOML text added to its settings file.
+        peers: Address that it listens on for peers; a port that the system
+            chooses if empty.
+        advertise: Address that peers connect to; the same if empty.
     """
 
     vm: VmId
     data_centre: DataCentreId
     host: str
     sections: str = ''
+    peers: str = ''
+    advertise: str = ''
 
 
 @dataclass(frozen=True, kw_only=True)
--- /dev/null
+++ b/src/pollenloom_standins/history/__init__.py
@@ -0,0 +1,1 @@
+"""Records what callers saw and servers ran, and checks promises on it."""
--- /dev/null
+++ b/src/pollenloom_standins/history/caller.py
@@ -0,0 +1,147 @@
+"""Makes calls and records what came of them."""
+
+import time
+from http import HTTPStatus
+from typing import Any, Final
+
+import aiohttp
+import msgspec
+
+from pollenloom.core.ids import AccountId
+from pollenloom_standins.history.answer_reader import (
+    KEPT_CHARACTERS,
+    AnswerReader,
+    EchoReader,
+    ModelReader,
+)
+from pollenloom_standins.history.call_record import CallOutcome, CallRecord
+
+# Above the deadline that the router is given, so that it answers first.
+CALL_SECONDS: Final = 25.0
+DEADLINE_SECONDS: Final = '10'
+REQUEST_ID: Final = 'X-Request-Id'
+KEY_PREFIX: Final = 'demo-key-'
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """Parts of a problem that the history keeps."""
+
+    run: str = ''
+    kind: str = ''
+    detail: str = ''
+    request_id: str = ''
+
+
+class Caller:
+    """Calls routers for one account; each call has its own connection.
+
+    Without kept connections a lost one always belongs to one call.
+    """
+
+    def __init__(self, account: AccountId, calls: list[CallRecord]) -> None:
+        self.account = account
+        self.calls = calls
+        self.headers = {
+            'Authorization': f'Bearer {KEY_PREFIX}{account}',
+            'X-Timeout-Seconds': DEADLINE_SECONDS,
+        }
+
+    async def complete(
+        self,
+        record: CallRecord,
+        base: str,
+        body: dict[str, Any],
+    ) -> CallRecord:
+        """Ask a model."""
+        url = f'{base}/v1/chat/completions'
+        reader = ModelReader(body)
+        return await self.call(record, 'POST', url, reader, json=body)
+
+    async def use_application(
+        self,
+        record: CallRecord,
+        base: str,
+        path: str,
+        body: str,
+    ) -> CallRecord:
+        """Read from an application, or order if the record has a key.
+
+        The first segment of the path names the service.
+        """
+        own_path = path[path.index('/', 1) :]
+        return await self.call(
+            record,
+            'POST' if record.key else 'GET',
+            f'{base}{path}',
+            EchoReader(own_path, body),
+            data=body,
+            headers={'Idempotency-Key': record.key} if record.key else {},
+        )
+
+    async def call(
+        self,
+        record: CallRecord,
+        method: str,
+        url: str,
+        reader: AnswerReader,
+        **options: Any,
+    ) -> CallRecord:
+        """Make a call and record its outcome."""
+        self.calls.append(record)
+        try:
+            await self.exchange(record, method, url, reader, **options)
+        except aiohttp.ClientConnectorError as error:
+            note_loss(record, CallOutcome.UNREACHED, error)
+        except (aiohttp.ClientError, TimeoutError, ConnectionError) as error:
+            began = bool(record.status)
+            outcome = CallOutcome.CUT if began else CallOutcome.LOST
+            note_loss(record, outcome, error)
+        record.ended = time.time()
+        return record
+
+    async def exchange(
+        self,
+        record: CallRecord,
+        method: str,
+        url: str,
+        reader: AnswerReader,
+        **options: Any,
+    ) -> None:
+        """Send a request and read its answer."""
+        async with (
+            aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(force_close=True),
+                timeout=aiohttp.ClientTimeout(total=CALL_SECONDS),
+                headers=self.headers,
+            ) as session,
+            session.request(method, url, **options) as answer,
+        ):
+            record.status = answer.status
+            record.request_id = answer.headers.get(REQUEST_ID, '')
+            if answer.status < HTTPStatus.BAD_REQUEST:
+                await reader.read(answer, record)
+            else:
+                note_refusal(record, await answer.read())
+
+
+def note_refusal(record: CallRecord, content: bytes) -> None:
+    """Record an answer that is an error."""
+    record.outcome = CallOutcome.REFUSED
+    try:
+        refusal = msgspec.json.decode(content, type=Refusal)
+    except msgspec.DecodeError:
+        refusal = Refusal(detail=content[:KEPT_CHARACTERS].decode())
+    record.run = refusal.run
+    record.error_kind = refusal.kind
+    record.detail = refusal.detail
+    record.request_id = record.request_id or refusal.request_id
+
+
+def note_loss(
+    record: CallRecord,
+    outcome: CallOutcome,
+    error: Exception,
+) -> None:
+    """Record a call without a whole answer."""
+    record.outcome = outcome
+    record.detail = f'{type(error).__name__}: {error}'
--- /dev/null
+++ b/src/pollenloom_standins/history/expected_answer.py
@@ -0,0 +1,103 @@
+"""Compares answers with the expected ones."""
+
+from typing import Any, Final
+
+import msgspec
+
+from pollenloom_standins.application.application_answer import (
+    ApplicationAnswer,
+)
+from pollenloom_standins.engine.completion_request import CompletionRequest
+from pollenloom_standins.engine.token_generator import TokenGenerator
+from pollenloom_standins.history.call_record import CallOutcome
+
+EVENT_PREFIX: Final = 'data: '
+LAST_EVENT: Final = '[DONE]'
+
+
+def expected_text(body: dict[str, Any]) -> str:
+    """Return the one right text for a model request."""
+    request = msgspec.convert(body, CompletionRequest)
+    return TokenGenerator(request.prompt_text).text(request.token_limit)
+
+
+def judge_whole(answer: bytes, expected: str) -> CallOutcome:
+    """Judge a JSON answer of a model that ended well."""
+    try:
+        content = msgspec.json.decode(answer)['choices'][0]['message'][
+            'content'
+        ]
+    except (msgspec.DecodeError, LookupError, TypeError):
+        return CallOutcome.SHORT
+    return CallOutcome.WHOLE if content == expected else CallOutcome.WRONG
+
+
+def judge_echo(
+    answer: bytes,
+    request_id: str,
+    path: str,
+    body: str,
+) -> CallOutcome:
+    """Judge an application's answer that ended well.
+
+    A repeated order has the answer, and so the request id, of the first
+    call; give no `request_id` then.
+    """
+    try:
+        echo = msgspec.json.decode(answer, type=ApplicationAnswer)
+    except msgspec.DecodeError:
+        return CallOutcome.SHORT
+    is_own = echo.path == path and echo.body == body
+    is_own &= request_id in {'', echo.request_id}
+    return CallOutcome.WHOLE if is_own else CallOutcome.WRONG
+
+
+class StreamJudge:
+    """Judges the events of a stream.
+
+    Attributes:
+        error: Error object of the event that ends a cut stream.
+        text: Text of the events so far.
+        is_done: Whether the last event has come.
+    """
+
+    def __init__(self, expected: str) -> None:
+        self.expected = expected
+        self.error: dict[str, Any] | None = None
+        self.text = ''
+        self.is_done = False
+        self.rest = ''
+        self.has_stray_event = False
+
+    def add(self, chunk: bytes) -> None:
+        """Take bytes of the stream."""
+        text, _, rest = (self.rest + chunk.decode()).rpartition('\n')
+        self.rest = rest
+        for line in text.split('\n'):
+            if line.startswith(EVENT_PREFIX):
+                self.add_event(line.removeprefix(EVENT_PREFIX))
+
+    def add_event(self, event: str) -> None:
+        """Take one event."""
+        if self.is_done or self.error is not None:
+            self.has_stray_event = True
+            return
+        if event == LAST_EVENT:
+            self.is_done = True
+            return
+        parsed: dict[str, Any] = msgspec.json.decode(event)
+        self.error = parsed.get('error')
+        for choice in parsed.get('choices', ()):
+            self.text += choice.get('delta', {}).get('content') or ''
+
+    def judge(self, *, ended_well: bool) -> CallOutcome:
+        """Judge the stream after its last byte."""
+        is_prefix = self.expected.startswith(self.text)
+        if self.has_stray_event or not is_prefix:
+            return CallOutcome.WRONG
+        if self.is_done:
+            whole = self.text == self.expected
+            return CallOutcome.WHOLE if whole else CallOutcome.SHORT
+        if self.error is not None or not ended_well:
+            return CallOutcome.CUT
+        return CallOutcome.SHORT
--- /dev/null
+++ b/src/pollenloom_standins/history/load_generator.py
@@ -0,0 +1,186 @@
+"""Steady calls of several accounts through all routers."""
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass
+from typing import Any, Final
+
+import uuid_utils
+
+from pollenloom.core.ids import AccountId, VmId
+from pollenloom_standins.demo.demo_plan import APPLICATION, MODEL
+from pollenloom_standins.history.call_record import (
+    CallKind,
+    CallOutcome,
+    CallRecord,
+)
+from pollenloom_standins.history.caller import Caller
+from pollenloom_standins.history.history import History
+
+# One account floods the fleet, the others call steadily.
+WORKERS: Final = (
+    (AccountId('webshop'), 14),
+    (AccountId('helpdesk'), 3),
+    (AccountId('wholesale'), 3),
+    (AccountId('museum'), 3),
+    (AccountId('juniors'), 3),
+)
+KINDS: Final = (
+    CallKind.STREAM,
+    CallKind.MODEL,
+    CallKind.READ,
+    CallKind.ORDER,
+)
+KIND_WEIGHTS: Final = (5, 2, 3, 3)
+PAUSE_SECONDS: Final = 0.1
+LONGEST_TOKENS: Final = 48
+KEPT_KEYS: Final = 20
+REPEATED_SHARE: Final = 0.3
+REPEATS_IN_DOUBT: Final = 3
+IN_DOUBT: Final = frozenset((CallOutcome.LOST, CallOutcome.CUT))
+
+
+@dataclass(frozen=True)
+class Order:
+    """An order that may be sent again."""
+
+    key: str
+    body: str
+
+
+class Routers:
+    """Routers that the balancer sends calls to.
+
+    Attributes:
+        bases: Base URL of each.
+    """
+
+    def __init__(self) -> None:
+        self.bases: dict[VmId, str] = {}
+
+    def pick(self, draw: random.Random) -> VmId | None:
+        """Return any of them."""
+        return draw.choice(sorted(self.bases)) if self.bases else None
+
+
+class LoadGenerator:
+    """Calls until it is told to stop; records each call."""
+
+    def __init__(self, history: History, routers: Routers) -> None:
+        self.history = history
+        self.routers = routers
+        self.is_stopped = False
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Start all workers."""
+        self.history.started = time.time()
+        for account, count in WORKERS:
+            orders: list[Order] = []
+            for number in range(count):
+                seed = f'{self.history.seed} {account} {number}'
+                worker = LoadWorker(self, account, orders, seed)
+                self.tasks.append(asyncio.create_task(worker.run()))
+
+    async def stop(self) -> None:
+        """Make no more calls and wait for the outcomes of the last ones."""
+        self.is_stopped = True
+        self.history.ended = time.time()
+        await asyncio.gather(*self.tasks)
+
+
+class LoadWorker:
+    """Makes one call after the other."""
+
+    def __init__(
+        self,
+        load: LoadGenerator,
+        account: AccountId,
+        orders: list[Order],
+        seed: str,
+    ) -> None:
+        self.load = load
+        self.account = account
+        self.orders = orders
+        self.random = random.Random(seed)
+        self.caller = Caller(account, load.history.calls)
+
+    async def run(self) -> None:
+        """Call until the load stops."""
+        while not self.load.is_stopped:
+            kind = self.random.choices(KINDS, KIND_WEIGHTS)[0]
+            if kind is CallKind.ORDER:
+                await self.order()
+            elif kind is CallKind.READ:
+                await self.read()
+            else:
+                await self.complete(kind)
+            await self.pause()
+
+    async def pause(self) -> None:
+        """Wait a moment between two calls."""
+        await asyncio.sleep(self.random.uniform(0, PAUSE_SECONDS))
+
+    def record(self, kind: CallKind, key: str = '') -> CallRecord | None:
+        """Return the record of a call that starts; none without a router."""
+        vm = self.load.routers.pick(self.random)
+        if vm is None:
+            return None
+        return CallRecord(
+            account=self.account,
+            kind=kind,
+            vm=vm,
+            started=time.time(),
+            key=key,
+        )
+
+    async def complete(self, kind: CallKind) -> None:
+        """Ask the model a question that was not asked before."""
+        record = self.record(kind)
+        if record is None:
+            return
+        tokens = self.random.randint(1, LONGEST_TOKENS)
+        content = f'{uuid_utils.uuid7()} [tokens={tokens}]'
+        body: dict[str, Any] = {
+            'model': MODEL,
+            'stream': kind is CallKind.STREAM,
+            'messages': [{'role': 'user', 'content': content}],
+        }
+        base = self.load.routers.bases[record.vm]
+        await self.caller.complete(record, base, body)
+
+    async def read(self) -> None:
+        """Read a stock entry that was not read before."""
+        record = self.record(CallKind.READ)
+        if record is not None:
+            await self.use(record, f'/stock/{uuid_utils.uuid7()}', '')
+
+    async def order(self) -> None:
+        """Order; repeat it, at any router, while its outcome is in doubt."""
+        order = self.choose_order()
+        for _ in range(REPEATS_IN_DOUBT):
+            record = self.record(CallKind.ORDER, order.key)
+            if record is None:
+                return
+            await self.use(record, '/orders', order.body)
+            doubtful = record.outcome in IN_DOUBT or record.run == 'unknown'
+            if not doubtful:
+                return
+            await self.pause()
+
+    def choose_order(self) -> Order:
+        """Return a new order, or one that this account has sent before."""
+        if self.orders and self.random.random() < REPEATED_SHARE:
+            return self.random.choice(self.orders)
+        key = str(uuid_utils.uuid7())
+        order = Order(key, f'{{"wood": "walnut", "note": "{key}"}}')
+        self.orders.append(order)
+        del self.orders[:-KEPT_KEYS]
+        return order
+
+    async def use(self, record: CallRecord, path: str, body: str) -> None:
+        """Call the application."""
+        base = self.load.routers.bases[record.vm]
+        url_path = f'/{APPLICATION}{path}'
+        await self.caller.use_application(record, base, url_path, body)
--- /dev/null
+++ b/src/pollenloom_standins/history/promise_checker.py
@@ -0,0 +1,27 @@
+"""Base class of the checks of a history."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterator
+from typing import ClassVar
+
+from pollenloom_standins.history.history import History
+
+
+class PromiseChecker(ABC):
+    """Checks one promise; a pure function of the history.
+
+    Attributes:
+        requirement: Ids of the requirements in the design.
+        promise: What must hold, in one line.
+    """
+
+    requirement: ClassVar[str]
+    promise: ClassVar[str]
+
+    @abstractmethod
+    def violations(self, history: History) -> Iterator[str]:
+        """Return how the history breaks the promise, one line each."""
+
+    @abstractmethod
+    def checked(self, history: History) -> int:
+        """Return how many observations the promise was checked on."""
--- /dev/null
+++ b/src/pollenloom_standins/history/promises.py
@@ -0,0 +1,28 @@
+"""All promises that a round is checked for."""
+
+from typing import Final
+
+from pollenloom_standins.history.answer_checker import AnswerChecker
+from pollenloom_standins.history.cold_checker import ColdChecker
+from pollenloom_standins.history.configuration_checker import (
+    ConfigurationChecker,
+)
+from pollenloom_standins.history.drain_checker import DrainChecker
+from pollenloom_standins.history.leaving_checker import LeavingChecker
+from pollenloom_standins.history.order_checker import OrderChecker
+from pollenloom_standins.history.promise_checker import PromiseChecker
+from pollenloom_standins.history.refusal_checker import RefusalChecker
+from pollenloom_standins.history.service_checker import ServiceChecker
+from pollenloom_standins.history.stop_checker import StopChecker
+
+PROMISES: Final[tuple[PromiseChecker, ...]] = (
+    ServiceChecker(),
+    ColdChecker(),
+    DrainChecker(),
+    AnswerChecker(),
+    RefusalChecker(),
+    OrderChecker(),
+    LeavingChecker(),
+    StopChecker(),
+    ConfigurationChecker(),
+)
--- /dev/null
+++ b/src/pollenloom_standins/history/stop_checker.py
@@ -0,0 +1,56 @@
+"""Planned stops cut no request."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from pollenloom_standins.history.call_record import CallOutcome, CallRecord
+from pollenloom_standins.history.fault_record import FaultKind, FaultRecord
+from pollenloom_standins.history.history import History
+from pollenloom_standins.history.promise_checker import PromiseChecker
+
+CUT_OUTCOMES: Final = frozenset((CallOutcome.CUT, CallOutcome.LOST))
+
+
+class StopChecker(PromiseChecker):
+    """Calls at a router that stops gracefully end whole or refused.
+
+    An error event that tells the backend server's fault cuts a stream, but
+    not because of the stop.
+    """
+
+    requirement = 'R10'
+    promise = 'a graceful shutdown cuts no request'
+
+    def violations(self, history: History) -> Iterator[str]:
+        """Return calls that were cut and stops that did not end well."""
+        for stop in stops(history):
+            if stop.exit_code:
+                yield f'{stop.target} ended with code {stop.exit_code}'
+            for call in calls_during(history, stop):
+                if call.outcome in CUT_OUTCOMES and not call.error_kind:
+                    yield f'{call.describe()}: cut by the stop'
+
+    def checked(self, history: History) -> int:
+        """Return the number of calls that were open at a stop."""
+        return sum(
+            1 for stop in stops(history) for _ in calls_during(history, stop)
+        )
+
+
+def stops(history: History) -> Iterator[FaultRecord]:
+    """Return the graceful restarts."""
+    return history.faults_of(FaultKind.ROUTER_RESTARTED)
+
+
+def calls_during(
+    history: History,
+    stop: FaultRecord,
+) -> Iterator[CallRecord]:
+    """Return the calls at a router that overlap its stop."""
+    return (
+        call
+        for call in history.calls
+        if call.vm == stop.target
+        and call.started < stop.ended
+        and call.ended > stop.started
+    )
--- /dev/null
+++ b/src/pollenloom_standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Rounds of load under random faults, checked against the promises."""
--- /dev/null
+++ b/src/pollenloom_standins/soak/ground.py
@@ -0,0 +1,105 @@
+"""What faults act on."""
+
+import random
+import time
+from pathlib import Path
+from typing import Final
+
+import aiohttp
+
+from pollenloom.console.operator_client import OperatorClient
+from pollenloom.core.ids import VmId
+from pollenloom_standins.fleet.fleet import (
+    OPERATOR_TOKEN,
+    Fleet,
+    wait_for_router,
+)
+from pollenloom_standins.fleet.fleet_plan import BackendPlan, RouterPlan
+from pollenloom_standins.fleet.managed_process import ProcessError
+from pollenloom_standins.history.collector import Collector
+from pollenloom_standins.history.history import History
+from pollenloom_standins.history.load_generator import Routers
+from pollenloom_standins.soak.link_relays import LinkRelays
+
+CALL_SECONDS: Final = 5
+
+
+class Ground:
+    """The fleet of a round with everything around it.
+
+    Attributes:
+        busy: VMs and data centres that a fault acts on.
+        troubles: What did not go as the schedule wanted.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        history: History,
+        relays: LinkRelays,
+        examples: Path,
+    ) -> None:
+        self.fleet = fleet
+        self.history = history
+        self.relays = relays
+        self.examples = examples
+        self.collector = Collector(fleet, history)
+        self.routers = Routers()
+        self.draw = random.Random(f'targets {history.seed}')
+        self.busy: set[str] = set()
+        self.troubles: list[str] = []
+
+    def note_routers(self) -> None:
+        """Let the balancer send calls to all routers."""
+        for vm in self.fleet.routers:
+            self.routers.bases[vm] = self.fleet.callers(vm)
+
+    def router_plan(self, vm: str) -> RouterPlan:
+        """Return the plan of a router."""
+        return next(plan for plan in self.fleet.plan.routers if plan.vm == vm)
+
+    def backend_plan(self, vm: str) -> BackendPlan:
+        """Return the plan of a backend server."""
+        return next(plan for plan in self.fleet.plan.backends if plan.vm == vm)
+
+    def pick(self, candidates: list[str]) -> str | None:
+        """Return a candidate that no fault acts on."""
+        free = [name for name in candidates if name not in self.busy]
+        return self.draw.choice(free) if free else None
+
+    async def start_router(self, vm: VmId) -> None:
+        """Start a router again; the balancer takes it when it is ready."""
+        await self.fleet.start_router(self.router_plan(vm))
+        self.collector.note_start(vm)
+        try:
+            await wait_for_router(self.fleet.routers[vm])
+        except ProcessError as error:
+            self.troubles.append(f'{time.time():.3f} {error}')
+            return
+        self.collector.ready_at[vm] = time.time()
+        self.routers.bases[vm] = self.fleet.callers(vm)
+
+    def operators(self) -> OperatorClient:
+        """Return a client of the operators' addresses."""
+        addresses = self.fleet.operator_addresses()
+        return OperatorClient(addresses, OPERATOR_TOKEN)
+
+    async def set_backend_faults(self, vm: str, **faults: object) -> None:
+        """Change the faults of a backend server's stand-in."""
+        base = self.fleet.control(VmId(vm))
+        await put(f'{base}/control/faults', faults)
+
+    async def set_platform_faults(self, **faults: object) -> None:
+        """Change the faults of the platform's stand-in."""
+        await put(f'{self.fleet.platform_url}/control/faults', faults)
+
+
+async def put(url: str, body: dict[str, object]) -> None:
+    """Send a control call."""
+    async with (
+        aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=CALL_SECONDS),
+        ) as session,
+        session.put(url, json=body) as answer,
+    ):
+        answer.raise_for_status()
--- /dev/null
+++ b/src/pollenloom_standins/soak/link_relays.py
@@ -0,0 +1,104 @@
+"""Relays between the routers of a fleet."""
+
+import socket
+from pathlib import Path
+
+import aiohttp
+import msgspec
+
+from pollenloom_standins.fleet.fleet import standin
+from pollenloom_standins.fleet.fleet_plan import RouterPlan
+from pollenloom_standins.fleet.managed_process import ManagedProcess
+from pollenloom_standins.relay.link_rules import (
+    LinkMode,
+    LinkRule,
+    LinkRules,
+)
+
+
+class LinkRelays:
+    """A relay before the peers' address of each router.
+
+    Attributes:
+        cut: Hosts that are cut off, with whether only their sending is.
+    """
+
+    def __init__(self, directory: Path) -> None:
+        self.directory = directory
+        self.relays: dict[str, ManagedProcess] = {}
+        self.cut: dict[str, bool] = {}
+
+    async def place_before(self, plan: RouterPlan) -> RouterPlan:
+        """Start a relay; return the plan with its addresses."""
+        address = free_address(plan.host)
+        process = ManagedProcess(
+            f'relay-{plan.vm}',
+            standin(
+                'relay',
+                '--target',
+                address,
+                '--listen',
+                f'{plan.host}:0',
+            ),
+            self.directory,
+        )
+        self.relays[plan.host] = process
+        await process.start()
+        return RouterPlan(
+            vm=plan.vm,
+            data_centre=plan.data_centre,
+            host=plan.host,
+            sections=plan.sections,
+            peers=address,
+            advertise=process.ready['ready'],
+        )
+
+    async def cut_off(self, host: str, *, one_way: bool) -> None:
+        """Cut a router off from all others, or lose only what it sends."""
+        self.cut[host] = one_way
+        await self.apply()
+
+    async def join(self, host: str) -> None:
+        """Bring the links of a router back."""
+        self.cut.pop(host, None)
+        await self.apply()
+
+    async def apply(self) -> None:
+        """Put the rules of all relays in force."""
+        async with aiohttp.ClientSession() as session:
+            for host, process in self.relays.items():
+                answer = await session.put(
+                    f'http://{process.ready["control"]}/control/links',
+                    json=msgspec.to_builtins(self.rules_of(host)),
+                )
+                answer.raise_for_status()
+
+    def rules_of(self, host: str) -> LinkRules:
+        """Return the rules of the relay before a router.
+
+        Bytes of the router that was called go backward, those of its caller
+        forward.
+        """
+        rules = []
+        for source in (*self.relays, '*'):
+            loses_sent = source in self.cut or self.cut.get(host) is False
+            loses_answers = host in self.cut or self.cut.get(source) is False
+            rules.append(
+                LinkRule(
+                    source=source,
+                    forward=LinkMode.DROP if loses_sent else LinkMode.PASS,
+                    backward=LinkMode.DROP if loses_answers else LinkMode.PASS,
+                ),
+            )
+        return LinkRules(tuple(rules))
+
+    async def kill_all(self) -> None:
+        """End all relays."""
+        for process in self.relays.values():
+            await process.kill()
+
+
+def free_address(host: str) -> str:
+    """Return an address whose port is free now; only this fleet uses it."""
+    with socket.create_server((host, 0)) as listener:
+        return f'{host}:{listener.getsockname()[1]}'
--- /dev/null
+++ b/src/pollenloom_standins/soak/operator_faults.py
@@ -0,0 +1,123 @@
+"""Operations at bad moments, and cut links."""
+
+import asyncio
+import time
+from typing import ClassVar, Final
+
+from pollenloom.configuration.file_collector import collect_files
+from pollenloom.configuration.publish_result import (
+    PublishResult,
+    PublishState,
+)
+from pollenloom.configuration.publisher import Publisher
+from pollenloom.console.platform_client import open_platform
+from pollenloom.core.ids import DataCentreId
+from pollenloom.core.states import DataCentreState
+from pollenloom.kernel.clock import Clock
+from pollenloom.settings.router_settings import PlatformSettings
+from pollenloom_standins.demo.demo_plan import DATA_CENTRES
+from pollenloom_standins.history.fault_record import FaultRecord
+from pollenloom_standins.history.samples import AcceptedPublish
+from pollenloom_standins.soak.fault import Fault
+from pollenloom_standins.soak.ground import Ground
+
+PUBLISHERS: Final = ('anna', 'berend')
+PUBLISH_SECONDS: Final = 10
+HIGHEST_SHARE: Final = 10_000
+
+
+class LinkCut(Fault):
+    """Cuts a router off from all other routers."""
+
+    def __init__(self, *, one_way: bool) -> None:
+        self.one_way = one_way
+
+    async def choose(self, ground: Ground) -> str | None:
+        """Return any router."""
+        return ground.pick([plan.vm for plan in ground.fleet.plan.routers])
+
+    async def begin(self, ground: Ground, record: FaultRecord) -> None:
+        """Cut its links."""
+        host = ground.router_plan(record.target).host
+        await ground.relays.cut_off(host, one_way=self.one_way)
+
+    async def end(self, ground: Ground, record: FaultRecord) -> None:
+        """Bring them back."""
+        await ground.relays.join(ground.router_plan(record.target).host)
+
+
+class Drain(Fault):
+    """Takes a data centre out of service and brings it back."""
+
+    seconds: ClassVar[tuple[float, float]] = (5.0, 8.0)
+
+    async def choose(self, ground: Ground) -> str | None:
+        """Return a data centre if all are in service."""
+        if ground.busy.intersection(DATA_CENTRES):
+            return None
+        return ground.pick(list(DATA_CENTRES))
+
+    async def begin(self, ground: Ground, record: FaultRecord) -> None:
+        """Give the order; one that no router took is not counted."""
+        outcome = await ground.operators().set_data_centre_state(
+            DataCentreId(record.target),
+            DataCentreState.OUT,
+        )
+        if outcome.is_error():
+            ground.troubles.append(f'drain: {outcome.error}')
+            ground.history.faults.remove(record)
+
+    async def end(self, ground: Ground, record: FaultRecord) -> None:
+        """Bring it back."""
+        outcome = await ground.operators().set_data_centre_state(
+            DataCentreId(record.target),
+            DataCentreState.IN_SERVICE,
+        )
+        if outcome.is_error():
+            ground.troubles.append(f'restore: {outcome.error}')
+
+
+class PublishRace(Fault):
+    """Two operators publish different shares at once."""
+
+    seconds: ClassVar[tuple[float, float]] = (0, 1.0)
+
+    async def choose(self, ground: Ground) -> str | None:
+        """Return the publishers' name."""
+        return ground.pick(['publishers'])
+
+    async def begin(self, ground: Ground, record: FaultRecord) -> None:
+        """Publish twice and record what was accepted."""
+        await asyncio.gather(
+            *(publish(ground, publisher) for publisher in PUBLISHERS),
+        )
+
+    async def end(self, ground: Ground, record: FaultRecord) -> None:
+        """Nothing to end."""
+
+
+async def publish(ground: Ground, publisher: str) -> PublishResult:
+    """Publish a share that was not published before."""
+    share = ground.draw.randint(2, HIGHEST_SHARE)
+    collected = collect_files(list(ground.fleet.plan.directories))
+    files = {
+        name: text.replace('share = 12', f'share = {share}')
+        for name, text in collected.files.items()
+    }
+    settings = PlatformSettings(url=ground.fleet.platform_url)
+    async with open_platform(settings) as platform:
+        result = await Publisher(
+            platform,
+            Clock(),
+            publisher,
+            PUBLISH_SECONDS,
+        ).publish(files)
+    if result.state is PublishState.PUBLISHED:
+        ground.history.publishes.append(
+            AcceptedPublish(
+                publisher=publisher,
+                revision=result.revision,
+                told_at=time.time(),
+            ),
+        )
+    return result
--- /dev/null
+++ b/src/pollenloom_standins/soak/platform_faults.py
@@ -0,0 +1,37 @@
+"""Faults of the platform."""
+
+from types import MappingProxyType
+from typing import Final
+
+from pollenloom_standins.history.fault_record import FaultRecord
+from pollenloom_standins.soak.fault import Fault
+from pollenloom_standins.soak.ground import Ground
+
+PLATFORM: Final = 'platform'
+NO_FAULTS: Final = MappingProxyType(
+    {
+        'down': False,
+        'slow_seconds': 0,
+        'lose_answers': 0,
+        'lose_appends': 0,
+    },
+)
+
+
+class PlatformFault(Fault):
+    """Sets switches of the platform's stand-in; one such fault at a time."""
+
+    def __init__(self, **switches: object) -> None:
+        self.switches = switches
+
+    async def choose(self, ground: Ground) -> str | None:
+        """Return the platform."""
+        return ground.pick([PLATFORM])
+
+    async def begin(self, ground: Ground, record: FaultRecord) -> None:
+        """Set the switches."""
+        await ground.set_platform_faults(**self.switches)
+
+    async def end(self, ground: Ground, record: FaultRecord) -> None:
+        """Reset all switches."""
+        await ground.set_platform_faults(**NO_FAULTS)
--- /dev/null
+++ b/src/pollenloom_standins/soak/router_faults.py
@@ -0,0 +1,65 @@
+"""Faults and restarts of routers."""
+
+from abc import abstractmethod
+from typing import ClassVar
+
+from pollenloom.core.ids import VmId
+from pollenloom_standins.history.fault_record import FaultRecord
+from pollenloom_standins.soak.fault import Fault
+from pollenloom_standins.soak.ground import Ground
+from pollenloom_standins.soak.router_role import AnyRouter, RouterRole
+
+
+class RouterFault(Fault):
+    """Happens to a router of some role."""
+
+    def __init__(self, role: RouterRole | None = None) -> None:
+        self.role = role or AnyRouter()
+
+    async def choose(self, ground: Ground) -> str | None:
+        """Return a router of the role."""
+        return await self.role.choose(ground)
+
+    @abstractmethod
+    async def begin(self, ground: Ground, record: FaultRecord) -> None:
+        """Put it in force."""
+
+
+class RouterKill(RouterFault):
+    """Kills a router and starts it empty."""
+
+    async def begin(self, ground: Ground, record: FaultRecord) -> None:
+        """Kill it; callers' connections are refused from now on."""
+        await ground.fleet.routers[VmId(record.target)].kill()
+
+    async def end(self, ground: Ground, record: FaultRecord) -> None:
+        """Start it again."""
+        await ground.start_router(VmId(record.target))
+
+
+class RouterFreeze(RouterFault):
+    """Stops a router's process and lets it go on."""
+
+    async def begin(self, ground: Ground, record: FaultRecord) -> None:
+        """Freeze it."""
+        ground.fleet.routers[VmId(record.target)].freeze()
+
+    async def end(self, ground: Ground, record: FaultRecord) -> None:
+        """Let it go on."""
+        ground.fleet.routers[VmId(record.target)].resume()
+
+
+class RouterRestart(RouterFault):
+    """Stops a router gracefully and starts it again."""
+
+    seconds: ClassVar[tuple[float, float]] = (0, 1.0)
+
+    async def begin(self, ground: Ground, record: FaultRecord) -> None:
+        """Stop it; the balancer sends no further calls from now on."""
+        vm = VmId(record.target)
+        ground.routers.bases.pop(vm, None)
+        record.exit_code = await ground.fleet.routers[vm].terminate()
+
+    async def end(self, ground: Ground, record: FaultRecord) -> None:
+        """Start it again."""
+        await ground.start_router(VmId(record.target))
