--- a/src/pollenloom_standins/commands/soak_command.py
+++ b/src/pollenloom_standins/commands/soak_command.py
@@ -15,6 +15,7 @@
 from pollenloom_standins.fleet.managed_process import ProcessError
 from pollenloom_standins.history.promises import PROMISES
 from pollenloom_standins.soak.fault_schedule import draw_schedule
+from pollenloom_standins.soak.soak_plan import SECTIONS
 from pollenloom_standins.soak.soak_round import RoundResult, run_round
 
 SHOWN_VIOLATIONS: Final = 3
@@ -45,6 +46,8 @@
         parallel: Rounds at the same time.
         examples: Directory with the example service files.
         output: Directory for histories of broken promises, with logs.
+        sections: TOML file added to the routers' settings, to see a promise
+            fail when its mechanism is off.
     """
 
     seed: Annotated[int, cappa.Arg(long=True)] = 1
@@ -53,6 +56,7 @@
     parallel: Annotated[int, cappa.Arg(long=True)] = 1
     examples: Annotated[Path, cappa.Arg(long=True)] = Path('examples')
     output: Annotated[Path, cappa.Arg(long=True)] = Path('soak-output')
+    sections: Annotated[Path | None, cappa.Arg(long=True)] = None
 
     def __call__(self) -> None:
         """Run the rounds."""
@@ -72,6 +76,12 @@
         )
         return totals
 
+    def router_sections(self) -> str:
+        """Return the text that ends the routers' settings."""
+        if self.sections is None:
+            return SECTIONS
+        return SECTIONS + self.sections.read_text(encoding='utf-8')
+
     async def work(
         self,
         seeds: Iterator[int],
@@ -86,7 +96,12 @@
             seed = next(seeds)
             directory = self.output / f'seed-{seed}'
             try:
-                result = await run_round(seed, self.examples, directory)
+                result = await run_round(
+                    seed,
+                    self.examples,
+                    directory,
+                    sections=self.router_sections(),
+                )
             except ProcessError as error:
                 totals.failed_starts += 1
                 say(f'seed {seed}: round not run: {error}')
--- /dev/null
+++ b/tests/standins/history/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the checks of histories."""
