Raise no limit while a backend server reports a cold start

A server that was restarted at another address also kept the limit of its old process. A router that stopped while the platform was down waited 27 s for records of orders and ended with code 11 (found by the scenario 'out of service while the platform is down'). Ruled out: a frozen or cut-off owner; the overloads had no router fault near them and the owner was the same all the time. A server with a new address gets a new ramp. The order desk's drain waits 5 s for records of ended orders. Six scenarios run with behave.

--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,38 @@
+"""Starts a fleet of its own for each scenario."""
+
+import asyncio
+import tempfile
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+from behave.model import Scenario
+from behave.runner import Context
+
+from pollenloom_standins.soak.soak_round import open_ground
+
+ROOT = Path(__file__).resolve().parents[1]
+# Draws a fleet of 4 routers.
+SEED = 7
+
+
+def before_scenario(context: Context, _scenario: Scenario) -> None:
+    """Start the fleet on an event loop that the steps share."""
+    context.runner = asyncio.Runner()
+    context.stack = AsyncExitStack()
+    context.directory = tempfile.TemporaryDirectory(prefix='pollenloom-')
+    context.ground = context.runner.run(
+        context.stack.enter_async_context(
+            open_ground(
+                Path(context.directory.name),
+                SEED,
+                ROOT / 'examples',
+            ),
+        ),
+    )
+
+
+def after_scenario(context: Context, _scenario: Scenario) -> None:
+    """Stop the fleet."""
+    context.runner.run(context.stack.aclose())
+    context.runner.close()
+    context.directory.cleanup()
--- /dev/null
+++ b/features/steps/fleet_steps.py
@@ -0,0 +1,394 @@
+"""Steps on a running fleet."""
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+import uuid_utils
+from behave import given, then, when
+from behave.runner import Context
+
+from pollenloom.core.ids import AccountId, VmId
+from pollenloom.core.states import Resource
+from pollenloom_standins.backend.backend_reports import StateReport
+from pollenloom_standins.demo.demo_plan import APPLICATION, MODEL
+from pollenloom_standins.history.answer_checker import AnswerChecker
+from pollenloom_standins.history.call_record import (
+    CallKind,
+    CallOutcome,
+    CallRecord,
+)
+from pollenloom_standins.history.caller import Caller
+from pollenloom_standins.history.drain_checker import DrainChecker
+from pollenloom_standins.history.fault_record import FaultKind, FaultRecord
+from pollenloom_standins.history.load_generator import LoadGenerator
+from pollenloom_standins.history.promise_checker import PromiseChecker
+from pollenloom_standins.history.service_checker import ServiceChecker
+from pollenloom_standins.history.stop_checker import StopChecker
+from pollenloom_standins.soak.fault import Fault
+from pollenloom_standins.soak.ground import Ground
+from pollenloom_standins.soak.operator_faults import Drain
+from pollenloom_standins.soak.router_faults import RouterFreeze, RouterRestart
+
+ACCOUNT = AccountId('webshop')
+WAIT_SECONDS = 15
+POLL_SECONDS = 0.05
+STREAM_TOKENS = 40
+
+
+@dataclass
+class Calls:
+    """Makes single calls on a fleet."""
+
+    ground: Ground
+    orders: dict[str, str] = field(default_factory=dict)
+
+    @property
+    def vms(self) -> list[VmId]:
+        """All routers."""
+        return [plan.vm for plan in self.ground.fleet.plan.routers]
+
+    def record(self, kind: CallKind, vm: VmId, key: str = '') -> CallRecord:
+        """Return the record of a call that starts."""
+        return CallRecord(
+            account=ACCOUNT,
+            kind=kind,
+            vm=vm,
+            started=time.time(),
+            key=key,
+        )
+
+    def caller(self) -> Caller:
+        """Return a caller whose calls are kept."""
+        return Caller(ACCOUNT, self.ground.history.calls)
+
+    async def order(self, vm: VmId, key: str) -> CallRecord:
+        """Order at a router."""
+        record = self.record(CallKind.ORDER, vm, key)
+        base = self.ground.fleet.callers(vm)
+        path = f'/{APPLICATION}/orders'
+        return await self.caller().use_application(record, base, path, '{}')
+
+    async def read(self, vm: VmId) -> CallRecord:
+        """Read at a router."""
+        record = self.record(CallKind.READ, vm)
+        base = self.ground.fleet.callers(vm)
+        path = f'/{APPLICATION}/stock/walnut'
+        return await self.caller().use_application(record, base, path, '')
+
+    async def stream(self, vm: VmId) -> CallRecord:
+        """Ask for a stream at a router."""
+        body: dict[str, Any] = {
+            'model': MODEL,
+            'stream': True,
+            'messages': [
+                {'role': 'user', 'content': f'[tokens={STREAM_TOKENS}]'},
+            ],
+        }
+        record = self.record(CallKind.STREAM, vm)
+        base = self.ground.fleet.callers(vm)
+        return await self.caller().complete(record, base, body)
+
+    async def fetch(self) -> None:
+        """Fetch the records of all backend servers."""
+        for plan in self.ground.fleet.plan.backends:
+            await self.ground.collector.fetch(plan)
+
+    async def wait_for_order(self) -> None:
+        """Wait until an application lists an order."""
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not self.ground.history.orders:
+                await asyncio.sleep(POLL_SECONDS)
+                await self.fetch()
+
+
+def new_key() -> str:
+    return str(uuid_utils.uuid7())
+
+
+async def happen(
+    ground: Ground,
+    fault: Fault,
+    kind: FaultKind,
+    target: str,
+    seconds: float,
+) -> None:
+    """Let a fault happen and end."""
+    record = FaultRecord(kind=kind, target=target, started=time.time())
+    ground.history.faults.append(record)
+    await fault.begin(ground, record)
+    await asyncio.sleep(seconds)
+    record.ended = time.time()
+    await fault.end(ground, record)
+    record.recovered = time.time()
+
+
+def expect_kept(context: Context, checker: PromiseChecker) -> None:
+    """Check a promise that there were observations of."""
+    history = context.ground.history
+    assert checker.checked(history), 'nothing was observed'
+    violations = list(checker.violations(history))
+    assert not violations, violations
+
+
+@given('applications that answer after {seconds:d} s')
+def step_late_applications(context: Context, seconds: int) -> None:
+    for plan in context.ground.fleet.plan.backends:
+        if plan.resource is Resource.APPLICATION:
+            context.runner.run(
+                context.ground.set_backend_faults(
+                    plan.vm,
+                    next_late=-1,
+                    late_seconds=seconds,
+                ),
+            )
+
+
+@given('engines of which the next stream dies after {events:d} events')
+def step_dying_engines(context: Context, events: int) -> None:
+    # One engine, whichever gets the stream: the others get a switch each,
+    # and the next stream of the scenario needs only two servers.
+    engines = [
+        plan.vm
+        for plan in context.ground.fleet.plan.backends
+        if plan.resource is Resource.MODEL
+    ]
+    context.engines = engines
+    for vm in engines:
+        context.runner.run(
+            context.ground.set_backend_faults(
+                vm,
+                next_died=1,
+                events_before=events,
+            ),
+        )
+
+
+@given('load on all routers')
+def step_load(context: Context) -> None:
+    async def start() -> None:
+        context.load = LoadGenerator(
+            context.ground.history,
+            context.ground.routers,
+        )
+        context.ground.collector.start()
+        context.load.start()
+        # Until the load is steady.
+        await asyncio.sleep(1)
+
+    context.runner.run(start())
+
+
+@given('the platform is down')
+def step_platform_down(context: Context) -> None:
+    context.runner.run(context.ground.set_platform_faults(down=True))
+
+
+@when('the platform is up again')
+def step_platform_up(context: Context) -> None:
+    context.runner.run(context.ground.set_platform_faults(down=False))
+
+
+@when('an order is sent to the first router')
+def step_first_order(context: Context) -> None:
+    async def send() -> None:
+        calls = Calls(context.ground)
+        context.key = new_key()
+        context.first = asyncio.create_task(
+            calls.order(calls.vms[0], context.key),
+        )
+        await calls.wait_for_order()
+
+    context.runner.run(send())
+
+
+@when('the first router is killed while the order runs')
+def step_kill_first(context: Context) -> None:
+    async def kill() -> CallOutcome:
+        vm = Calls(context.ground).vms[0]
+        await context.ground.fleet.routers[vm].kill()
+        record: CallRecord = await context.first
+        return record.outcome
+
+    assert context.runner.run(kill()) is CallOutcome.LOST
+
+
+@when('the order is sent again to the second router')
+def step_repeat(context: Context) -> None:
+    calls = Calls(context.ground)
+    context.repeat = context.runner.run(
+        calls.order(calls.vms[1], context.key),
+    )
+
+
+@then('the repeat is told that the outcome is not known')
+def step_unknown(context: Context) -> None:
+    repeat = context.repeat
+    assert repeat.outcome is CallOutcome.REFUSED, repeat
+    assert repeat.run == 'unknown', repeat
+
+
+@then('the order ran once')
+def step_ran_once(context: Context) -> None:
+    context.ground.history.orders.clear()
+    context.runner.run(Calls(context.ground).fetch())
+    keys = [run.order.key for run in context.ground.history.orders]
+    assert keys == [context.key], keys
+
+
+@then('reads and model calls get whole answers')
+def step_reads(context: Context) -> None:
+    calls = Calls(context.ground)
+    for vm in calls.vms:
+        for call in (calls.read(vm), calls.stream(vm)):
+            record = context.runner.run(call)
+            assert record.outcome is CallOutcome.WHOLE, record
+
+
+@then('an order is refused as not run')
+def step_refused(context: Context) -> None:
+    calls = Calls(context.ground)
+    record = context.runner.run(calls.order(calls.vms[0], new_key()))
+    assert record.outcome is CallOutcome.REFUSED, record
+    assert record.run == 'no', record
+
+
+@then('no order ran')
+def step_no_order(context: Context) -> None:
+    context.runner.run(Calls(context.ground).fetch())
+    assert not context.ground.history.orders
+
+
+@then('an order gets an answer')
+def step_order_answered(context: Context) -> None:
+    calls = Calls(context.ground)
+
+    async def order() -> CallRecord:
+        async with asyncio.timeout(WAIT_SECONDS):
+            record = await calls.order(calls.vms[0], new_key())
+            while record.outcome is not CallOutcome.WHOLE:
+                await asyncio.sleep(POLL_SECONDS)
+                record = await calls.order(calls.vms[0], new_key())
+        return record
+
+    assert context.runner.run(order()).outcome is CallOutcome.WHOLE
+
+
+@when('a stream is asked for')
+def step_stream(context: Context) -> None:
+    calls = Calls(context.ground)
+    context.stream = context.runner.run(calls.stream(calls.vms[0]))
+
+
+@then('the stream is whole')
+def step_stream_whole(context: Context) -> None:
+    assert context.stream.outcome is CallOutcome.WHOLE, context.stream
+
+
+@then('two servers ran it')
+def step_two_servers(context: Context) -> None:
+    context.runner.run(Calls(context.ground).fetch())
+    servers = {
+        run.server
+        for run in context.ground.history.runs
+        if run.run.request_id == context.stream.request_id
+    }
+    assert len(servers) > 1, servers
+
+
+@when('{data_centre} is out of service for {seconds:d} s')
+def step_drain(context: Context, data_centre: str, seconds: int) -> None:
+    context.runner.run(
+        happen(
+            context.ground,
+            Drain(),
+            FaultKind.DATA_CENTRE_DRAINED,
+            data_centre,
+            seconds,
+        ),
+    )
+
+
+@when('each router is restarted gracefully')
+def step_restart_all(context: Context) -> None:
+    for plan in context.ground.fleet.plan.routers:
+        context.runner.run(
+            happen(
+                context.ground,
+                RouterRestart(),
+                FaultKind.ROUTER_RESTARTED,
+                plan.vm,
+                0,
+            ),
+        )
+
+
+@when('the owner of a model pool is frozen for {seconds:f} s')
+def step_freeze_owner(context: Context, seconds: float) -> None:
+    ground: Ground = context.ground
+
+    async def freeze() -> None:
+        status = await ground.operators().status()
+        owner = next(
+            pool.owner for pool in status.ok.pools if pool.service == MODEL
+        )
+        kind = FaultKind.OWNER_FROZEN
+        await happen(ground, RouterFreeze(), kind, owner, seconds)
+
+    context.runner.run(freeze())
+
+
+@when('the load goes on for {seconds:d} s')
+def step_go_on(context: Context, seconds: int) -> None:
+    context.runner.run(asyncio.sleep(seconds))
+
+
+@when('the load stops')
+def step_load_stops(context: Context) -> None:
+    async def stop() -> None:
+        await context.load.stop()
+        await context.ground.collector.stop()
+
+    context.runner.run(stop())
+
+
+@then('{data_centre} got no new work after 3 s')
+def step_no_new_work(context: Context, data_centre: str) -> None:
+    assert data_centre in {run.target for run in context.ground.history.faults}
+    expect_kept(context, DrainChecker())
+
+
+@then('all answers were whole or marked as errors')
+def step_whole(context: Context) -> None:
+    expect_kept(context, AnswerChecker())
+
+
+@then('no request was cut')
+def step_not_cut(context: Context) -> None:
+    expect_kept(context, StopChecker())
+
+
+@then('no account waited 10 s without service')
+def step_served(context: Context) -> None:
+    expect_kept(context, ServiceChecker())
+
+
+@then('no engine ran more requests than its slots')
+def step_not_over_admitted(context: Context) -> None:
+    ground: Ground = context.ground
+
+    async def peaks() -> dict[str, int]:
+        found = {}
+        for plan in ground.fleet.plan.backends:
+            if plan.resource is Resource.MODEL:
+                report = await ground.collector.get(
+                    plan.vm,
+                    'state',
+                    StateReport,
+                )
+                found[plan.vm] = report.peak_running - plan.slots
+        return found
+
+    above = context.runner.run(peaks())
+    assert max(above.values()) <= 0, above
--- a/src/pollenloom/admission/pool_owners.py
+++ b/src/pollenloom/admission/pool_owners.py
@@ -47,6 +47,7 @@
         self.exchange = Exchange(scope)
         self.guard = PauseGuard(PAUSE_SECONDS)
         self.created = 0
+        self.has_load_reports = False
         self.readopted_at: dict[PoolId, float] = {}
         self.swept_at: float = 0
 
@@ -90,10 +91,17 @@
             self.options,
             prefix,
         )
+        allocator.servers.has_load_reports = self.has_load_reports
         allocator.epoch = self.scope.epochs.current(pool.pool).epoch + 1
         self.allocators[pool.pool] = allocator
         return allocator
 
+    def expect_load_reports(self) -> None:
+        """Raise no limit of a new server before its first load report."""
+        self.has_load_reports = True
+        for allocator in self.allocators.values():
+            allocator.servers.has_load_reports = True
+
     def drop(self, pool: PoolId) -> None:
         """Leave a pool to its new owner."""
         self.exchange.send_all(pool, self.allocators[pool])
--- a/src/pollenloom/admission/pool_servers.py
+++ b/src/pollenloom/admission/pool_servers.py
@@ -16,6 +16,7 @@
 
     def __init__(self, *, ramp: bool) -> None:
         self.ramp = ramp
+        self.has_load_reports = False
         self.servers: dict[ServerId, ServerState] = {}
 
     def __iter__(self) -> Iterator[ServerState]:
@@ -59,19 +60,31 @@
 
     def add_server(self, server: BackendServer, adoption: Adoption) -> None:
         """Add a server whose load has to be reported first."""
-        ramp = ServerRamp(
+        ramp = self.make_ramp(server, self.usual_baseline(server))
+        self.servers[server.server] = ServerState(server, ramp, adoption)
+
+    def make_ramp(
+        self,
+        server: BackendServer,
+        baseline: float | None,
+    ) -> ServerRamp:
+        """Return the ramp of a server that has just started."""
+        return ServerRamp(
             server.slots,
             server.cold_slots,
             enabled=self.ramp,
-            baseline=self.usual_baseline(server),
+            baseline=baseline,
+            awaits_report=self.has_load_reports,
         )
-        self.servers[server.server] = ServerState(server, ramp, adoption)
 
     def update_server(self, state: ServerState, server: BackendServer) -> None:
         """Use a new entry of a known server."""
-        if state.server != server:
-            state.server = server
+        if state.server.address != server.address:
+            # Another process, which is cold whatever the old one bore.
+            state.ramp = self.make_ramp(server, state.ramp.baseline)
+        elif state.server != server:
             state.ramp.resize(server.slots, server.cold_slots)
+        state.server = server
 
     def usual_baseline(self, server: BackendServer) -> float | None:
         """Median baseline of the other servers of the same version."""
--- a/src/pollenloom/admission/server_ramp.py
+++ b/src/pollenloom/admission/server_ramp.py
@@ -48,6 +48,10 @@
     good answers as the limit, and falls back on failures, on refusals and
     when the first byte comes much later than from the warm server. A server
     that fails at `cold_slots` is probed with one request after a pause.
+
+    Attributes:
+        may_be_cold: Whether the server reports that it is cold, or its first
+            report is still awaited; the limit does not rise then.
     """
 
     def __init__(
@@ -57,6 +61,7 @@
         *,
         enabled: bool = True,
         baseline: float | None = None,
+        awaits_report: bool = False,
     ) -> None:
         self.slots = max(1, slots)
         self.cold_slots = min(max(1, cold_slots), self.slots)
@@ -69,6 +74,7 @@
         self.fell_at = float('-inf')
         self.closed_until = float('-inf')
         self.failed_probes = 0
+        self.may_be_cold = awaits_report
 
     @property
     def cold(self) -> bool:
@@ -92,6 +98,12 @@
         bearing = min(self.slots, in_flight)
         self.limit = max(self.limit, bearing)
 
+    def report_load(self, now: float, *, cold: bool | None) -> None:
+        """Take a load report; `cold` is none if the server does not tell."""
+        self.may_be_cold = bool(cold)
+        if cold and self.enabled:
+            self.fall(now)
+
     def record(self, answer: ServerAnswer, now: float) -> None:
         """Adapt the limit to an answer."""
         if answer.server_leaving:
@@ -137,7 +149,7 @@
             return
         self.failed_probes = 0
         self.good_answers += 1
-        if self.good_answers >= self.limit:
+        if self.good_answers >= self.limit and not self.may_be_cold:
             self.good_answers = 0
             self.limit = min(self.slots, self.limit * 2)
 
--- a/src/pollenloom/console/service_catalogue.py
+++ b/src/pollenloom/console/service_catalogue.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from pollenloom.admission.admission_factory import make_admission
+from pollenloom.admission.load_watch import LoadWatch
 from pollenloom.configuration.configuration_store import ConfigurationStore
 from pollenloom.dispatch.dispatcher import Dispatcher
 from pollenloom.frontend.caller_server import CallerServer
@@ -67,6 +68,7 @@
     make_configuration,
     MoveController.from_config,
     make_admission,
+    LoadWatch.from_config,
     Dispatcher.from_config,
     OrderDesk.from_config,
     CallerServer.from_config,
--- a/src/pollenloom/kernel/kernel_service_name.py
+++ b/src/pollenloom/kernel/kernel_service_name.py
@@ -12,6 +12,7 @@
     DISPATCH = 'dispatch'
     EVENTS = 'events'
     FRONTEND = 'frontend'
+    LOAD = 'load'
     LOG = 'log'
     MEMBERSHIP = 'membership'
     METRICS = 'metrics'
--- a/src/pollenloom/orders/order_desk.py
+++ b/src/pollenloom/orders/order_desk.py
@@ -55,6 +55,10 @@
 # router finds the outcome only if it was recorded.
 RECORD_WAIT_SECONDS: Final = 3.0
 RETRY_SECONDS: Final = 0.25
+# A graceful shutdown waits this long for records of orders that have ended.
+# During a platform outage they would use up the whole time of the shutdown;
+# without them repeats are told that the outcome is unknown.
+DRAIN_SECONDS: Final = 5.0
 MAX_RECORDED_BODY_BYTES: Final = 131_072
 
 VERDICT_ERRORS: Final = MappingProxyType(
@@ -118,9 +122,19 @@
         self.peers.answer(ConcludeOrder, self.desk.answer_conclusion)
 
     async def drain(self) -> None:
-        """Finish running orders and the records of their outcomes."""
-        while self.running or self.concluding:
-            await asyncio.wait(self.running | self.concluding)
+        """Finish running orders, and the records of outcomes if possible."""
+        while self.running:
+            await asyncio.wait(self.running)
+        if not self.concluding:
+            return
+        _, left = await asyncio.wait(self.concluding, timeout=DRAIN_SECONDS)
+        for task in left:
+            task.cancel()
+            self.events.record(
+                'order_conclusion_lost',
+                task.get_name(),
+                reason='the router stops and the log took no record in time',
+            )
 
     async def stop(self) -> None:
         """Nothing to release: the kernel ends the tasks."""
@@ -265,8 +279,10 @@
 
     def conclude(self, message: ConcludeOrder) -> asyncio.Task[None]:
         """Start to record the end of a claim."""
+        entry = message.outcome or message.release
         task = asyncio.get_running_loop().create_task(
             self.conclude_with_retries(message),
+            name=entry.key.key if entry else '',
         )
         self.concluding.add(task)
         task.add_done_callback(self.concluding.discard)
--- /dev/null
+++ b/tests/admission/test_pool_servers.py
@@ -0,0 +1,77 @@
+"""Servers of a pool that are replaced or report their load."""
+
+from dataclasses import replace
+
+import pytest
+
+from pollenloom.admission.pool_servers import PoolServers
+from pollenloom.admission.server_ramp import ServerAnswer, ServerRamp
+from pollenloom.core.backend_server import BackendServer
+from pollenloom.core.ids import DataCentreId, ServerId, ServiceId, VersionId
+from pollenloom.core.states import Outcome
+
+SLOTS = 8
+SERVER = BackendServer(
+    server=ServerId('s1'),
+    service=ServiceId('answers'),
+    data_centre=DataCentreId('almelo'),
+    version=VersionId('v1'),
+    address='127.0.0.1:1',
+    slots=SLOTS,
+    cold_slots=1,
+)
+
+
+def serve(ramp: ServerRamp, count: int) -> None:
+    """Record good answers."""
+    answer = ServerAnswer(outcome=Outcome.SERVED, granted_at=10)
+    for _ in range(count):
+        ramp.record(answer, 10)
+
+
+@pytest.fixture
+def servers() -> PoolServers:
+    """A pool with one server."""
+    pool = PoolServers(ramp=True)
+    pool.replace((SERVER,), (), 0)
+    return pool
+
+
+def ramp_of(servers: PoolServers) -> ServerRamp:
+    return servers.servers[SERVER.server].ramp
+
+
+def test_restarted_server_starts_cold(servers: PoolServers) -> None:
+    """Guards against a new process that gets what the old one bore."""
+    serve(ramp_of(servers), 100)
+    assert ramp_of(servers).limit == SLOTS
+    servers.replace((replace(SERVER, address='127.0.0.1:2'),), (), 20)
+    assert ramp_of(servers).limit == 1
+
+
+def test_reported_cold_server_gets_no_more(servers: PoolServers) -> None:
+    """Guards against probes above `cold_slots` while the server is cold.
+
+    A cold server answers well up to its cold slots, and each overload makes
+    its cold start longer.
+    """
+    ramp = ramp_of(servers)
+    ramp.report_load(9, cold=True)
+    serve(ramp, 100)
+    assert ramp.limit == 1
+    ramp.report_load(9.5, cold=False)
+    serve(ramp, 100)
+    assert ramp.limit == SLOTS
+
+
+def test_new_server_waits_for_its_first_report() -> None:
+    """Guards against a rise in the time before the first report."""
+    servers = PoolServers(ramp=True)
+    servers.has_load_reports = True
+    servers.replace((SERVER,), (), 0)
+    serve(ramp_of(servers), 100)
+    assert ramp_of(servers).limit == 1
+    # A server without reports is judged by its answers alone.
+    ramp_of(servers).report_load(10, cold=None)
+    serve(ramp_of(servers), 100)
+    assert ramp_of(servers).limit == SLOTS
