Go on with the message numbers of a router that was taken for dead

The pool owners forgot their conversation with the frozen router and began a new one at message 1 with the same epoch; the router, still in the same life, dropped all grants up to its last number, and each dropped grant kept a slot until the check after 10 s was dropped too. Ruled out: the owner's epochs (the engines saw only 2 to 4) and load on the machine (each router answered two status calls a second all the time). Change: a new conversation goes on above the highest number of the ended ones. Routers that are not ready give no operators' address.

--- a/src/pollenloom/admission/router_streams.py
+++ b/src/pollenloom/admission/router_streams.py
@@ -8,10 +8,18 @@
 
 
 class RouterStreams:
-    """One `RouterStream` for each router that stated demand."""
+    """One `RouterStream` for each router that stated demand.
+
+    Attributes:
+        streams: Conversations by router.
+        highest_sent: Highest message number of all ended conversations. A
+            router that was taken for dead drops what has a lower number than
+            it has seen before.
+    """
 
     def __init__(self) -> None:
         self.streams: dict[VmId, RouterStream] = {}
+        self.highest_sent = 0
 
     def __getitem__(self, router: VmId) -> RouterStream:
         """Return the conversation with a router."""
@@ -27,13 +35,15 @@
 
     def start(self, router: VmId, stream: int) -> RouterStream:
         """Begin a conversation."""
-        started = RouterStream(stream)
+        started = RouterStream(stream, sent=self.highest_sent)
         self.streams[router] = started
         return started
 
     def end(self, router: VmId) -> None:
         """Forget a conversation."""
-        self.streams.pop(router, None)
+        ended = self.streams.pop(router, None)
+        if ended is not None:
+            self.highest_sent = max(self.highest_sent, ended.sent)
 
     def unacknowledged(self, now: float) -> set[VmId]:
         """Routers that have waited long enough for an acknowledgement."""
--- a/src/pollenloom_standins/fleet/fleet.py
+++ b/src/pollenloom_standins/fleet/fleet.py
@@ -202,7 +202,7 @@
         return tuple(
             process.ready['ready']['operators']
             for process in self.routers.values()
-            if process.is_running
+            if process.is_running and process.ready
         )
 
     async def wait_until_ready(self) -> None:
--- a/tests/admission/test_fleet_failures.py
+++ b/tests/admission/test_fleet_failures.py
@@ -266,3 +266,35 @@
         await fleet.stop()
 
     simulate(scenario())
+
+
+def test_router_taken_for_dead_gets_grants_again(fleet: FakeFleet) -> None:
+    """Guards against slots lost in grants that the router takes for old.
+
+    Its owner begins a new conversation, in which a message number must not
+    be lower than those that the router has seen before.
+    """
+
+    async def scenario() -> None:
+        engine = fleet.add_server('s1', slots=4)
+        await start(fleet, 3)
+        owner = fake_faults.owner(fleet)
+        frozen = next(name for name in fleet.routers if name != owner)
+        fleet.flood(fleet.routers[frozen], 'small')
+        await asyncio.sleep(5)
+        await fleet.stop_callers(frozen)
+        fake_faults.pause(fleet, frozen)
+        lost = fleet.members.pop(fleet.routers[frozen].peers.vm)
+        fleet.routers[owner].membership.see(fleet.members)
+        await asyncio.sleep(4)
+        fake_faults.resume(fleet, frozen)
+        fleet.members[lost.vm] = lost
+        fleet.tell_members()
+        fleet.flood(fleet.routers[frozen], 'small')
+        await asyncio.sleep(0.5)
+        engine.served = 0
+        await asyncio.sleep(3)
+        assert engine.served >= 0.9 * 4 * 3_000 / 100
+        await fleet.stop()
+
+    simulate(scenario())
