--- /dev/null
+++ b/tests/admission/test_server_ramp.py
@@ -0,0 +1,187 @@
+"""The concurrency limit of one server, and the choice between servers."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollenloom.admission.fair_queue import PendingRequest
+from pollenloom.admission.server_choice import ServerChoice
+from pollenloom.admission.server_ramp import ServerAnswer, ServerRamp
+from pollenloom.admission.server_state import Adoption, ServerState
+from pollenloom.admission.version_credit import VersionCredit
+from pollenloom.admission.version_shares import UnlimitedShares, VersionShares
+from pollenloom.core.backend_server import BackendServer
+from pollenloom.core.ids import (
+    DataCentreId,
+    ServerId,
+    ServiceId,
+    VersionId,
+)
+from pollenloom.core.states import Outcome
+
+SERVICE = ServiceId('minutes')
+NO_HINTS = PendingRequest(since=0, hint=1)
+
+
+class FixedShares(VersionShares):
+    """One version is limited."""
+
+    def share(
+        self,
+        service: ServiceId,
+        version: VersionId,
+        now: float,
+    ) -> float:
+        return 0.1 if version == 'v2' else 1
+
+
+@pytest.fixture
+def ramp() -> ServerRamp:
+    return ServerRamp(slots=16, cold_slots=2)
+
+
+def answer(
+    ramp: ServerRamp,
+    now: float,
+    outcome: Outcome = Outcome.SERVED,
+    first_byte: float | None = 0.05,
+    cold: bool = False,
+) -> None:
+    ramp.record(
+        ServerAnswer(
+            outcome=outcome,
+            granted_at=now,
+            first_byte_seconds=first_byte,
+            server_cold=cold,
+        ),
+        now,
+    )
+
+
+def warm(ramp: ServerRamp) -> float:
+    """Answer well until the limit is reached; return the time."""
+    for number in range(30):
+        answer(ramp, float(number))
+    assert ramp.limit_at(30) == 16
+    return 30.0
+
+
+def state(name: str, version: str = 'v1', slots: int = 8) -> ServerState:
+    server = BackendServer(
+        ServerId(name),
+        SERVICE,
+        DataCentreId('enschede'),
+        VersionId(version),
+        '127.0.0.1:1',
+        slots,
+        slots,
+    )
+    return ServerState(server, ServerRamp(slots, slots), Adoption(set(), 0))
+
+
+def test_limit_doubles_a_round(ramp: ServerRamp) -> None:
+    """Guards against load that a cold server does not bear."""
+    limits = []
+    for number in range(16):
+        answer(ramp, float(number))
+        limits.append(ramp.limit_at(number))
+    assert limits == [2, 4, 4, 4, 4, 8, 8, 8, 8, 8, 8, 8, 8, 16, 16, 16]
+
+
+def test_long_answers_are_not_cold(ramp: ServerRamp) -> None:
+    """Guards against a warm server that is slowed by long answers."""
+    now = warm(ramp)
+    for number in range(20):
+        answer(ramp, now + 60 * number, first_byte=0.06)
+    assert ramp.limit_at(now) == 16
+
+
+def test_late_first_bytes_are_cold(ramp: ServerRamp) -> None:
+    """Guards against full load on a server that turned cold."""
+    now = warm(ramp)
+    for number in range(3):
+        answer(ramp, now + number, first_byte=2)
+    assert ramp.limit_at(now + 3) == 2
+    for number in range(40):
+        answer(ramp, now + 4 + number)
+    assert ramp.limit_at(now + 44) == 16
+
+
+def test_cold_refusal_falls_at_once(ramp: ServerRamp) -> None:
+    """Guards against more load after a server said that it is cold."""
+    now = warm(ramp)
+    answer(ramp, now, Outcome.REFUSED, cold=True)
+    assert ramp.limit_at(now) == 0
+    assert ramp.limit_at(now + 0.2) == 2
+
+
+def test_one_failure_is_the_fault_of_its_request(ramp: ServerRamp) -> None:
+    """Guards against one bad request that takes a server's capacity."""
+    now = warm(ramp)
+    answer(ramp, now, Outcome.FAILED)
+    assert ramp.limit_at(now) == 16
+    answer(ramp, now, Outcome.FAILED)
+    assert ramp.limit_at(now) == 2
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(Outcome),
+            st.sampled_from([0.01, 0.05, 1, 9]),
+            st.booleans(),
+        ),
+        max_size=60,
+    )
+)
+def test_limit_stays_in_range_and_recovers(
+    answers: list[tuple[Outcome, float, bool]],
+) -> None:
+    """Guards against a limit above the slots, and a server lost for ever."""
+    ramp = ServerRamp(slots=16, cold_slots=2)
+    now: float = 0
+    for outcome, first_byte, cold in answers:
+        now += 0.5
+        answer(ramp, now, outcome, first_byte, cold)
+        assert 0 <= ramp.limit_at(now) <= 16
+    now += 2
+    assert ramp.limit_at(now) >= 1
+    for _ in range(400):
+        answer(ramp, now, first_byte=0.01)
+    assert ramp.limit_at(now) == 16
+
+
+def test_least_relative_load_and_affinity() -> None:
+    """Guards against a cached prefix that overloads its server."""
+    credit = VersionCredit(SERVICE, UnlimitedShares())
+    choice = ServerChoice(credit, affinity=True)
+    cached, other = state('s1'), state('s2')
+    cached.note_prefixes((1, 2))
+    asked = PendingRequest(since=0, hint=1, prefixes=(1, 2))
+    cached.in_flight = 3
+    assert choice.choose([other, cached], asked, 1) is cached
+    assert choice.choose([other, cached], NO_HINTS, 1) is other
+    cached.in_flight = 5
+    assert choice.choose([other, cached], asked, 1) is other
+    cached.in_flight = 0
+    other.in_flight = 8
+    excluded = frozenset((ServerId('s1'),))
+    without = PendingRequest(since=0, hint=1, excluded=excluded)
+    assert choice.choose([other, cached], without, 1) is None
+
+
+def test_new_version_gets_its_share() -> None:
+    """Guards against a bad version that gets more than its stage."""
+    credit = VersionCredit(SERVICE, FixedShares())
+    choice = ServerChoice(credit, affinity=False)
+    servers = [state('s1', 'v1', 100), state('s2', 'v2', 100)]
+    versions = [known.server.version for known in servers]
+    new = 0
+    for number in range(1, 101):
+        chosen = choice.choose(servers, NO_HINTS, 1)
+        assert chosen is not None
+        chosen.in_flight += chosen.server.version == 'v1'
+        credit.granted(chosen.server.version, versions, 1)
+        new += chosen.server.version == 'v2'
+        assert new <= 0.1 * number + 1e-9
+    assert new == 10
