Show the traffic between routers among the metrics

The measurements need control bytes for each router. The counts existed in the peer network, but nothing showed them. They are now counters of the operators' /metrics.

--- a/src/pollenloom/peers/peer_reporter.py
+++ b/src/pollenloom/peers/peer_reporter.py
@@ -4,7 +4,9 @@
 
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.observability.event_log import EventLog
+from pollenloom.observability.metrics_source import MetricsSource
 from pollenloom.peers.peer_counters import PeerCounters
+from pollenloom.peers.peer_metrics import PeerMetrics
 
 if TYPE_CHECKING:
     from websockets.exceptions import ConnectionClosed
@@ -26,6 +28,12 @@
         self.counters = PeerCounters()
         self.listeners: list[LinkListener] = []
 
+    def publish_metrics(self) -> None:
+        """Show the counts among the metrics of the process, if it has any."""
+        source: object = self.kernel.services.get(KernelServiceName.METRICS)
+        if isinstance(source, MetricsSource):
+            source.registry.register(PeerMetrics(self.counters))
+
     def notify(self, vm: 'VmId', event: 'LinkEvent') -> None:
         """Tell the listeners about a connection."""
         for listener in self.listeners:
--- a/src/pollenloom/peers/websocket_peer_network.py
+++ b/src/pollenloom/peers/websocket_peer_network.py
@@ -101,6 +101,7 @@
 
     async def start(self) -> None:
         """Listen for other routers."""
+        self.reporter.publish_metrics()
         host, _, port = self.listen.partition(':')
         self.server = await serve(
             self.connections.accept,
