--- /dev/null
+++ b/tests/admission/test_cost_estimator.py
@@ -0,0 +1,42 @@
+"""Estimates of costs from hints that are 10x wrong."""
+
+import random
+from statistics import fmean
+
+from pollenloom.admission.cost_estimator import CostEstimator
+from pollenloom.core.ids import AccountId
+
+ACCOUNTS = tuple(AccountId(f'a{number}') for number in range(5))
+IN_FLIGHT = 16
+
+
+def test_estimates_converge_within_a_few_answers() -> None:
+    """Guards against accounts that are served by the luck of their hints."""
+    source = random.Random(1)
+    ratios = []
+    for _ in range(30):
+        estimator = CostEstimator()
+        started: list[tuple[AccountId, float, float]] = []
+        for number in range(120):
+            account = ACCOUNTS[number % len(ACCOUNTS)]
+            cost = 20 * 6 ** source.random()
+            hint = cost * 100 ** source.random()
+            ratio = estimator.estimate(account, hint) / cost
+            started.append((account, hint, cost))
+            if len(started) > IN_FLIGHT:
+                estimator.learn(*started.pop(0))
+                ratios.append(ratio)
+    assert 4 / 5 < fmean(ratios) < 3 / 2
+    assert sum(ratio > 5 for ratio in ratios) < 0.01 * len(ratios)
+
+
+def test_right_hints_are_followed() -> None:
+    """Guards against a mean cost in place of hints that are right."""
+    source = random.Random(2)
+    estimator = CostEstimator()
+    account = ACCOUNTS[0]
+    for _ in range(40):
+        cost = 10 * 100 ** source.random()
+        estimator.learn(account, cost, cost)
+    assert 7 < estimator.estimate(account, 10) < 20
+    assert 500 < estimator.estimate(account, 1000) < 1500
