Measure whole fleets under recorded arrivals

scripts/measure starts routers and backend servers of the users' sizes, replays arrivals that a seed determines and computes fairness gap, utilisation, times to and between tokens, control bytes and processor time. Experiments: fairness, data_centre, cold_start, owner_loss, affinity.

The stand-in of the engine records the cached part of each prompt.

--- a/src/pollenloom_standins/__main__.py
+++ b/src/pollenloom_standins/__main__.py
@@ -9,6 +9,7 @@
 )
 from pollenloom_standins.commands.demo_command import DemoCommand
 from pollenloom_standins.commands.engine_command import EngineCommand
+from pollenloom_standins.commands.measure_command import MeasureCommand
 from pollenloom_standins.commands.platform_command import PlatformCommand
 from pollenloom_standins.commands.relay_command import RelayCommand
 
@@ -28,6 +29,7 @@
         | ApplicationCommand
         | RelayCommand
         | DemoCommand
+        | MeasureCommand
     ]
 
 
--- a/src/pollenloom_standins/backend/run_history.py
+++ b/src/pollenloom_standins/backend/run_history.py
@@ -37,6 +37,7 @@
         tokens: Tokens generated; 0 for an application.
         cold: Whether the server was cold when it started.
         running: Requests in progress when it started, with this one.
+        cached: Cached part of the prompt's prefix blocks.
     """
 
     request_id: str
@@ -49,6 +50,7 @@
     tokens: int = 0
     cold: bool = False
     running: int = 0
+    cached: float = 0
 
     def end(self, outcome: RunOutcome, wall: float) -> None:
         """Set the end, unless an injected fault has set it before."""
--- a/src/pollenloom_standins/engine/engine_service.py
+++ b/src/pollenloom_standins/engine/engine_service.py
@@ -107,7 +107,8 @@
     async def prefill(self, call: 'Call', completion: Completion) -> None:
         """Process the prompt; cached prefixes take no time."""
         hashes = read_prefix_hashes(call.request)
-        uncached = 1 - self.cache.cached_share(hashes)
+        call.record.cached = self.cache.cached_share(hashes)
+        uncached = 1 - call.record.cached
         seconds = (
             completion.tokens.prompt_tokens
             * uncached
--- /dev/null
+++ b/src/pollenloom_standins/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of a whole fleet under recorded arrivals."""
--- /dev/null
+++ b/src/pollenloom_standins/experiment/run_context.py
@@ -0,0 +1,36 @@
+"""What an experiment may use during a run."""
+
+from dataclasses import dataclass, field
+
+from pollenloom_standins.experiment.backend_probe import BackendProbe
+from pollenloom_standins.experiment.experiment_plan import Variant
+from pollenloom_standins.experiment.load_generator import LoadGenerator
+from pollenloom_standins.experiment.workload import Workload
+from pollenloom_standins.fleet.fleet import Fleet
+
+
+@dataclass(frozen=True, kw_only=True)
+class RunContext:
+    """A running fleet and its load.
+
+    Attributes:
+        workload: Which user's fleet it is.
+        variant: What is compared.
+        fleet: The processes.
+        load: The load generator.
+        backends: Probe of the backend servers.
+        seconds: Length of the load.
+        marks: Times of the experiment's actions, seconds of the load.
+    """
+
+    workload: Workload
+    variant: Variant
+    fleet: Fleet
+    load: LoadGenerator
+    backends: BackendProbe
+    seconds: float
+    marks: dict[str, float] = field(default_factory=dict)
+
+    def mark(self, name: str) -> None:
+        """Note that something happens now."""
+        self.marks[name] = self.load.now()
--- /dev/null
+++ b/src/pollenloom_standins/experiment/tables.py
@@ -0,0 +1,190 @@
+"""Tables of results as Markdown."""
+
+from collections.abc import Iterator, Sequence
+from types import MappingProxyType
+from typing import Final
+
+from pollenloom_standins.experiment.results import RunResult
+from pollenloom_standins.experiment.table_column import (
+    TableColumn,
+    figure_column,
+    gap_column,
+)
+
+MILLISECONDS: Final = 1000
+KILOBYTES: Final = 1000
+Columns = tuple[TableColumn, ...]
+
+CALLS: Final = (
+    TableColumn('served', lambda result: result.calls.served, 0),
+    TableColumn('refused', lambda result: result.calls.refused, 0),
+    TableColumn('failed', lambda result: result.calls.failed, 0),
+)
+BUSY: Final = TableColumn(
+    'busy while waiting',
+    lambda result: result.utilisation.busy_while_waiting,
+)
+PEAK: Final = TableColumn(
+    'peak load of a server',
+    lambda result: result.utilisation.peak_load,
+)
+FIRST_TOKEN: Final = (
+    TableColumn(
+        'first token median s',
+        lambda result: result.first_token.median,
+    ),
+    TableColumn('p95 s', lambda result: result.first_token.p95),
+)
+FAIRNESS: Final = (
+    gap_column(0, 2),
+    gap_column(1, 5),
+    gap_column(2, 10),
+    TableColumn('largest 5 s', lambda result: result.gaps[1].largest_gap, 0),
+    TableColumn('least part 5 s', lambda result: result.gaps[1].least_part),
+    BUSY,
+    TableColumn(
+        'tokens/s',
+        lambda result: result.utilisation.tokens_per_second,
+        0,
+    ),
+    PEAK,
+    TableColumn(
+        'time above slots',
+        lambda result: result.utilisation.overloaded_time,
+    ),
+)
+SERVICE: Final = (
+    *FIRST_TOKEN,
+    TableColumn(
+        'small accounts median s',
+        lambda result: result.first_token_small.median,
+    ),
+    TableColumn(
+        'small p95 s',
+        lambda result: result.first_token_small.p95,
+    ),
+    TableColumn(
+        'between tokens median ms',
+        lambda result: result.token_gap.median * MILLISECONDS,
+        0,
+    ),
+    TableColumn(
+        'p95 ms',
+        lambda result: result.token_gap.p95 * MILLISECONDS,
+        0,
+    ),
+    TableColumn(
+        'reads p95 ms',
+        lambda result: result.read_time.p95 * MILLISECONDS,
+        0,
+    ),
+    *CALLS,
+)
+ROUTERS: Final = (
+    TableColumn(
+        'sent kB/s, no load',
+        lambda result: result.idle_use.sent_bytes / KILOBYTES,
+    ),
+    TableColumn(
+        'sent kB/s',
+        lambda result: result.load_use.sent_bytes / KILOBYTES,
+    ),
+    TableColumn(
+        'frames/s',
+        lambda result: result.load_use.sent_frames,
+        0,
+    ),
+    TableColumn(
+        'core, no load',
+        lambda result: result.idle_use.processor_seconds,
+        3,
+    ),
+    TableColumn(
+        'core',
+        lambda result: result.load_use.processor_seconds,
+        3,
+    ),
+    TableColumn(
+        'core, busiest router',
+        lambda result: result.load_use.busiest_processor_seconds,
+        3,
+    ),
+    TableColumn(
+        'largest memory MB',
+        lambda result: result.load_use.memory_bytes / 1e6,
+        0,
+    ),
+)
+TABLES: Final = MappingProxyType(
+    {
+        'fairness': (FAIRNESS, SERVICE, ROUTERS),
+        'data_centre': (
+            (
+                figure_column('no_new_work_seconds'),
+                figure_column('no_new_work_after_answer'),
+                figure_column('new_work_after_3_seconds', 0),
+                figure_column('runs_cut', 0),
+                figure_column('full_use_seconds'),
+                *CALLS,
+                BUSY,
+            ),
+        ),
+        'cold_start': (
+            (
+                figure_column('cold_overloads', 0),
+                figure_column('runs_failed', 0),
+                figure_column('full_use_seconds'),
+                figure_column('seconds_below_full_use'),
+                figure_column('served_by_server', 0),
+                *CALLS,
+                BUSY,
+            ),
+        ),
+        'owner_loss': (
+            (
+                figure_column('longest_pause_seconds'),
+                figure_column('idle_slot_seconds', 0),
+                figure_column('peak_load'),
+                figure_column('overloaded_seconds'),
+                *CALLS,
+            ),
+        ),
+        'affinity': (
+            (
+                figure_column('cached_part'),
+                figure_column('whole_prompts_cached'),
+                *FIRST_TOKEN,
+                *CALLS,
+            ),
+        ),
+    }
+)
+
+
+def tables(results: Sequence[RunResult]) -> str:
+    """Return the tables of all experiments that have results."""
+    parts: list[str] = []
+    for experiment, groups in TABLES.items():
+        own = [result for result in results if result.experiment == experiment]
+        for workload in sorted({result.workload for result in own}):
+            rows = [result for result in own if result.workload == workload]
+            seeds = sorted({result.seed for result in rows})
+            parts.append(f'### {experiment}, {workload}, seeds {seeds}')
+            parts.extend(
+                '\n'.join(table_lines(rows, columns)) for columns in groups
+            )
+    return ''.join(f'{part}\n\n' for part in parts)
+
+
+def table_lines(
+    results: Sequence[RunResult], columns: Columns
+) -> Iterator[str]:
+    """Return one row for each variant."""
+    titles = ' | '.join(column.title for column in columns)
+    yield f'| variant | {titles} |'
+    rules = '|---' * (len(columns) + 1)
+    yield f'{rules}|'
+    for variant in dict.fromkeys(result.variant for result in results):
+        rows = [result for result in results if result.variant == variant]
+        cells = ' | '.join(column.cell(rows) for column in columns)
+        yield f'| {variant} | {cells} |'
--- /dev/null
+++ b/src/pollenloom_standins/experiment/workload.py
@@ -0,0 +1,64 @@
+"""Sizes and loads of the users' fleets."""
+
+import hashlib
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+from pollenloom.core.ids import AccountId, DataCentreId, ServiceId
+
+MODEL_SERVERS: Final = 6
+APPLICATION_SERVERS: Final = 3
+SLOTS: Final = 8
+COLD_SLOTS: Final = 2
+TOKEN_SECONDS: Final = 0.02
+# A full batch slows each step of the stand-in down by this factor.
+FULL_BATCH_FACTOR: Final = 1.5
+
+
+@dataclass(frozen=True, kw_only=True)
+class Workload:
+    """One user's fleet and client accounts.
+
+    Attributes:
+        name: Directory of the user's service files below the examples.
+        data_centres: Data centres.
+        routers: Number of routers.
+        model: Service of the model backend servers.
+        application: Service of the application backend servers.
+        read_path: Path of an idempotent call.
+        large: Accounts with large shares that ask for more than theirs.
+        flooding: Accounts with a share of 1 that ask for much more.
+    """
+
+    name: str
+    data_centres: tuple[DataCentreId, ...]
+    routers: int
+    model: ServiceId
+    application: ServiceId
+    read_path: str
+    large: tuple[AccountId, ...]
+    flooding: tuple[AccountId, ...]
+
+    @property
+    def capacity(self) -> float:
+        """Tokens per second of all model servers with full batches."""
+        step = TOKEN_SECONDS * FULL_BATCH_FACTOR
+        return MODEL_SERVERS * SLOTS / step
+
+    def shares(self, examples: Path) -> dict[AccountId, float]:
+        """Read the accounts' shares of the model from its service file."""
+        path = examples / self.name / self.model / 'pollenloom.toml'
+        content = tomllib.loads(path.read_text())
+        return {entry['name']: entry['share'] for entry in content['accounts']}
+
+    def data_centre_of(self, index: int) -> DataCentreId:
+        """Return the data centre of a router or backend server."""
+        return self.data_centres[index % len(self.data_centres)]
+
+
+def choice_of(text: str, size: int) -> int:
+    """Return a number below a size that depends on the text only."""
+    digest = hashlib.sha256(text.encode()).digest()
+    return int.from_bytes(digest[:8], 'big') % size
--- /dev/null
+++ b/tests/experiment/test_meters.py
@@ -0,0 +1,81 @@
+"""Figures of experiments, from records with known answers."""
+
+import pytest
+
+from pollenloom.core.ids import AccountId, VmId
+from pollenloom_standins.backend.run_history import RunRecord
+from pollenloom_standins.experiment.arrival import Arrival, CallKind
+from pollenloom_standins.experiment.arrival_recorder import ArrivalRecorder
+from pollenloom_standins.experiment.call_record import CallRecord
+from pollenloom_standins.experiment.fairness_meter import FairnessMeter
+from pollenloom_standins.experiment.utilisation_meter import UtilisationMeter
+from pollenloom_standins.experiment.workload import SLOTS
+from pollenloom_standins.experiment.workloads import CARROMWERK
+
+BIG = AccountId('league')
+SMALL = AccountId('museum')
+SHARES = {BIG: 4, SMALL: 1}
+
+
+def call(account: AccountId, waited: float, *tokens: float) -> CallRecord:
+    arrival = Arrival(at=0, account=account, router=0, kind=CallKind.MODEL)
+    return CallRecord(
+        arrival=arrival, sent=0, ended=waited, tokens=list(tokens)
+    )
+
+
+def test_gap_compares_tokens_by_share() -> None:
+    """Guards against a gap that ignores shares or idle accounts."""
+    records = [
+        call(BIG, 10),
+        call(BIG, 10, *(number / 10 for number in range(80))),
+        call(SMALL, 10),
+        call(SMALL, 10, *(number / 2 for number in range(16))),
+    ]
+    meter = FairnessMeter(records, SHARES, 8)
+    gap = meter.gap(4, 2)
+    # Big: 10 tokens/s by 4 shares; small: 2 tokens/s by 1 share.
+    assert gap.windows > 0
+    assert gap.median_gap == pytest.approx(2, abs=0.5)
+    assert gap.least_part == pytest.approx(2 / 2.25, abs=0.1)
+    idle = FairnessMeter(records[:3], SHARES, 8)
+    assert idle.gap(4, 2).largest_gap == pytest.approx(10, abs=0.5)
+    assert FairnessMeter(records[:2], SHARES, 8).gap(4, 2).windows == 0
+
+
+def test_utilisation_counts_only_while_work_waits() -> None:
+    """Guards against idle slots that are hidden, or counted without work."""
+    runs = [
+        RunRecord(
+            request_id=str(number),
+            account='museum',
+            path='',
+            fencing_number=1,
+            started=100,
+            ended=104,
+        )
+        for number in range(SLOTS // 2)
+    ]
+    histories = {VmId('model-0'): runs}
+    waiting = call(SMALL, 4)
+    meter = UtilisationMeter(histories, [waiting], 100, 8)
+    figures = meter.measure(1, tokens=14)
+    assert figures.busy_while_waiting == pytest.approx(0.5)
+    assert figures.waiting_time == pytest.approx(3 / 7, abs=0.02)
+    assert figures.overloaded_time == 0
+    assert figures.tokens_per_second == pytest.approx(2)
+
+
+def test_arrivals_repeat_for_a_seed() -> None:
+    """Guards against policies that are compared on different arrivals."""
+    names = CARROMWERK.large + CARROMWERK.flooding
+    shares = dict.fromkeys((*names, AccountId('sawmill')), 1.0)
+    recorder = ArrivalRecorder(CARROMWERK, shares, 5)
+    first = recorder.record(1)
+    assert first == recorder.record(1)
+    assert first != recorder.record(2)
+    calls = [entry for entry in first if entry.kind is CallKind.MODEL]
+    assert all(entry.hint_tokens >= entry.answer_tokens for entry in calls)
+    ratios = [entry.hint_tokens / entry.answer_tokens for entry in calls]
+    assert min(ratios) < 2
+    assert max(ratios) > 50
