Measure version moves; tell how much other work disturbed a run

Change: the time that routers waited for a processor is part of each result. The version_move experiment moves the application's service to good and bad versions.

Run: tests/experiment, tests/standins without the demonstration.

--- a/src/pollenloom_standins/commands/backend_options.py
+++ b/src/pollenloom_standins/commands/backend_options.py
@@ -28,6 +28,8 @@
         cold_seconds: Length of a cold start; 0 starts warm.
         cold_overload: What it does above the cold slots.
         full_at: Requests in progress at which it refuses more.
+        overload_power: Above `slots` the time of a step rises with this power
+            of the load; 1 keeps the throughput.
         fencing: Whether old fencing numbers are refused.
         load_lag_seconds: Age of the load report.
         version: Version of the service.
@@ -48,6 +50,7 @@
         ColdOverload.FAIL
     )
     full_at: Annotated[int, cappa.Arg(long=True)] = 64
+    overload_power: Annotated[float, cappa.Arg(long=True)] = 4
     fencing: Annotated[FencingMode, cappa.Arg(long=True)] = FencingMode.REFUSE
     load_lag_seconds: Annotated[float, cappa.Arg(long=True)] = 0.5
     version: Annotated[str, cappa.Arg(long=True)] = 'v1'
@@ -69,6 +72,7 @@
                 cold_seconds=self.cold_seconds,
                 full_at=self.full_at,
                 cold_overload=self.cold_overload,
+                overload_power=self.overload_power,
             ),
             fencing=self.fencing,
             version_faults=VersionFaults(
--- a/src/pollenloom_standins/experiment/arrival.py
+++ b/src/pollenloom_standins/experiment/arrival.py
@@ -13,6 +13,7 @@
 
     MODEL = 'model'
     READ = 'read'
+    SEARCH = 'search'
 
 
 class Arrival(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/pollenloom_standins/experiment/arrival_recorder.py
+++ b/src/pollenloom_standins/experiment/arrival_recorder.py
@@ -37,8 +37,13 @@
         conversations: Conversations of each account that share a prompt
             prefix; 0 makes all prompts different.
         prompts: Shortest and longest prompt, in characters.
+        reads_per_second: Calls of the application.
+        search_part: Part of these that are searches.
     """
 
+    reads_per_second: float = READS_PER_SECOND
+    search_part: float = 0
+
     def __init__(
         self,
         workload: Workload,
@@ -123,16 +128,18 @@
     def reads(self, source: random.Random) -> Iterator[Arrival]:
         """Draw the calls of the application."""
         accounts = tuple(self.shares)
-        at = source.expovariate(READS_PER_SECOND)
+        at = source.expovariate(self.reads_per_second)
         while at < self.seconds:
             account = source.choice(accounts)
+            has_search = bool(self.workload.search_path)
+            is_search = has_search and source.random() < self.search_part
             yield Arrival(
                 at=at,
                 account=account,
                 router=self.router_of(account, source),
-                kind=CallKind.READ,
+                kind=CallKind.SEARCH if is_search else CallKind.READ,
             )
-            at += source.expovariate(READS_PER_SECOND)
+            at += source.expovariate(self.reads_per_second)
 
     def router_of(self, account: AccountId, source: random.Random) -> int:
         """Draw a router; most calls of an account go to the same one."""
--- a/src/pollenloom_standins/experiment/experiment_plan.py
+++ b/src/pollenloom_standins/experiment/experiment_plan.py
@@ -24,6 +24,10 @@
 ENGINE_OPTIONS: Final = (
     '--token-ms',
     str(TOKEN_SECONDS * MILLISECONDS),
+    # An overloaded engine keeps its throughput, which favours the policies
+    # that overload it.
+    '--overload-power',
+    '1',
 )
 
 
--- a/src/pollenloom_standins/experiment/experiments.py
+++ b/src/pollenloom_standins/experiment/experiments.py
@@ -19,6 +19,9 @@
 from pollenloom_standins.experiment.owner_loss_experiment import (
     OwnerLossExperiment,
 )
+from pollenloom_standins.experiment.version_move_experiment import (
+    VersionMoveExperiment,
+)
 
 ExperimentKind = type[Experiment]
 
@@ -28,6 +31,7 @@
     ColdStartExperiment,
     OwnerLossExperiment,
     AffinityExperiment,
+    VersionMoveExperiment,
 )
 EXPERIMENTS: Final = MappingProxyType({kind.name: kind for kind in KINDS})
 
--- a/src/pollenloom_standins/experiment/load_generator.py
+++ b/src/pollenloom_standins/experiment/load_generator.py
@@ -112,8 +112,11 @@
         """Make an idempotent call of the application."""
         workload = self.workload
         url = self.router_url(record.arrival)
-        async with session.get(
-            f'{url}/{workload.application}/{workload.read_path}',
+        is_search = record.arrival.kind is CallKind.SEARCH
+        path = workload.search_path if is_search else workload.read_path
+        async with session.request(
+            'POST' if is_search else 'GET',
+            f'{url}/{workload.application}/{path}',
             headers=headers_of(record.arrival),
         ) as answer:
             text = await answer.text()
--- a/src/pollenloom_standins/experiment/results.py
+++ b/src/pollenloom_standins/experiment/results.py
@@ -69,6 +69,8 @@
         processor_seconds: Processor time, user and system.
         busiest_processor_seconds: The same for the busiest router.
         memory_bytes: Largest resident memory of a router.
+        processor_wait: Time that a router was ready to run and got no
+            processor; above a few percent other work disturbed the run.
     """
 
     sent_bytes: float = 0
@@ -77,6 +79,7 @@
     processor_seconds: float = 0
     busiest_processor_seconds: float = 0
     memory_bytes: int = 0
+    processor_wait: float = 0
 
 
 class CallCounts(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/pollenloom_standins/experiment/router_probe.py
+++ b/src/pollenloom_standins/experiment/router_probe.py
@@ -15,6 +15,7 @@
 from pollenloom_standins.fleet.fleet import OPERATOR_TOKEN, Fleet
 
 TICKS_PER_SECOND: Final = os.sysconf('SC_CLK_TCK')
+NANOSECONDS: Final = 1e9
 PAGE_BYTES: Final = os.sysconf('SC_PAGE_SIZE')
 SENT_BYTES: Final = 'pollenloom_peer_sent_bytes_total'
 RECEIVED_BYTES: Final = 'pollenloom_peer_received_bytes_total'
@@ -30,6 +31,7 @@
     pid: int
     at: float
     processor_seconds: float
+    processor_wait: float
     memory_bytes: int
     counters: dict[str, float]
 
@@ -56,16 +58,29 @@
         return samples
 
 
+async def read_status(fleet: Fleet) -> bytes:
+    """Return the status of the fleet as one router tells it."""
+    async with aiohttp.ClientSession(
+        headers={'Authorization': f'Bearer {OPERATOR_TOKEN}'},
+        raise_for_status=True,
+    ) as session:
+        url = f'http://{fleet.operator_addresses()[0]}/status'
+        async with session.get(url) as answer:
+            return await answer.read()
+
+
 def sample_of(pid: int, metrics: str) -> RouterSample:
     """Return the sample of one process."""
     stat = Path(f'/proc/{pid}/stat').read_text(encoding='ascii')
     fields = stat.rpartition(')')[2].split()
     ticks = int(fields[USER_TICKS]) + int(fields[SYSTEM_TICKS])
     pages = Path(f'/proc/{pid}/statm').read_text(encoding='ascii').split()
+    schedule = Path(f'/proc/{pid}/schedstat').read_text(encoding='ascii')
     return RouterSample(
         pid=pid,
         at=time.monotonic(),
         processor_seconds=ticks / TICKS_PER_SECOND,
+        processor_wait=int(schedule.split()[1]) / NANOSECONDS,
         memory_bytes=int(pages[1]) * PAGE_BYTES,
         counters={
             entry.name: entry.value
@@ -100,6 +115,10 @@
         processor_seconds=fmean(processor),
         busiest_processor_seconds=max(processor),
         memory_bytes=max(last.memory_bytes for _, last in pairs),
+        processor_wait=fmean(
+            (last.processor_wait - first.processor_wait) / (last.at - first.at)
+            for first, last in pairs
+        ),
     )
 
 
--- a/src/pollenloom_standins/experiment/tables.py
+++ b/src/pollenloom_standins/experiment/tables.py
@@ -109,6 +109,11 @@
         lambda result: result.load_use.busiest_processor_seconds,
         3,
     ),
+    TableColumn(
+        'wait for a processor',
+        lambda result: result.load_use.processor_wait,
+        3,
+    ),
     TableColumn(
         'largest memory MB',
         lambda result: result.load_use.memory_bytes / 1e6,
@@ -149,6 +154,21 @@
                 *CALLS,
             ),
         ),
+        'version_move': (
+            (
+                figure_column('done', 0),
+                figure_column('taken_back', 0),
+                figure_column('seconds'),
+                figure_column('new_version_part', 3),
+                figure_column('failed_by_new_version', 0),
+                figure_column('runs_1_s_after_end', 0),
+                TableColumn(
+                    'failed calls',
+                    lambda result: result.reads.failed,
+                    0,
+                ),
+            ),
+        ),
         'affinity': (
             (
                 figure_column('cached_part'),
--- a/src/pollenloom_standins/experiment/workload.py
+++ b/src/pollenloom_standins/experiment/workload.py
@@ -28,6 +28,7 @@
         model: Service of the model backend servers.
         application: Service of the application backend servers.
         read_path: Path of an idempotent call.
+        search_path: Path of a repeatable POST; empty if there is none.
         large: Accounts with large shares that ask for more than theirs.
         flooding: Accounts with a share of 1 that ask for much more.
     """
@@ -38,6 +39,7 @@
     model: ServiceId
     application: ServiceId
     read_path: str
+    search_path: str = ''
     large: tuple[AccountId, ...]
     flooding: tuple[AccountId, ...]
 
--- a/src/pollenloom_standins/experiment/workloads.py
+++ b/src/pollenloom_standins/experiment/workloads.py
@@ -17,6 +17,7 @@
     model=ServiceId('minutes'),
     application=ServiceId('timber'),
     read_path='stock/walnut',
+    search_path='stock-searches',
     large=(
         AccountId('league'),
         AccountId('board'),
