Compare overloading accounts under policies without queues

Under round_robin nothing waits at a router, so that no account counts as backlogged and the gap was 0.

--- a/src/pollenloom_standins/experiment/plots.py
+++ b/src/pollenloom_standins/experiment/plots.py
@@ -8,8 +8,8 @@
 import matplotlib as mpl
 
 from pollenloom_standins.experiment.results import RunResult
-from pollenloom_standins.experiment.table_column import TableColumn, gap_column
-from pollenloom_standins.experiment.tables import BUSY, TABLES
+from pollenloom_standins.experiment.table_column import TableColumn
+from pollenloom_standins.experiment.tables import BUSY, OVERLOAD_GAP, TABLES
 
 mpl.use('Agg')
 
@@ -28,8 +28,8 @@
         fairness = [row for row in own if row.experiment == 'fairness']
         if fairness:
             write_curves(fairness, directory / f'service-{workload}.png')
-            gap = gap_column(1, 5)
-            write_bars(fairness, gap, directory / f'gap-{workload}.png')
+            path = directory / f'gap-{workload}.png'
+            write_bars(fairness, OVERLOAD_GAP, path)
             write_bars(fairness, BUSY, directory / f'busy-{workload}.png')
         for experiment, groups in TABLES.items():
             rows = [row for row in own if row.experiment == experiment]
--- a/src/pollenloom_standins/experiment/table_column.py
+++ b/src/pollenloom_standins/experiment/table_column.py
@@ -3,9 +3,13 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from statistics import median
+from typing import Final
 
 from pollenloom_standins.experiment.results import RunResult
 
+# Curves have two points a second: windows of 5 s after the first 3 s.
+WINDOW_STEPS: Final = 10
+SETTLE_STEPS: Final = 6
 ReadFigure = Callable[[RunResult], float]
 
 
@@ -41,6 +45,21 @@
     )
 
 
+def overload_gap(result: RunResult) -> float:
+    """Return the median gap of the accounts that ask for more than is due.
+
+    It holds for policies that let nothing wait, too.
+    """
+    curves = tuple(result.curves.values())
+    length = min(map(len, curves))
+    gaps: list[float] = []
+    for start in range(SETTLE_STEPS, length - WINDOW_STEPS):
+        end = start + WINDOW_STEPS
+        service = [curve[end] - curve[start] for curve in curves]
+        gaps.append(max(service) - min(service))
+    return median(gaps)
+
+
 def figure_column(name: str, digits: int = 2) -> TableColumn:
     """Return a figure that only some experiments have."""
     return TableColumn(
--- a/src/pollenloom_standins/experiment/tables.py
+++ b/src/pollenloom_standins/experiment/tables.py
@@ -9,6 +9,7 @@
     TableColumn,
     figure_column,
     gap_column,
+    overload_gap,
 )
 
 MILLISECONDS: Final = 1000
@@ -35,11 +36,17 @@
     ),
     TableColumn('p95 s', lambda result: result.first_token.p95),
 )
+OVERLOAD_GAP: Final = TableColumn(
+    'gap 5 s, overloading accounts',
+    overload_gap,
+    0,
+)
 FAIRNESS: Final = (
     gap_column(0, 2),
     gap_column(1, 5),
     gap_column(2, 10),
     TableColumn('largest 5 s', lambda result: result.gaps[1].largest_gap, 0),
+    OVERLOAD_GAP,
     TableColumn('least part 5 s', lambda result: result.gaps[1].least_part),
     BUSY,
     TableColumn(
