--- a/src/pollenloom_standins/__main__.py
+++ b/src/pollenloom_standins/__main__.py
@@ -9,6 +9,7 @@
 )
 from pollenloom_standins.commands.demo_command import DemoCommand
 from pollenloom_standins.commands.engine_command import EngineCommand
+from pollenloom_standins.commands.measure_command import MeasureCommand
 from pollenloom_standins.commands.platform_command import PlatformCommand
 from pollenloom_standins.commands.relay_command import RelayCommand
 from pollenloom_standins.commands.soak_command import SoakCommand
@@ -30,6 +31,7 @@
         | RelayCommand
         | DemoCommand
         | SoakCommand
+        | MeasureCommand
     ]
 
 
