Watch the silence of streams with one timer instead of one an event

Cause: a profile of the relay shows that the client library cancels and sets its read timer for each event, and that an iterator and a copy of each piece add further calls. Change: SilenceWatch looks once in idle_seconds whether bytes came; the relay reads from the library's buffer directly and copies only incomplete events. While a slow reader holds the relay up, the server is not counted as silent.

--- a/src/pollenloom/dispatch/event_relay.py
+++ b/src/pollenloom/dispatch/event_relay.py
@@ -42,14 +42,12 @@
             CallerLeftError: If the sink is closed.
             ValueError: If an event is too long.
         """
-        buffered = self.partial + piece
-        end = find_last_end(buffered)
-        self.partial = buffered[end:]
-        if len(self.partial) > MAX_EVENT_BYTES:
-            raise ValueError('an event is longer than 1 MiB')
-        if not end:
-            return
-        complete = buffered[:end]
+        complete = piece
+        # Engines flush after each event, so that this is the usual case.
+        if self.partial or not piece.endswith(EVENT_END):
+            complete = self.complete_part(piece)
+            if not complete:
+                return
         try:
             await self.sink.write(complete)
         except ConnectionError as error:
@@ -58,6 +56,15 @@
         self.finished = is_last(complete)
         self.recent = (self.recent[1], complete)
 
+    def complete_part(self, piece: bytes) -> bytes:
+        """Keep the start of an event; return what came before it."""
+        buffered = self.partial + piece
+        end = find_last_end(buffered)
+        self.partial = buffered[end:]
+        if len(self.partial) > MAX_EVENT_BYTES:
+            raise ValueError('an event is longer than 1 MiB')
+        return buffered[:end]
+
     def drop_partial(self) -> None:
         """Forget the incomplete event of an attempt that was cut."""
         self.partial = b''
@@ -65,7 +72,6 @@
 
 def find_last_end(buffered: bytes) -> int:
     """Return the number of bytes up to the end of the last whole event."""
-    # Engines flush after each event, so that this is the usual case.
     if buffered.endswith(EVENT_END):
         return len(buffered)
     return max(
--- a/src/pollenloom/dispatch/http_backend_client.py
+++ b/src/pollenloom/dispatch/http_backend_client.py
@@ -25,6 +25,7 @@
     build_headers,
     pass_on,
 )
+from pollenloom.dispatch.silence_watch import SilenceWatch
 from pollenloom.dispatch.traced_response import TracedResponse
 from pollenloom.kernel.clock import Clock
 from pollenloom.settings.router_settings import DispatchSettings
@@ -87,7 +88,13 @@
             ):
                 if response.content_type != EVENT_STREAM:
                     return await read_answer(call, use, response)
-                return await relay_events(call, use, response, relay)
+                return await relay_events(
+                    call,
+                    use,
+                    response,
+                    relay,
+                    self.settings.idle_seconds,
+                )
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return Error(lost_attempt(use, error))
 
@@ -220,17 +227,24 @@
     use: GrantUse,
     response: aiohttp.ClientResponse,
     relay: EventRelay,
+    idle_seconds: float,
 ) -> Result[BackendAnswer, AttemptFailure]:
     """Relay the events of a stream up to its last one."""
     fault = find_fault(call, response)
     if fault is not None:
         return Error(fault)
-    async for piece in response.content.iter_any():
-        await relay.feed(piece)
-        if relay.finished:
-            use.answered = await is_at_end(response)
-            return Ok(make_answer(call, response, b''))
-    return Error(cut_answer('the stream ended before its last event'))
+    content = response.content
+    with SilenceWatch(response, idle_seconds) as watch:
+        while piece := await content.readany():
+            watch.waiting_since = None
+            await relay.feed(piece)
+            if relay.finished:
+                break
+            watch.waiting_since = watch.loop.time()
+    if not relay.finished:
+        return Error(cut_answer('the stream ended before its last event'))
+    use.answered = await is_at_end(response)
+    return Ok(make_answer(call, response, b''))
 
 
 async def is_at_end(response: aiohttp.ClientResponse) -> bool:
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -4,6 +4,7 @@
 
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.states import Outcome
+from pollenloom.dispatch.http_backend_client import HttpBackendClient
 from tests.dispatch.requests import model_request
 from tests.fakes.caller_router import Router
 from tests.fakes.fake_backend import TOKENS, drop, event, refuse, stream
@@ -66,3 +67,35 @@
     assert sink.relayed == b''.join(event(token) for token in range(3))
     assert router.admission.outcomes()[:2] == [Outcome.FAILED, Outcome.REFUSED]
     assert not router.admission.open
+
+
+async def test_silent_server_is_left(
+    router: Router,
+    sink: ListSink,
+) -> None:
+    """Guards against a stream that waits for a frozen server for ever."""
+    client = router.dispatcher.client
+    assert isinstance(client, HttpBackendClient)
+    client.settings = client.settings.model_copy(update={'idle_seconds': 0.2})
+    router.backends[0].script.append(stream(TOKENS, 3, silent=True))
+    request = model_request(router, streaming=True)
+    answered = await router.dispatcher.stream(request, sink)
+    assert answered.is_ok()
+    assert sink.relayed == WHOLE
+    assert router.event_names() == ['resume']
+
+
+async def test_slow_reader_is_no_silence(
+    router: Router,
+    sink: ListSink,
+) -> None:
+    """Guards against a server that is blamed for a slow caller."""
+    client = router.dispatcher.client
+    assert isinstance(client, HttpBackendClient)
+    client.settings = client.settings.model_copy(update={'idle_seconds': 0.1})
+    sink.pause_seconds = 0.3
+    request = model_request(router, streaming=True)
+    answered = await router.dispatcher.stream(request, sink)
+    assert answered.is_ok()
+    assert sink.relayed == WHOLE
+    assert not router.event_names()
--- a/tests/fakes/fake_backend.py
+++ b/tests/fakes/fake_backend.py
@@ -203,8 +203,13 @@
     cut_after: int | None = None,
     extra: bytes = b'',
     usage: dict[str, int] | None = None,
+    *,
+    silent: bool = False,
 ) -> Behaviour:
-    """Stream from the event of `X-Resume-From`; cut it if told so."""
+    """Stream from the event of `X-Resume-From`; cut it if told so.
+
+    A silent cut leaves the connection open.
+    """
 
     async def behave(request: web.Request) -> web.StreamResponse:
         response = web.StreamResponse(
@@ -218,6 +223,8 @@
         for token in range(first, tokens):
             if cut_after is not None and token >= first + cut_after:
                 await response.write(extra)
+                if silent:
+                    await asyncio.Event().wait()
                 assert request.transport is not None
                 request.transport.close()
                 return response
