Keep a router that has not joined from granting for itself

Cause: a starting router knows no other one, owned all pools in its own view and granted slots that were in use (8 in flight at 4 slots in the new test). Change: with seeds in its settings a lone router waits out the takeover time, and takes over again when it meets the others. Owners ask routers that come into view later for their grants. limit_versions is part of Admission. A pool without demand is not searched for free slots. Conclusion: joining routers do not over-admit in the test.

--- a/src/pollenloom/admission/admission.py
+++ b/src/pollenloom/admission/admission.py
@@ -9,6 +9,7 @@
 from pollenloom.admission.grant import Grant
 from pollenloom.admission.settlement import Settlement
 from pollenloom.admission.ticket import Ticket
+from pollenloom.admission.version_shares import VersionShares
 from pollenloom.core.failure import Failure
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
@@ -35,6 +36,12 @@
     def settle(self, settlement: Settlement) -> None:
         """Report the use of a grant and correct its charge."""
 
+    def limit_versions(self, shares: VersionShares) -> None:
+        """Keep versions to their shares of the grants.
+
+        Policies without pool owners do not limit versions.
+        """
+
     @abstractmethod
     def status(self, now: float) -> AdmissionStatus:
         """Queues, pools and shares as this router knows them."""
--- a/src/pollenloom/admission/admission_scope.py
+++ b/src/pollenloom/admission/admission_scope.py
@@ -39,6 +39,7 @@
         epochs: Fencing numbers seen.
         pool_map: Pools of the configuration in force.
         owners: Owner of each pool.
+        expects_others: Whether the settings name routers to join.
         local_handlers: Handlers of messages to this VM itself.
     """
 
@@ -51,6 +52,7 @@
     epochs: EpochTable = field(default_factory=EpochTable)
     pool_map: PoolMap = field(default_factory=PoolMap)
     owners: dict[PoolId, VmId] = field(default_factory=dict)
+    expects_others: bool = False
     local_handlers: dict[type[PeerMessage], LocalHandler] = field(
         default_factory=dict
     )
@@ -124,6 +126,17 @@
         members = {member.vm for member in self.membership.members()}
         return tuple(sorted(members | {self.own}))
 
+    def awaited_routers(self) -> tuple[VmId, ...]:
+        """Routers whose grants an owner has to know before it grants.
+
+        A VM that should find others but has not yet cannot know them all; it
+        waits for one that never reports, until the takeover time is over.
+        """
+        routers = self.routers()
+        if self.expects_others and len(routers) == 1:
+            return (*routers, VmId(''))
+        return routers
+
     def service_file(self, service: ServiceId) -> ServiceFile | None:
         """Entry of a service in the configuration in force."""
         return self.configuration.current.services.get(service)
--- a/src/pollenloom/admission/allocator_admission.py
+++ b/src/pollenloom/admission/allocator_admission.py
@@ -76,6 +76,7 @@
             affinity=admission.affinity,
         )
         self.scope = self.make_scope()
+        self.scope.expects_others = bool(self.settings.peers.seeds)
         self.client = GrantClient(self.scope)
         self.owners = PoolOwners(self.scope, options)
         self.home = HomePool(self.scope)
--- a/src/pollenloom/admission/pool_allocator.py
+++ b/src/pollenloom/admission/pool_allocator.py
@@ -160,7 +160,9 @@
 
     def allocate(self, now: float) -> list[Allocation]:
         """Give free slots to waiting requests until either runs out."""
-        allocations = []
+        allocations: list[Allocation] = []
+        if not self.queue.backlog:
+            return allocations
         free = self.servers.free(now)
         while free > 0:
             allocation = self.allocate_one(now)
--- a/src/pollenloom/admission/pool_owners.py
+++ b/src/pollenloom/admission/pool_owners.py
@@ -19,7 +19,7 @@
 )
 from pollenloom.admission.pool_map import Pool
 from pollenloom.admission.version_shares import UnlimitedShares, VersionShares
-from pollenloom.core.ids import PoolId, ServerId, VmId
+from pollenloom.core.ids import PoolId, ServerId, ServiceId, VmId
 
 # A VM that did not run for this long may have been replaced meanwhile.
 PAUSE_SECONDS = 1.0
@@ -47,6 +47,7 @@
         self.exchange = Exchange(scope)
         self.guard = PauseGuard(PAUSE_SECONDS)
         self.created = 0
+        self.asked: set[VmId] = {scope.own}
         self.readopted_at: dict[PoolId, float] = {}
         self.swept_at: float = 0
 
@@ -61,20 +62,46 @@
                 self.drop(pool_id)
             elif pool_id not in pools:
                 self.allocators[pool_id].servers.replace((), (), now)
+        self.ask_new_members()
         for pool in pools.values():
             if self.scope.owners[pool.pool] == self.scope.own:
                 self.own_pool(pool, now)
 
+    def ask_new_members(self) -> None:
+        """Ask routers that came into view for grants of other owners.
+
+        After a partition they may hold grants of the owner on their side.
+        """
+        members = set(self.scope.routers())
+        joined = members - self.asked
+        was_alone = len(self.asked) == 1
+        self.asked = members
+        if not joined:
+            return
+        for allocator in self.allocators.values():
+            if was_alone:
+                # Others may have owned the pool all the time.
+                epoch = allocator.epoch + 1
+                self.readopt(allocator, epoch, self.scope.now())
+            else:
+                servers = tuple(allocator.servers.servers)
+                self.ask_routers(allocator, servers, joined)
+
     def own_pool(self, pool: Pool, now: float) -> None:
         """Own a pool with its present servers."""
         allocator = self.allocators.get(pool.pool)
         is_new = allocator is None
         if allocator is None:
             allocator = self.create(pool)
-        routers = self.scope.routers()
+        routers = self.scope.awaited_routers()
         adopted = allocator.servers.replace(pool.servers, routers, now)
         if adopted:
-            self.ask_routers(allocator, adopted, takeover=is_new)
+            self.ask_routers(
+                allocator,
+                adopted,
+                self.scope.routers(),
+                takeover=is_new,
+            )
         self.sender.allocate_soon(pool.pool)
 
     def create(self, pool: Pool) -> PoolAllocator:
@@ -114,7 +141,7 @@
 
     def remove_dead_routers(self, now: float) -> None:
         """Free what dead routers held."""
-        alive = set(self.scope.routers())
+        alive = set(self.scope.awaited_routers())
         for allocator in self.allocators.values():
             for router in allocator.known_routers() - alive:
                 allocator.remove_router(router, now)
@@ -124,17 +151,18 @@
         self,
         allocator: PoolAllocator,
         servers: Iterable[ServerId],
+        routers: Iterable[VmId],
         *,
-        takeover: bool,
+        takeover: bool = False,
     ) -> None:
-        """Ask all routers for the grants they hold on these servers."""
+        """Ask routers for the grants they hold on these servers."""
         request = ReportRequest(
             allocator.pool,
             allocator.epoch,
             takeover,
             tuple(servers),
         )
-        for router in self.scope.routers():
+        for router in sorted(routers):
             self.scope.send(router, request)
 
     def on_demand(self, sender: VmId, message: Demand) -> None:
@@ -175,18 +203,10 @@
         if allocator is None:
             self.scope.epochs.observe(message.pool, message.epoch, sender)
             self.exchange.receive(message, self.scope.now())
-        elif self.is_first_pool(allocator):
+        elif not has_granted(self.allocators.values(), message.service):
             # The predecessor leaves the pool while this VM takes it over.
             self.exchange.resume(message)
 
-    def is_first_pool(self, allocator: PoolAllocator) -> bool:
-        """Whether nothing was granted yet by this VM for the service."""
-        return not any(
-            known.granted
-            for known in self.allocators.values()
-            if known.service == allocator.service
-        )
-
     def check_pause(self, now: float) -> None:
         """After a pause, learn anew what is in flight."""
         if not self.guard.resumed(now):
@@ -204,8 +224,13 @@
     ) -> None:
         """Take over a pool again that this VM owned before."""
         self.readopted_at[allocator.pool] = now
-        allocator.readopt(self.scope.routers(), epoch, now)
-        self.ask_routers(allocator, allocator.servers.servers, takeover=True)
+        allocator.readopt(self.scope.awaited_routers(), epoch, now)
+        self.ask_routers(
+            allocator,
+            allocator.servers.servers,
+            self.scope.routers(),
+            takeover=True,
+        )
 
     def tick(self) -> None:
         """Do what is due by the passing of time."""
@@ -218,3 +243,15 @@
             self.sender.sweep(now)
             self.drop_idle()
         self.exchange.tick(self.allocators, now)
+
+
+def has_granted(
+    allocators: Iterable[PoolAllocator],
+    service: ServiceId,
+) -> bool:
+    """Whether this VM has granted anything for a service."""
+    return any(
+        allocator.granted
+        for allocator in allocators
+        if allocator.service == service
+    )
--- a/tests/admission/fake_fleet.py
+++ b/tests/admission/fake_fleet.py
@@ -150,6 +150,7 @@
         self,
         name: str,
         data_centre: DataCentreId = ENSCHEDE,
+        seeds: tuple[str, ...] = (),
     ) -> FakeRouter:
         vm = VmId(name)
         entry = member(vm, data_centre)
@@ -160,14 +161,16 @@
         kernel.register(membership)
         kernel.register(self.configuration)
         admission = make_admission(
-            kernel, make_settings(vm, data_centre, self.admission)
+            kernel, make_settings(vm, data_centre, self.admission, seeds)
         )
         kernel.register(admission)
         self.members[vm] = entry
-        membership.known = dict(self.members)
+        if not seeds:
+            membership.known = dict(self.members)
         await kernel.start()
         self.routers[vm] = FakeRouter(kernel, peers, membership, admission)
-        self.tell_members()
+        if not seeds:
+            self.tell_members()
         return self.routers[vm]
 
     def tell_members(self) -> None:
--- a/tests/admission/fake_settings.py
+++ b/tests/admission/fake_settings.py
@@ -58,6 +58,7 @@
     vm: VmId,
     data_centre: DataCentreId,
     admission: AdmissionSettings,
+    seeds: tuple[str, ...] = (),
 ) -> RouterSettings:
     """Settings of one router."""
     return RouterSettings(
@@ -69,6 +70,7 @@
         platform=PlatformSettings(url='http://127.0.0.1:1'),
         peers=PeerSettings(
             listen='127.0.0.1:1',
+            seeds=seeds,
             fleet_key_file=Path('key'),
         ),
         admission=admission,
--- a/tests/admission/test_fleet_failures.py
+++ b/tests/admission/test_fleet_failures.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from pollenloom.core.ids import VmId
 from pollenloom.core.states import DataCentreState
 from tests.admission import fake_faults
 from tests.admission.fake_fleet import FakeFleet
@@ -262,3 +263,22 @@
         await fleet.stop()
 
     simulate(scenario())
+
+
+def test_unjoined_router_does_not_own_pools(fleet: FakeFleet) -> None:
+    """Guards against a starting router that takes all pools for its own."""
+
+    async def scenario() -> None:
+        engine = fleet.add_server('s1', slots=4)
+        await start(fleet, 3)
+        fleet.flood(fleet.routers[VmId('r0')], 'small', lambda: 3000)
+        await asyncio.sleep(1)
+        joining = await fleet.add_router('r9', seeds=('127.0.0.1:1',))
+        fleet.flood(joining, 'large', lambda: 3000)
+        await asyncio.sleep(0.3)
+        fleet.tell_members()
+        await asyncio.sleep(5)
+        assert engine.peak == 4
+        await fleet.stop()
+
+    simulate(scenario())
