--- a/src/pollenloom/admission/pool_servers.py
+++ b/src/pollenloom/admission/pool_servers.py
@@ -60,7 +60,9 @@
 
     def add_server(self, server: BackendServer, adoption: Adoption) -> None:
         """Add a server whose load has to be reported first."""
-        ramp = self.make_ramp(server, self.usual_baseline(server))
+        ramp = self.make_ramp(
+            server, usual_baseline(server, self.servers.values())
+        )
         self.servers[server.server] = ServerState(server, ramp, adoption)
 
     def make_ramp(
@@ -86,16 +88,6 @@
             state.ramp.resize(server.slots, server.cold_slots)
         state.server = server
 
-    def usual_baseline(self, server: BackendServer) -> float | None:
-        """Median baseline of the other servers of the same version."""
-        baselines = sorted(
-            state.ramp.baseline
-            for state in self.servers.values()
-            if state.ramp.baseline is not None
-            and state.server.version == server.version
-        )
-        return baselines[len(baselines) // 2] if baselines else None
-
     def versions(self) -> set[VersionId]:
         """Versions of the pool's servers."""
         return {state.server.version for state in self.servers.values()}
@@ -148,3 +140,17 @@
                 if at > now
             )
         return min(openings)
+
+
+def usual_baseline(
+    server: BackendServer,
+    states: Iterable[ServerState],
+) -> float | None:
+    """Median baseline of the other servers of the same version."""
+    baselines = sorted(
+        state.ramp.baseline
+        for state in states
+        if state.ramp.baseline is not None
+        and state.server.version == server.version
+    )
+    return baselines[len(baselines) // 2] if baselines else None
--- a/tests/admission/test_server_ramp.py
+++ b/tests/admission/test_server_ramp.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from pollenloom.admission.fair_queue import PendingRequest
+from pollenloom.admission.messages import SettledGrant
 from pollenloom.admission.server_choice import ServerChoice
 from pollenloom.admission.server_ramp import ServerAnswer, ServerRamp
 from pollenloom.admission.server_state import Adoption, ServerState
@@ -34,6 +35,14 @@
     ) -> float:
         return 0.1 if version == 'v2' else 1
 
+    def note(
+        self,
+        service: ServiceId,
+        version: VersionId,
+        settled: SettledGrant,
+    ) -> None:
+        raise NotImplementedError
+
 
 @pytest.fixture
 def ramp() -> ServerRamp:
