Leave the membership before draining; learn routers from the VM list

Cause: services drain in reverse order, so others saw LEAVING only after the front end had drained, and pools stayed with the leaving owner until then. No service gave the platform's VM list to the membership. While all routers of a fleet leave, each ranked only itself for its pools. Change: a hook `leave` runs on all services before any drain; the configuration store passes the VM list on; a fleet without live VMs ranks the leaving ones. Conclusion: pools move while a leaving router still serves its callers.

--- a/src/pollenloom/configuration/configuration_store.py
+++ b/src/pollenloom/configuration/configuration_store.py
@@ -69,10 +69,10 @@
             KernelServiceName.REGISTERS,
             Registers,
         )
-        self.own = kernel.find(
+        self.membership = kernel.find(
             KernelServiceName.MEMBERSHIP,
             Membership,
-        ).own.vm
+        )
         platform = kernel.find(
             KernelServiceName.PLATFORM,
             Platform,
@@ -137,7 +137,7 @@
             data_centre=data_centre,
             state=state,
             counter=1 if known is None else known.counter + 1,
-            origin=self.own,
+            origin=self.membership.own.vm,
         )
         self.registers.put(key, make_register(change))
 
@@ -181,6 +181,7 @@
         except ValueError as error:
             logging.warning('register_unreadable %s %s', key, error)
             return
+        self.membership.learn_addresses(self.vm_list.vms)
         self.changed()
 
     def configuration_changed(self, key: str, register: RegisterValue) -> None:
--- a/src/pollenloom/kernel/kernel.py
+++ b/src/pollenloom/kernel/kernel.py
@@ -91,6 +91,8 @@
         self.phase = KernelPhase.DRAINING
         try:
             async with asyncio.timeout(timeout_seconds):
+                for service in self.started:
+                    await service.leave()
                 for service in reversed(self.started):
                     await service.drain()
         except TimeoutError:
--- a/src/pollenloom/kernel/kernel_service.py
+++ b/src/pollenloom/kernel/kernel_service.py
@@ -15,6 +15,9 @@
     async def start(self) -> None:
         """Start tasks and listeners; services started earlier are ready."""
 
+    async def leave(self) -> None:
+        """Tell others of the planned stop; called before any drain."""
+
     async def drain(self) -> None:
         """Finish accepted work; called before any service is stopped."""
 
--- a/src/pollenloom/membership/fleet_view.py
+++ b/src/pollenloom/membership/fleet_view.py
@@ -87,6 +87,10 @@
         data_centre: 'DataCentreId | None',
     ) -> tuple['VmId', ...]:
         """Live VMs by rank, of one data centre if it has any."""
+        if not self.live:
+            # All are leaving; they must still agree on the owners.
+            leaving = (member.vm for member in self.members)
+            return RendezvousRanking(leaving).ranked(key)
         ranking = self.rankings.get(data_centre)
         if ranking is None:
             vms = self.live
--- a/src/pollenloom/membership/gossip_membership.py
+++ b/src/pollenloom/membership/gossip_membership.py
@@ -93,15 +93,18 @@
         self.kernel.spawn('heartbeats', self.heartbeats.run())
         self.kernel.spawn('fleet joiner', self.joiner.run())
 
-    async def drain(self) -> None:
-        """Tell the others that this VM leaves."""
-        self.leave()
+    async def leave(self) -> None:
+        """Tell the others that this VM leaves.
+
+        Its pools go to other owners while it still serves its callers.
+        """
+        self.become_leaving()
         await self.peers.flush(FLUSH_SECONDS)
 
     async def stop(self) -> None:
         """Nothing to release."""
 
-    def leave(self) -> None:
+    def become_leaving(self) -> None:
         """Become leaving and tell the links at once."""
         if self.own.state is MemberState.LEAVING:
             return
--- a/src/pollenloom/membership/membership.py
+++ b/src/pollenloom/membership/membership.py
@@ -1,13 +1,14 @@
 """Interface of the membership service."""
 
 from abc import abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import ClassVar
 
 from pollenloom.core.ids import DataCentreId, VmId
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.membership.member import Member
+from pollenloom.platform.vm_entry import VmEntry
 
 
 class Membership(KernelService):
@@ -39,6 +40,9 @@
         With a data centre that has no live VM, VMs of the others rank.
         """
 
+    def learn_addresses(self, entries: Iterable[VmEntry]) -> None:
+        """Take the routers of the platform's list as join candidates."""
+
     @abstractmethod
     def watch(self, listener: Callable[[], None]) -> None:
         """Call `listener` after each change of the set of live VMs."""
--- a/src/pollenloom/moves/move_controller.py
+++ b/src/pollenloom/moves/move_controller.py
@@ -158,7 +158,10 @@
         record = self.known.get(key)
         if record is not None and record.state is not MoveState.RUNNING:
             return
-        judge_vm = self.membership.ranked(key)[0]
+        ranked = self.membership.ranked(key)
+        if not ranked:
+            return
+        judge_vm = ranked[0]
         self.peers.send(judge_vm, self.make_report(key, move))
         if judge_vm == self.membership.own.vm:
             self.judge(service, move, now)
--- a/tests/configuration/test_configuration_store.py
+++ b/tests/configuration/test_configuration_store.py
@@ -21,10 +21,12 @@
     VmId,
 )
 from pollenloom.core.states import DataCentreState, VmListState, VmRole
+from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.platform.log_entry import decode_entry, encode_entry
 from pollenloom.platform.log_reader import PAGE_RECORDS
 from pollenloom.platform.vm_entry import VmEntry
 from tests.configuration.service_texts import NOW, service_text
+from tests.fakes.memory_membership import MemoryMembership
 from tests.fakes.memory_platform import AppendFault, MemoryPlatform
 from tests.fakes.router import Fleet, Router
 from tests.manual_clock import ManualClock
@@ -132,6 +134,11 @@
     configuration.set_data_centre_state(ENSCHEDE, DataCentreState.OUT)
     assert [one.server for one in configuration.servers(MINUTES)] == ['second']
     assert not configuration.servers(ServiceId('unknown'))
+    membership = router.kernel.find(
+        KernelServiceName.MEMBERSHIP,
+        MemoryMembership,
+    )
+    assert VmId('entry') in membership.learned
 
 
 async def test_states_with_the_platform_down(fleet: Fleet) -> None:
--- a/tests/fakes/memory_membership.py
+++ b/tests/fakes/memory_membership.py
@@ -1,11 +1,12 @@
 """Membership as a test sets it."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from pollenloom.core.ids import DataCentreId, VmId
 from pollenloom.core.states import MemberState
 from pollenloom.membership.member import Member
 from pollenloom.membership.membership import Membership
+from pollenloom.platform.vm_entry import VmEntry
 
 
 def make_member(vm: str, data_centre: str) -> Member:
@@ -30,6 +31,7 @@
     def __init__(self, own: Member, fleet: list[Member]) -> None:
         self.own_member = own
         self.fleet = fleet
+        self.learned: set[VmId] = set()
 
     async def start(self) -> None:
         """Nothing to start."""
@@ -62,5 +64,9 @@
             if data_centre in {None, member.data_centre}
         )
 
+    def learn_addresses(self, entries: Iterable[VmEntry]) -> None:
+        """Remember which VMs the platform listed."""
+        self.learned = {entry.vm for entry in entries}
+
     def watch(self, listener: Callable[[], None]) -> None:
         """No changes are told."""
--- a/tests/kernel/test_kernel.py
+++ b/tests/kernel/test_kernel.py
@@ -23,6 +23,9 @@
             raise OSError('address in use')
         self.calls.append(f'start {self.name.value}')
 
+    async def leave(self) -> None:
+        self.calls.append(f'leave {self.name.value}')
+
     async def drain(self) -> None:
         self.calls.append(f'drain {self.name.value}')
 
@@ -52,6 +55,8 @@
     assert calls == [
         'start peers',
         'start frontend',
+        'leave peers',
+        'leave frontend',
         'drain frontend',
         'drain peers',
         'stop frontend',
--- a/tests/membership/test_gossip_membership.py
+++ b/tests/membership/test_gossip_membership.py
@@ -99,6 +99,19 @@
     )
 
 
+async def test_all_leaving_routers_agree_on_owners(fleet: Fleet) -> None:
+    """Guards against two owners of a pool while a fleet is shut down."""
+    await asyncio.gather(
+        *(node.membership.leave() for node in fleet.nodes),
+    )
+    await eventually(
+        lambda: not any(node.membership.live() for node in fleet.nodes),
+    )
+    owners = {node.membership.ranked('pool') for node in fleet.nodes}
+    assert len(owners) == 1
+    assert len(owners.pop()) == len(fleet.nodes)
+
+
 async def test_partition_heals(fleet: Fleet) -> None:
     """Guards against sides that never find each other again."""
     sides = (fleet.nodes[:3], fleet.nodes[3:])
