Tell no repeat of an order that ran that it was not run

Cause: while the platform is down the claim desk answered 'unavailable' for every key, also for keys whose claim or outcome its index holds, and the router told the caller that the order was not run. A caller who trusts that orders a second time. Change: the desk answers from its index first; only that a key is free or too old needs the end of the log. An outcome that cannot be read is 'unknown'.

--- a/src/pollenloom/orders/claim_desk.py
+++ b/src/pollenloom/orders/claim_desk.py
@@ -34,6 +34,11 @@
 PRUNE_PERIOD_SECONDS: Final = 10.0
 
 
+NEEDS_WHOLE_LOG: Final = frozenset(
+    (ClaimVerdict.UNCLAIMED, ClaimVerdict.EXPIRED),
+)
+
+
 class ClaimDesk:
     """Keeps the index of the log and appends for others.
 
@@ -95,10 +100,12 @@
     ) -> ClaimAnswer:
         """Decide a claim; append it if its key is free."""
         del sender
-        if not self.tail.caught_up:
-            return ClaimAnswer(ClaimVerdict.UNAVAILABLE)
         claim = message.claim
         decision = self.decide(claim)
+        # What is known of a key stays true during an outage. That a key is
+        # free, or too old, can only be told at the end of the log.
+        if not self.tail.caught_up and decision.verdict in NEEDS_WHOLE_LOG:
+            return ClaimAnswer(ClaimVerdict.UNAVAILABLE)
         if decision.verdict is ClaimVerdict.UNCLAIMED:
             await self.batcher.append(claim)
             decision = self.decide(claim)
@@ -167,7 +174,8 @@
             return ClaimAnswer(decision.verdict)
         outcome = await self.read_outcome(claim, decision.outcome_at)
         if outcome is None:
-            return ClaimAnswer(ClaimVerdict.UNAVAILABLE)
+            # "Unavailable" would be told to the caller as not run.
+            return ClaimAnswer(ClaimVerdict.UNKNOWN)
         return ClaimAnswer(ClaimVerdict.REPLAY, outcome)
 
     async def read_outcome(
--- a/src/pollenloom_standins/soak/operator_faults.py
+++ b/src/pollenloom_standins/soak/operator_faults.py
@@ -23,7 +23,9 @@
 
 PUBLISHERS: Final = ('anna', 'berend')
 PUBLISH_SECONDS: Final = 10
-HIGHEST_SHARE: Final = 10_000
+LIMIT_TEXT: Final = 'max_waiting = 256'
+# Any limit that no account of the load reaches.
+WAITING_LIMITS: Final = (1000, 100_000)
 
 
 class LinkCut(Fault):
@@ -78,7 +80,7 @@
 
 
 class PublishRace(Fault):
-    """Two operators publish different shares at once."""
+    """Two operators publish different limits at once."""
 
     seconds: ClassVar[tuple[float, float]] = (0, 1.0)
 
@@ -97,11 +99,11 @@
 
 
 async def publish(ground: Ground, publisher: str) -> PublishResult:
-    """Publish a share that was not published before."""
-    share = ground.draw.randint(2, HIGHEST_SHARE)
+    """Publish a limit that was not published before."""
+    limit = ground.draw.randint(*WAITING_LIMITS)
     collected = collect_files(list(ground.fleet.plan.directories))
     files = {
-        name: text.replace('share = 12', f'share = {share}')
+        name: text.replace(LIMIT_TEXT, f'max_waiting = {limit}')
         for name, text in collected.files.items()
     }
     settings = PlatformSettings(url=ground.fleet.platform_url)
--- a/tests/standins/history/test_checkers.py
+++ b/tests/standins/history/test_checkers.py
@@ -67,6 +67,13 @@
     history.runs.append(server_run('refused', 101))
 
 
+def refuse_repeat_as_not_run(history: History) -> None:
+    record = order_call(104, '')
+    record.outcome = CallOutcome.REFUSED
+    record.run = 'no'
+    history.calls.append(record)
+
+
 def run_in_drained(history: History) -> None:
     history.runs.append(server_run('x', 113.5))
 
@@ -127,6 +134,7 @@
     (AnswerChecker(), cut_silently),
     (AnswerChecker(), lose_answer),
     (RefusalChecker(), run_refused),
+    (RefusalChecker(), refuse_repeat_as_not_run),
     (DrainChecker(), run_in_drained),
     (LeavingChecker(), refuse_as_leaving),
     (LeavingChecker(), run_on_listed_as_leaving),
