Check repeats of orders that ran apart from other refusals

Change: a check of its own, R7-key, so that R7 stays as the design has it. The fault stays open: desks of other data centres know the key, but are not asked. Run: pytest tests/standins/history.

--- a/src/pollenloom_standins/history/promises.py
+++ b/src/pollenloom_standins/history/promises.py
@@ -12,6 +12,7 @@
 from pollenloom_standins.history.order_checker import OrderChecker
 from pollenloom_standins.history.promise_checker import PromiseChecker
 from pollenloom_standins.history.refusal_checker import RefusalChecker
+from pollenloom_standins.history.repeat_checker import RepeatChecker
 from pollenloom_standins.history.service_checker import ServiceChecker
 from pollenloom_standins.history.stop_checker import StopChecker
 
@@ -21,6 +22,7 @@
     DrainChecker(),
     AnswerChecker(),
     RefusalChecker(),
+    RepeatChecker(),
     OrderChecker(),
     LeavingChecker(),
     StopChecker(),
--- a/src/pollenloom_standins/history/refusal_checker.py
+++ b/src/pollenloom_standins/history/refusal_checker.py
@@ -8,11 +8,7 @@
 
 
 class RefusalChecker(PromiseChecker):
-    """No server ran a request whose caller was told that it was not run.
-
-    For an order this holds for its key: a caller who repeats an order that
-    ran and is told "not run" would order again.
-    """
+    """No server ran a request whose caller was told that it was not run."""
 
     requirement = 'R7'
     promise = 'a refusal that says "not run" is true'
@@ -20,15 +16,10 @@
     def violations(self, history: History) -> Iterator[str]:
         """Return refused calls that a server ran."""
         servers = {run.run.request_id: run.server for run in history.runs}
-        order_times = {run.order.key: run.order.at for run in history.orders}
         for call in refusals(history):
             server = servers.get(call.request_id)
             if server is not None:
                 yield f'{call.describe()}: ran on {server}'
-            at = order_times.get(call.key, call.ended)
-            if at < call.started:
-                earlier = call.started - at
-                yield f'{call.describe()}: key ran {earlier:.2f} s earlier'
 
     def checked(self, history: History) -> int:
         """Return the number of refusals that say "not run"."""
--- /dev/null
+++ b/src/pollenloom_standins/history/repeat_checker.py
@@ -0,0 +1,31 @@
+"""No repeat of an order that ran is told that it was not run."""
+
+from collections.abc import Iterator
+
+from pollenloom_standins.history.history import History
+from pollenloom_standins.history.promise_checker import PromiseChecker
+from pollenloom_standins.history.refusal_checker import refusals
+
+
+class RepeatChecker(PromiseChecker):
+    """Holds refusals of orders against their keys.
+
+    A refusal is of one call, which `RefusalChecker` looks at. But a caller
+    who repeats an order that ran and is told "not run" would order again.
+    """
+
+    requirement = 'R7-key'
+    promise = 'no repeat of an order that ran is told "not run"'
+
+    def violations(self, history: History) -> Iterator[str]:
+        """Return refusals of keys that had run before."""
+        times = {run.order.key: run.order.at for run in history.orders}
+        for call in refusals(history):
+            at = times.get(call.key, call.ended)
+            if at < call.started:
+                earlier = call.started - at
+                yield f'{call.describe()}: key ran {earlier:.2f} s earlier'
+
+    def checked(self, history: History) -> int:
+        """Return the number of orders refused as not run."""
+        return sum(bool(call.key) for call in refusals(history))
--- a/tests/standins/history/test_checkers.py
+++ b/tests/standins/history/test_checkers.py
@@ -21,6 +21,7 @@
 from pollenloom_standins.history.promise_checker import PromiseChecker
 from pollenloom_standins.history.promises import PROMISES
 from pollenloom_standins.history.refusal_checker import RefusalChecker
+from pollenloom_standins.history.repeat_checker import RepeatChecker
 from pollenloom_standins.history.samples import AcceptedPublish
 from pollenloom_standins.history.service_checker import ServiceChecker
 from pollenloom_standins.history.stop_checker import StopChecker
@@ -134,7 +135,7 @@
     (AnswerChecker(), cut_silently),
     (AnswerChecker(), lose_answer),
     (RefusalChecker(), run_refused),
-    (RefusalChecker(), refuse_repeat_as_not_run),
+    (RepeatChecker(), refuse_repeat_as_not_run),
     (DrainChecker(), run_in_drained),
     (LeavingChecker(), refuse_as_leaving),
     (LeavingChecker(), run_on_listed_as_leaving),
