--- a/tests/standins/history/test_checkers.py
+++ b/tests/standins/history/test_checkers.py
@@ -21,6 +21,7 @@
 from pollenloom_standins.history.promise_checker import PromiseChecker
 from pollenloom_standins.history.promises import PROMISES
 from pollenloom_standins.history.refusal_checker import RefusalChecker
+from pollenloom_standins.history.repeat_checker import RepeatChecker
 from pollenloom_standins.history.samples import AcceptedPublish
 from pollenloom_standins.history.service_checker import ServiceChecker
 from pollenloom_standins.history.stop_checker import StopChecker
@@ -67,6 +68,13 @@
     history.runs.append(server_run('refused', 101))
 
 
+def refuse_repeat_as_not_run(history: History) -> None:
+    record = order_call(104, '')
+    record.outcome = CallOutcome.REFUSED
+    record.run = 'no'
+    history.calls.append(record)
+
+
 def run_in_drained(history: History) -> None:
     history.runs.append(server_run('x', 113.5))
 
@@ -127,6 +135,7 @@
     (AnswerChecker(), cut_silently),
     (AnswerChecker(), lose_answer),
     (RefusalChecker(), run_refused),
+    (RepeatChecker(), refuse_repeat_as_not_run),
     (DrainChecker(), run_in_drained),
     (LeavingChecker(), refuse_as_leaving),
     (LeavingChecker(), run_on_listed_as_leaving),
