Test the ramp over the fleet, repeated messages and double settlement

Cause: three rules had no test over several routers. Change: a cold server is watched round by round, with the ramp on and off; messages are lost and doubled; a grant is settled twice. Conclusion: the limits hold over four routers; without the ramp they do not.

--- a/tests/admission/fake_services.py
+++ b/tests/admission/fake_services.py
@@ -35,6 +35,7 @@
         self.random = random.Random(seed)
         self.delay: float = 0.001
         self.loss: float = 0
+        self.copies = 1
         self.cut: set[frozenset[VmId]] = set()
         self.held: dict[VmId, list[Letter]] = {}
         self.handlers: dict[VmId, Handlers] = {}
@@ -50,7 +51,8 @@
         data = cbor2.dumps(msgspec.to_builtins(message))
         copied = msgspec.convert(cbor2.loads(data), type(message))
         loop = asyncio.get_running_loop()
-        loop.call_later(self.delay, self.deliver, sender, target, copied)
+        for _ in range(self.copies):
+            loop.call_later(self.delay, self.deliver, sender, target, copied)
 
     def hold(self, vm: VmId) -> None:
         self.held[vm] = []
--- a/tests/admission/test_fleet_failures.py
+++ b/tests/admission/test_fleet_failures.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from pollenloom.admission.settlement import Settlement
 from pollenloom.core.ids import VmId
-from pollenloom.core.states import DataCentreState
+from pollenloom.core.states import DataCentreState, Outcome
+from pollenloom.settings.router_settings import AdmissionSettings
 from tests.admission import fake_faults
 from tests.admission.fake_fleet import FakeFleet
 from tests.admission.fake_settings import ENSCHEDE, HENGELO
@@ -184,12 +186,14 @@
     simulate(scenario())
 
 
-def test_lost_messages_lose_no_slot(fleet: FakeFleet) -> None:
-    """Guards against grants or settlements that get lost with a link."""
+@pytest.mark.parametrize('copies', [1, 2])
+def test_lost_messages_lose_no_slot(fleet: FakeFleet, copies: int) -> None:
+    """Guards against grants or settlements that get lost or repeated."""
 
     async def scenario() -> None:
         engine = fleet.add_server('s1', slots=4)
         fleet.links.loss = 0.2
+        fleet.links.copies = copies
         await start(fleet, 4)
         for router in fleet.routers.values():
             fleet.flood(router, 'small')
@@ -282,3 +286,50 @@
         await fleet.stop()
 
     simulate(scenario())
+
+
+@pytest.mark.parametrize('ramp', [True, False])
+def test_cold_server_is_ramped_over_the_fleet(ramp: bool) -> None:
+    """Guards against routers that each ramp a cold server by themselves.
+
+    With the ramp off, the same run exceeds what a cold server bears.
+    """
+    fleet = FakeFleet(admission=AdmissionSettings(ramp=ramp))
+    over: list[int] = []
+
+    async def scenario() -> None:
+        engine = fleet.add_server('s1', slots=16, cold_slots=2)
+        await start(fleet, 4)
+        for router in fleet.routers.values():
+            fleet.flood(router, 'small')
+        for _ in range(300):
+            # A limit doubles after as many answers: 2, then 4, then 8.
+            rounds = (engine.served + 2).bit_length() - 1
+            over.append(engine.in_flight - 2**rounds)
+            await asyncio.sleep(0.01)
+        assert engine.peak == 16
+        await fleet.stop()
+
+    simulate(scenario())
+    assert (max(over) <= 0) == ramp
+
+
+def test_grant_is_settled_once(fleet: FakeFleet) -> None:
+    """Guards against a second settlement that frees another's slot."""
+
+    async def scenario() -> None:
+        fleet.add_server('s1', slots=2)
+        router = await fleet.add_router('r0')
+        got = await router.admission.acquire(fleet.ticket('small'))
+        await router.admission.acquire(fleet.ticket('small'))
+        settlement = Settlement(grant=got.ok, outcome=Outcome.UNUSED)
+        router.admission.settle(settlement)
+        router.admission.settle(settlement)
+        await asyncio.sleep(1)
+        assert fake_faults.open_grants(fleet) == 1
+        now = asyncio.get_running_loop().time()
+        pool = router.admission.status(now).pools[0]
+        assert pool.servers[0].in_flight == 1
+        await fleet.stop()
+
+    simulate(scenario())
