Follow fencing numbers that servers report

Cause: the epoch of an owner must also exceed what engines have seen. Change: Admission.observe_epoch; NewerOwner tells an owner of it, apart from NotOwner, which tells a router. Conclusion: an owner with too low a number takes its pool over again.

--- a/src/pollenloom/admission/admission.py
+++ b/src/pollenloom/admission/admission.py
@@ -11,6 +11,7 @@
 from pollenloom.admission.ticket import Ticket
 from pollenloom.admission.version_shares import VersionShares
 from pollenloom.core.failure import Failure
+from pollenloom.core.ids import ServerId
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 
@@ -42,6 +43,12 @@
         Policies without pool owners do not limit versions.
         """
 
+    def observe_epoch(self, server: ServerId, epoch: int) -> None:
+        """Note a fencing number that a server reported or refused by.
+
+        A pool owner that uses a lower one takes the pool over again.
+        """
+
     @abstractmethod
     def status(self, now: float) -> AdmissionStatus:
         """Queues, pools and shares as this router knows them."""
--- a/src/pollenloom/admission/allocator_admission.py
+++ b/src/pollenloom/admission/allocator_admission.py
@@ -9,6 +9,7 @@
 from pollenloom.admission.admission import Admission
 from pollenloom.admission.admission_scope import AdmissionScope
 from pollenloom.admission.admission_status import AdmissionStatus
+from pollenloom.admission.epoch_table import NO_OWNER
 from pollenloom.admission.grant import Grant
 from pollenloom.admission.grant_client import SPREAD_SECONDS, GrantClient
 from pollenloom.admission.home_pool import HomePool
@@ -16,6 +17,7 @@
     CounterExchange,
     Demand,
     Grants,
+    NewerOwner,
     NotOwner,
     ReportRequest,
     TakeoverReport,
@@ -29,7 +31,7 @@
 from pollenloom.admission.waiting_queue import WaitingRequest
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
-from pollenloom.core.ids import VmId
+from pollenloom.core.ids import ServerId
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.settings.router_settings import RouterSettings
 
@@ -107,6 +109,12 @@
         for allocator in self.owners.allocators.values():
             allocator.credit.shares = shares
 
+    def observe_epoch(self, server: ServerId, epoch: int) -> None:
+        """Follow no owner of the server's pool with a lower number."""
+        pool = self.scope.pool_map.pool_of.get(server)
+        if pool is not None:
+            self.scope.epochs.observe(pool, epoch, NO_OWNER.owner)
+
     async def acquire(self, ticket: Ticket) -> Result[Grant, Failure]:
         """Wait for a grant."""
         if self.stopping:
@@ -171,14 +179,10 @@
         scope.subscribe(Grants, self.client.on_grants)
         scope.subscribe(ReportRequest, self.client.on_report_request)
         scope.subscribe(TakeoverReport, self.owners.on_report)
-        scope.subscribe(NotOwner, self.on_not_owner)
+        scope.subscribe(NotOwner, self.client.on_not_owner)
+        scope.subscribe(NewerOwner, self.owners.on_newer_owner)
         scope.subscribe(CounterExchange, self.owners.on_exchange)
 
-    def on_not_owner(self, sender: VmId, message: NotOwner) -> None:
-        """Tell the router side about owners, the owner side about routers."""
-        self.client.on_not_owner(sender, message)
-        self.owners.on_not_owner(sender, message)
-
     async def run_client(self) -> None:
         """Repeat and spread demand while anything waits."""
         client = self.client
--- a/src/pollenloom/admission/grant_client.py
+++ b/src/pollenloom/admission/grant_client.py
@@ -12,6 +12,7 @@
     GrantedSlot,
     Grants,
     HeldGrant,
+    NewerOwner,
     NotOwner,
     ReportRequest,
     SettledGrant,
@@ -134,7 +135,7 @@
             return
         if not self.scope.epochs.observe(pool, message.epoch, sender):
             newest = self.scope.epochs.current(pool).epoch
-            self.scope.send(sender, NotOwner(pool, newest))
+            self.scope.send(sender, NewerOwner(pool, newest))
             return
         link = self.sender.link(pool)
         if not link.receive(message.epoch, message.sequence):
--- a/src/pollenloom/admission/messages.py
+++ b/src/pollenloom/admission/messages.py
@@ -167,7 +167,13 @@
 
 
 class NotOwner(PeerMessage, frozen=True):
-    """The sender does not own the pool, or follows a newer owner.
+    """Tells a router that the sender does not own the pool."""
+
+    pool: PoolId
+
+
+class NewerOwner(PeerMessage, frozen=True):
+    """Tells an owner that the sender follows a newer one.
 
     Attributes:
         pool: Pool.
--- a/src/pollenloom/admission/pool_owners.py
+++ b/src/pollenloom/admission/pool_owners.py
@@ -8,6 +8,7 @@
 from pollenloom.admission.messages import (
     CounterExchange,
     Demand,
+    NewerOwner,
     NotOwner,
     ReportRequest,
     TakeoverReport,
@@ -171,8 +172,7 @@
         self.check_pause(now)
         allocator = self.allocators.get(message.pool)
         if allocator is None:
-            epoch = self.scope.epochs.current(message.pool).epoch
-            self.scope.send(sender, NotOwner(message.pool, epoch))
+            self.scope.send(sender, NotOwner(message.pool))
             return
         allocator.demand(sender, message, now)
         self.sender.allocate_soon(message.pool)
@@ -187,7 +187,7 @@
                 self.exchange.open_pool(allocator, now)
             self.sender.allocate_soon(message.pool)
 
-    def on_not_owner(self, sender: VmId, message: NotOwner) -> None:
+    def on_newer_owner(self, sender: VmId, message: NewerOwner) -> None:
         """A router follows a newer owner of a pool of this VM."""
         allocator = self.allocators.get(message.pool)
         now = self.scope.now()
--- a/tests/admission/test_fleet_failures.py
+++ b/tests/admission/test_fleet_failures.py
@@ -333,3 +333,19 @@
         await fleet.stop()
 
     simulate(scenario())
+
+
+def test_owner_passes_a_fencing_number(fleet: FakeFleet) -> None:
+    """Guards against an owner whose grants the engines refuse for ever."""
+
+    async def scenario() -> None:
+        engine = fleet.add_server('s1')
+        await start(fleet, 3)
+        router = fleet.routers[VmId('r0')]
+        router.admission.observe_epoch(engine.server.server, 70)
+        assert await fleet.serve(router, 'small', 10)
+        got = await router.admission.acquire(fleet.ticket('small'))
+        assert got.ok.epoch > 70
+        await fleet.stop()
+
+    simulate(scenario())
