Do not avoid a server after a grant that came too late

Cause: an owner avoided a server for 250 ms for a router that returned a grant unused, even when only its queue had run empty, so that the next request of that router waited at an idle server. Change: the router says whether the server is unusable for what waits. Conclusion: a request meets idle capacity within one round trip.

--- a/src/pollenloom/admission/grant_client.py
+++ b/src/pollenloom/admission/grant_client.py
@@ -26,6 +26,7 @@
 from pollenloom.admission.settlement import Settlement
 from pollenloom.admission.waiting_queue import WaitingRequest
 from pollenloom.admission.waiting_queues import WaitingQueues
+from pollenloom.core.backend_server import BackendServer
 from pollenloom.core.ids import GrantId, VmId
 from pollenloom.core.states import Outcome
 
@@ -162,7 +163,8 @@
         if server is not None and is_fresh:
             waiting = self.queues.take(server, slot.account, now)
         if server is None or waiting is None:
-            self.sender.report(link.pool, unused(slot))
+            is_unusable = server is None or self.is_waiting(server, slot)
+            self.sender.report(link.pool, unused(slot, unusable=is_unusable))
             return
         grant = Grant(
             grant_id=slot.grant_id,
@@ -180,6 +182,10 @@
         waiting.grant = grant
         self.events[waiting].set()
 
+    def is_waiting(self, server: BackendServer, slot: GrantedSlot) -> bool:
+        """Whether the account has requests that wait for the service."""
+        return len(self.queues.find(server.service, slot.account)) > 0
+
     def on_check(self, link: PoolLink, grant_id: GrantId) -> None:
         """Report a grant that the owner still counts but that has ended."""
         if grant_id in self.in_use:
@@ -235,7 +241,7 @@
         self.sender.tick(now)
 
 
-def unused(slot: GrantedSlot) -> SettledGrant:
+def unused(slot: GrantedSlot, *, unusable: bool) -> SettledGrant:
     """Settlement of a grant that no request could use."""
     return SettledGrant(
         grant_id=slot.grant_id,
@@ -243,4 +249,5 @@
         server=slot.server,
         outcome=Outcome.UNUSED,
         charged=slot.charged,
+        unusable=unusable,
     )
--- a/src/pollenloom/admission/messages.py
+++ b/src/pollenloom/admission/messages.py
@@ -56,7 +56,22 @@
 
 
 class SettledGrant(MessagePart, frozen=True):
-    """How one grant was used."""
+    """How one grant was used.
+
+    Attributes:
+        grant_id: Grant.
+        account: Client account that was charged.
+        server: Server of the grant.
+        outcome: How its use ended.
+        charged: Estimated cost that was charged.
+        hint: Cost hint of the request that used it.
+        cost: Real cost.
+        first_byte_seconds: Time to the first byte of the answer.
+        server_cold: Whether the server said that it is cold.
+        server_leaving: Whether the server said that it is leaving.
+        unusable: Whether requests wait but none may go to the server, or
+            the router does not know the server yet.
+    """
 
     grant_id: GrantId
     account: AccountId
@@ -68,6 +83,7 @@
     first_byte_seconds: float | None = None
     server_cold: bool = False
     server_leaving: bool = False
+    unusable: bool = False
 
 
 class Demand(PeerMessage, frozen=True):
--- a/src/pollenloom/admission/pool_allocator.py
+++ b/src/pollenloom/admission/pool_allocator.py
@@ -135,7 +135,7 @@
         self.totals.charge(self.pool, grant.account, correction)
         self.servers.release(grant)
         self.learn(grant, settled, now)
-        if settled.outcome is Outcome.UNUSED and stream is not None:
+        if settled.unusable and stream is not None:
             stream.avoid[grant.server] = now + AVOID_SECONDS
 
     def learn(
--- a/src/pollenloom/admission/pool_owners.py
+++ b/src/pollenloom/admission/pool_owners.py
@@ -144,6 +144,7 @@
         """Free what dead routers held."""
         alive = set(self.scope.awaited_routers())
         for allocator in self.allocators.values():
+            allocator.estimator.retain(set(allocator.totals.shares))
             for router in allocator.known_routers() - alive:
                 allocator.remove_router(router, now)
             self.sender.allocate_soon(allocator.pool)
--- a/src/pollenloom/admission/service_totals.py
+++ b/src/pollenloom/admission/service_totals.py
@@ -53,11 +53,6 @@
             for gone in pool.served.keys() - shares.keys():
                 pool.served.pop(gone)
 
-    def retain_pools(self, pools: set[PoolId]) -> None:
-        """Forget pools that no longer exist."""
-        for pool in self.pools.keys() - pools:
-            self.pools.pop(pool)
-
     def time_of(self, account: AccountId) -> float:
         """Virtual time of an account."""
         return self.times.get(account, 0)
--- a/tests/admission/test_waiting_queue.py
+++ b/tests/admission/test_waiting_queue.py
@@ -89,6 +89,29 @@
     simulate(scenario())
 
 
+def test_unused_grant_delays_no_later_request(fleet: FakeFleet) -> None:
+    """Guards against an idle server that a router may not use for a while."""
+
+    async def scenario() -> None:
+        fleet.add_server('s1')
+        for name in ('r0', 'r1', 'r2'):
+            await fleet.add_router(name)
+        await asyncio.sleep(1)
+        for router in fleet.routers.values():
+            call = asyncio.create_task(fleet.serve(router, 'small', 10))
+            await asyncio.sleep(0.0005)
+            call.cancel()
+            # The grant comes, finds nothing to serve and goes back.
+            await asyncio.sleep(0.003)
+            got = await router.admission.acquire(
+                fleet.ticket('small', wait_seconds=0.01),
+            )
+            assert got.is_ok()
+        await fleet.stop()
+
+    simulate(scenario())
+
+
 @pytest.mark.parametrize(
     ('policy', 'peak'),
     [
