--- a/src/pollenloom/admission/grant_client.py
+++ b/src/pollenloom/admission/grant_client.py
@@ -12,6 +12,7 @@
     GrantedSlot,
     Grants,
     HeldGrant,
+    NewerOwner,
     NotOwner,
     ReportRequest,
     SettledGrant,
@@ -25,6 +26,7 @@
 from pollenloom.admission.settlement import Settlement
 from pollenloom.admission.waiting_queue import WaitingRequest
 from pollenloom.admission.waiting_queues import WaitingQueues
+from pollenloom.core.backend_server import BackendServer
 from pollenloom.core.ids import GrantId, VmId
 from pollenloom.core.states import Outcome
 
@@ -136,7 +138,7 @@
             return
         if not self.scope.epochs.observe(pool, message.epoch, sender):
             newest = self.scope.epochs.current(pool).epoch
-            self.scope.send(sender, NotOwner(pool, newest))
+            self.scope.send(sender, NewerOwner(pool, newest))
             return
         link = self.sender.link(pool)
         if not link.receive(message.epoch, message.sequence):
@@ -163,7 +165,8 @@
         if server is not None and is_fresh:
             waiting = self.queues.take(server, slot.account, now)
         if server is None or waiting is None:
-            self.sender.report(link.pool, unused(slot))
+            is_unusable = server is None or self.is_waiting(server, slot)
+            self.sender.report(link.pool, unused(slot, unusable=is_unusable))
             return
         grant = Grant(
             grant_id=slot.grant_id,
@@ -181,6 +184,10 @@
         waiting.grant = grant
         self.events[waiting].set()
 
+    def is_waiting(self, server: BackendServer, slot: GrantedSlot) -> bool:
+        """Whether the account has requests that wait for the service."""
+        return len(self.queues.find(server.service, slot.account)) > 0
+
     def on_check(self, link: PoolLink, grant_id: GrantId) -> None:
         """Report a grant that the owner still counts but that has ended."""
         if grant_id in self.in_use:
@@ -236,7 +243,7 @@
         self.sender.tick(now)
 
 
-def unused(slot: GrantedSlot) -> SettledGrant:
+def unused(slot: GrantedSlot, *, unusable: bool) -> SettledGrant:
     """Settlement of a grant that no request could use."""
     return SettledGrant(
         grant_id=slot.grant_id,
@@ -244,4 +251,5 @@
         server=slot.server,
         outcome=Outcome.UNUSED,
         charged=slot.charged,
+        unusable=unusable,
     )
--- a/src/pollenloom/admission/messages.py
+++ b/src/pollenloom/admission/messages.py
@@ -59,7 +59,22 @@
 
 
 class SettledGrant(MessagePart, frozen=True):
-    """How one grant was used."""
+    """How one grant was used.
+
+    Attributes:
+        grant_id: Grant.
+        account: Client account that was charged.
+        server: Server of the grant.
+        outcome: How its use ended.
+        charged: Estimated cost that was charged.
+        hint: Cost hint of the request that used it.
+        cost: Real cost.
+        first_byte_seconds: Time to the first byte of the answer.
+        server_cold: Whether the server said that it is cold.
+        server_leaving: Whether the server said that it is leaving.
+        unusable: Whether requests wait but none may go to the server, or
+            the router does not know the server yet.
+    """
 
     grant_id: GrantId
     account: AccountId
@@ -74,6 +89,7 @@
     # Only set while the service moves between versions.
     route: RouteId = NO_ROUTE
     duration_seconds: float | None = None
+    unusable: bool = False
 
 
 class Demand(PeerMessage, frozen=True):
@@ -173,7 +189,13 @@
 
 
 class NotOwner(PeerMessage, frozen=True):
-    """The sender does not own the pool, or follows a newer owner.
+    """Tells a router that the sender does not own the pool."""
+
+    pool: PoolId
+
+
+class NewerOwner(PeerMessage, frozen=True):
+    """Tells an owner that the sender follows a newer one.
 
     Attributes:
         pool: Pool.
--- a/src/pollenloom/admission/pool_owners.py
+++ b/src/pollenloom/admission/pool_owners.py
@@ -8,6 +8,7 @@
 from pollenloom.admission.messages import (
     CounterExchange,
     Demand,
+    NewerOwner,
     NotOwner,
     ReportRequest,
     TakeoverReport,
@@ -58,6 +59,7 @@
         self.exchange.refresh()
         alive = set(self.scope.awaited_routers())
         for allocator in self.allocators.values():
+            allocator.estimator.retain(set(allocator.totals.shares))
             for router in allocator.known_routers() - alive:
                 allocator.remove_router(router, now)
             self.sender.allocate_soon(allocator.pool)
@@ -175,8 +177,7 @@
         self.check_pause(now)
         allocator = self.allocators.get(message.pool)
         if allocator is None:
-            epoch = self.scope.epochs.current(message.pool).epoch
-            self.scope.send(sender, NotOwner(message.pool, epoch))
+            self.scope.send(sender, NotOwner(message.pool))
             return
         allocator.demand(sender, message, now)
         self.sender.allocate_soon(message.pool)
@@ -191,7 +192,7 @@
                 self.exchange.open_pool(allocator, now)
             self.sender.allocate_soon(message.pool)
 
-    def on_not_owner(self, sender: VmId, message: NotOwner) -> None:
+    def on_newer_owner(self, sender: VmId, message: NewerOwner) -> None:
         """A router follows a newer owner of a pool of this VM."""
         allocator = self.allocators.get(message.pool)
         now = self.scope.now()
