Use one set of exit codes for all commands

Cause: three Enums gave codes 3, 4 and 5 two meanings each, so a script could not tell an invalid file from an unreachable router. Service names v1, healthz and readyz are refused, as the front end answers those paths itself. The platform client is imported directly.

--- a/src/pollenloom/configuration/file_checks.py
+++ b/src/pollenloom/configuration/file_checks.py
@@ -3,12 +3,16 @@
 from collections.abc import Iterator, Mapping
 from datetime import UTC, datetime
 from types import MappingProxyType
+from typing import Final
 
 from pollenloom.configuration.service_file import ServiceFile
 from pollenloom.core.ids import AccountId, ServiceId
 from pollenloom.validation.file_problem import FileProblem
 
 Services = Mapping[str, ServiceFile]
+# The front end answers these as the first segment of a path itself; an
+# application of this name could not be called.
+RESERVED_NAMES: Final = frozenset(('v1', 'healthz', 'readyz'))
 NO_DATES: Mapping[ServiceId, datetime] = MappingProxyType({})
 
 
@@ -28,6 +32,7 @@
     """
     return [
         *check_service_ids(services),
+        *check_reserved_names(services),
         *check_key_hashes(services),
         *check_lists(services),
         *check_dates(services, now, dates_in_force),
@@ -48,6 +53,19 @@
             )
 
 
+def check_reserved_names(services: Services) -> Iterator[FileProblem]:
+    """Find services named like a path of the front end."""
+    for file, service in services.items():
+        if service.service in RESERVED_NAMES:
+            yield FileProblem(
+                file,
+                'service',
+                'a name other than the paths of the front end'
+                f' ({", ".join(sorted(RESERVED_NAMES))})',
+                repr(service.service),
+            )
+
+
 def check_key_hashes(services: Services) -> Iterator[FileProblem]:
     """Find API keys that would stand for two client accounts."""
     owners: dict[str, tuple[AccountId, str]] = {}
--- a/src/pollenloom/console/application.py
+++ b/src/pollenloom/console/application.py
@@ -13,6 +13,7 @@
 from pollenloom.console.commands.restore_command import RestoreCommand
 from pollenloom.console.commands.router_command import RouterCommand
 from pollenloom.console.commands.status_command import StatusCommand
+from pollenloom.console.exit_code import exit_code_list
 
 # A new command: import its class above and add it to this union.
 AnyCommand = (
@@ -30,10 +31,7 @@
 @cappa.command(
     name='pollenloom',
     help='Router fleet that shares model and application capacity fairly.',
-    description=(
-        'Exit codes: 0 ok, 1 failure, 2 usage, 3 invalid file, 4 lost to'
-        ' another publisher, 5 platform unavailable or result unknown.'
-    ),
+    description=exit_code_list(),
 )
 @dataclass(frozen=True)
 class Application:
--- a/src/pollenloom/console/commands/data_centre_command.py
+++ b/src/pollenloom/console/commands/data_centre_command.py
@@ -6,7 +6,7 @@
 import cappa
 
 from pollenloom.console.command_end import command_end
-from pollenloom.console.operator_exit import OperatorExit
+from pollenloom.console.exit_code import ExitCode
 from pollenloom.console.operator_options import OperatorOptions
 from pollenloom.core.ids import DataCentreId
 from pollenloom.core.states import DataCentreState
@@ -38,7 +38,7 @@
                 f'Not confirmed by: {", ".join(change.missing)}. A router '
                 'that is cut off takes the change over when it rejoins; '
                 '`pollenloom status` shows which have it.',
-                code=OperatorExit.INCOMPLETE,
+                code=ExitCode.INCOMPLETE,
             )
 
 
--- a/src/pollenloom/console/commands/explain_command.py
+++ b/src/pollenloom/console/commands/explain_command.py
@@ -9,8 +9,8 @@
 from expression import Error, Ok, Result
 
 from pollenloom.console.command_end import command_end
+from pollenloom.console.exit_code import ExitCode
 from pollenloom.console.operator_client import OperatorClient
-from pollenloom.console.operator_exit import OperatorExit
 from pollenloom.console.operator_options import OperatorOptions
 from pollenloom.console.status_tables import describe_move, event_table
 from pollenloom.core.failure import Failure
@@ -55,7 +55,7 @@
             raise command_end(
                 f'No router has event records of {self.subject!r}.'
                 f'{told_by(report)} Check the id; old records are dropped.',
-                code=OperatorExit.NOT_FOUND,
+                code=ExitCode.NOT_FOUND,
             )
         times = [format_time(event.at) for event in report.events]
         lines = [*explanation.now, told_by(report).strip()]
--- a/src/pollenloom/console/commands/move_command.py
+++ b/src/pollenloom/console/commands/move_command.py
@@ -6,7 +6,7 @@
 import cappa
 
 from pollenloom.console.command_end import command_end
-from pollenloom.console.operator_exit import OperatorExit
+from pollenloom.console.exit_code import ExitCode
 from pollenloom.console.operator_options import OperatorOptions
 from pollenloom.console.status_tables import move_table
 
@@ -41,6 +41,6 @@
             raise command_end(
                 f'No move named {self.move!r} is configured. '
                 f'Known moves: {known or "none"}.',
-                code=OperatorExit.NOT_FOUND,
+                code=ExitCode.NOT_FOUND,
             )
         self.show(moves, move_table(moves))
--- a/src/pollenloom/console/commands/router_command.py
+++ b/src/pollenloom/console/commands/router_command.py
@@ -8,7 +8,6 @@
 
 from pollenloom.console.command_end import command_end
 from pollenloom.console.exit_code import ExitCode
-from pollenloom.console.router_exit import RouterExit
 from pollenloom.settings.router_settings import RouterSettings
 from pollenloom.settings.settings_loader import load_settings
 
@@ -19,8 +18,8 @@
     description='Runs until SIGTERM or SIGINT, then finishes accepted '
     'requests within limits.shutdown_seconds. Writes one JSON line with its '
     'addresses to standard output when it is ready, and its log as JSON lines '
-    'to standard error. Exit codes: 0 stopped, 10 a service did not start, '
-    '11 the shutdown was not complete, 12 ended by a second signal.',
+    'to standard error. A second signal ends it at once. While it waits for '
+    'the platform, /healthz of the operators address answers.',
 )
 @dataclass(kw_only=True)
 class RouterCommand:
@@ -41,7 +40,7 @@
         from pollenloom.console.router_process import run_router
 
         code = run_router(read_settings(self.settings))
-        if code is not RouterExit.STOPPED:
+        if code is not ExitCode.OK:
             raise command_end(
                 f'The router ended with {code.name.lower()}; see its log.',
                 code=code,
--- a/src/pollenloom/console/operator_options.py
+++ b/src/pollenloom/console/operator_options.py
@@ -14,8 +14,8 @@
 from rich.console import Console, RenderableType
 
 from pollenloom.console.command_end import command_end
+from pollenloom.console.exit_code import ExitCode
 from pollenloom.console.operator_client import OperatorClient
-from pollenloom.console.operator_exit import OperatorExit
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
 
@@ -76,7 +76,7 @@
             raise command_end(
                 'No router is named. Give --operator HOST:PORT or set '
                 f'{OPERATORS_VARIABLE}.',
-                code=OperatorExit.UNREACHABLE,
+                code=ExitCode.USAGE,
             )
         return OperatorClient(tuple(addresses), self.token())
 
@@ -87,14 +87,14 @@
             raise command_end(
                 'No token is given. Name its file with --token-file or set '
                 f'{TOKEN_VARIABLE}.',
-                code=OperatorExit.REFUSED,
+                code=ExitCode.USAGE,
             )
         try:
             return Path(path).read_text(encoding='utf-8').strip()
         except OSError as error:
             raise command_end(
                 f'Cannot read the token file {path}: {error.strerror}.',
-                code=OperatorExit.REFUSED,
+                code=ExitCode.INVALID_FILE,
             ) from error
 
     def wait_for(
@@ -128,5 +128,5 @@
     reason = 'No router answered: ' if unreachable else ''
     return command_end(
         f'{reason}{failure.detail}. {advice}'.strip(),
-        code=OperatorExit.UNREACHABLE if unreachable else OperatorExit.REFUSED,
+        code=ExitCode.UNREACHABLE if unreachable else ExitCode.REFUSED,
     )
--- a/src/pollenloom/console/platform_client.py
+++ b/src/pollenloom/console/platform_client.py
@@ -1,9 +1,9 @@
 """Client of the platform for commands that run outside of a router."""
 
-import importlib
 from collections.abc import AsyncGenerator
 from contextlib import asynccontextmanager
 
+from pollenloom.platform.http_platform import HttpPlatform
 from pollenloom.platform.platform import Platform
 from pollenloom.settings.router_settings import PlatformSettings
 
@@ -11,8 +11,7 @@
 @asynccontextmanager
 async def open_platform(settings: PlatformSettings) -> AsyncGenerator[Platform]:
     """Return a started client and stop it at the end."""
-    module = importlib.import_module('pollenloom.platform.http_platform')
-    platform: Platform = module.HttpPlatform.from_config(settings)
+    platform = HttpPlatform.from_config(settings)
     await platform.start()
     try:
         yield platform
--- a/src/pollenloom/console/router_process.py
+++ b/src/pollenloom/console/router_process.py
@@ -10,7 +10,7 @@
 import msgspec
 from absl import logging
 
-from pollenloom.console.router_exit import RouterExit
+from pollenloom.console.exit_code import ExitCode
 from pollenloom.console.service_catalogue import (
     ServiceFactory,
     service_factories,
@@ -40,7 +40,7 @@
         for factory in factories:
             self.kernel.register(factory(self.kernel, settings))
 
-    async def run(self) -> RouterExit:
+    async def run(self) -> ExitCode:
         """Run until a signal; return how the process ended."""
         loop = asyncio.get_running_loop()
         for number in SIGNALS:
@@ -49,7 +49,7 @@
             started = await self.start()
         except Exception:
             logging.exception('router_start_failed')
-            return RouterExit.START_FAILED
+            return ExitCode.START_FAILED
         if started:
             write_line({'ready': self.addresses()})
             logging.info('router_ready %s', self.settings.vm)
@@ -70,15 +70,15 @@
         await asyncio.wait((start,))
         return False
 
-    async def shut_down(self) -> RouterExit:
+    async def shut_down(self) -> ExitCode:
         """Drain and stop within `shutdown_seconds`."""
         limit = self.settings.limits.shutdown_seconds
         drained = await self.drain(limit * (1 - STOP_PART))
         stopped = await self.stop(limit * STOP_PART)
         logging.info('router_stopped %s', self.settings.vm)
         if drained and stopped:
-            return RouterExit.STOPPED
-        return RouterExit.SHUTDOWN_INCOMPLETE
+            return ExitCode.OK
+        return ExitCode.SHUTDOWN_INCOMPLETE
 
     async def drain(self, timeout_seconds: float) -> bool:
         """Let accepted work finish; return whether all of it did."""
@@ -99,7 +99,7 @@
         except TimeoutError:
             logging.exception('router_stop_timed_out')
             # A task that ignores its cancellation would keep the loop open.
-            end_at_once(RouterExit.SHUTDOWN_INCOMPLETE)
+            end_at_once(ExitCode.SHUTDOWN_INCOMPLETE)
         except Exception:
             logging.exception('router_stop_failed')
             return False
@@ -109,7 +109,7 @@
         """Begin the shutdown, or end at once if it has begun."""
         if self.stop_requested.is_set():
             logging.error('router_killed by a second %s', number.name)
-            end_at_once(RouterExit.SECOND_SIGNAL)
+            end_at_once(ExitCode.SECOND_SIGNAL)
         logging.info('router_stopping on %s', number.name)
         self.stop_requested.set()
 
@@ -143,7 +143,7 @@
         [RouterSettings],
         tuple[ServiceFactory, ...],
     ] = service_factories,
-) -> RouterExit:
+) -> ExitCode:
     """Run one router in this process until a signal ends it."""
     configure_json_log()
     # uvloop reads this when a loop is made; io_uring is not allowed.
@@ -158,13 +158,13 @@
 async def run_services(
     settings: RouterSettings,
     factories: tuple[ServiceFactory, ...],
-) -> RouterExit:
+) -> ExitCode:
     """Make the services on the running loop and run them."""
     try:
         process = RouterProcess(settings, factories)
     except (OSError, ValueError, LookupError):
         logging.exception('router_settings_rejected')
-        return RouterExit.START_FAILED
+        return ExitCode.START_FAILED
     return await process.run()
 
 
@@ -174,7 +174,7 @@
     sys.stdout.flush()
 
 
-def end_at_once(code: RouterExit) -> None:
+def end_at_once(code: ExitCode) -> None:
     """End the process without closing anything."""
     logging.flush()
     os._exit(code)
--- a/src/pollenloom_standins/fleet/managed_process.py
+++ b/src/pollenloom_standins/fleet/managed_process.py
@@ -65,6 +65,10 @@
                 stdout=asyncio.subprocess.PIPE,
                 stderr=log_file,
                 env={**os.environ, 'UV_USE_IO_URING': '0'},
+                # Ctrl-C in a terminal goes to the whole process group. A
+                # router would get it besides the SIGTERM of `terminate` and
+                # take that for the second signal, which ends it at once.
+                process_group=0,
             )
         try:
             async with asyncio.timeout(READY_SECONDS):
--- a/tests/configuration/test_file_loader.py
+++ b/tests/configuration/test_file_loader.py
@@ -90,6 +90,19 @@
     ]
 
 
+def test_names_of_own_paths_are_refused() -> None:
+    """Guards against an application whose calls the front end takes itself."""
+    names = ('v1', 'healthz', 'readyz')
+    files = {f'{name}.toml': service_text(service=name) for name in names}
+    assert [line for line in render(files) if 'front end' in line] == [
+        (
+            f'{name}.toml: service: expected a name other than the paths of'
+            f' the front end (healthz, readyz, v1), found {name!r}'
+        )
+        for name in sorted(names)
+    ]
+
+
 def test_ended_service_stays_acceptable() -> None:
     """Guards against an ended service that blocks all later publishes."""
     text = service_text(date='2025-01-01T00:00:00Z')
--- a/tests/console/test_commands.py
+++ b/tests/console/test_commands.py
@@ -8,8 +8,8 @@
 
 import pytest
 
+from pollenloom.__main__ import main
 from pollenloom.console.exit_code import ExitCode
-from pollenloom.console.operator_exit import OperatorExit
 from pollenloom.core.ids import VmId
 from pollenloom.core.states import DataCentreState
 from tests.console.command_line import run
@@ -79,7 +79,7 @@
 ) -> None:
     """Guards against a stack trace as the only help."""
     code = await command('status', operator=DEAD_ADDRESS)
-    assert code == OperatorExit.UNREACHABLE
+    assert code == ExitCode.UNREACHABLE
     told = capsys.readouterr().err
     assert DEAD_ADDRESS in told
     assert '--operator' in told
@@ -92,7 +92,7 @@
 ) -> None:
     """Guards against a refusal that does not name its remedy."""
     operator_token.write_text('another-token', encoding='utf-8')
-    assert await command('status') == OperatorExit.REFUSED
+    assert await command('status') == ExitCode.REFUSED
     told = capsys.readouterr().err
     assert 'operator_token_file' in told
     assert 'another-token' not in told
@@ -106,7 +106,7 @@
 ) -> None:
     """Guards against an operator who takes a partial drain for done (R4)."""
     fleet.silent.add(VmId('vm-3'))
-    assert await command('drain', 'hengelo') == OperatorExit.INCOMPLETE
+    assert await command('drain', 'hengelo') == ExitCode.INCOMPLETE
     output = capsys.readouterr()
     assert 'hengelo is out of service on 2 of 3 routers.' in output.out
     assert 'vm-3' in output.err
@@ -135,7 +135,7 @@
     assert [part for part in parts if part not in shown] == []
     assert await command('explain', 'minutes-v2') == 0
     assert 'is taken_back' in capsys.readouterr().out
-    assert await command('explain', 'unknown-id') == OperatorExit.NOT_FOUND
+    assert await command('explain', 'unknown-id') == ExitCode.NOT_FOUND
     assert "'unknown-id'" in capsys.readouterr().err
 
 
@@ -144,7 +144,7 @@
     capsys: pytest.CaptureFixture[str],
 ) -> None:
     """Guards against ids read as a path or as markup of the terminal."""
-    assert await command('drain', '[b]a/b[/b]') == OperatorExit.REFUSED
+    assert await command('drain', '[b]a/b[/b]') == ExitCode.REFUSED
     assert "no data centre named '[b]a/b[/b]'" in capsys.readouterr().err
 
 
@@ -156,7 +156,7 @@
     assert await command('move', 'minutes-v2', '--json') == 0
     move = json.loads(capsys.readouterr().out)[0]
     assert move['state'] == 'taken_back'
-    assert await command('move', 'minutes-v3') == OperatorExit.NOT_FOUND
+    assert await command('move', 'minutes-v3') == ExitCode.NOT_FOUND
     assert 'Known moves: minutes-v2' in capsys.readouterr().err
 
 
@@ -170,6 +170,16 @@
     assert 'usage' in capsys.readouterr().out.lower()
 
 
+def test_help_lists_all_exit_codes(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against a script that has to guess what a code means."""
+    with pytest.raises(SystemExit):
+        main(['--help'])
+    shown = ' '.join(capsys.readouterr().out.split())
+    assert [code for code in ExitCode if f' {code.value} ' not in shown] == []
+
+
 def test_invalid_settings_are_told(
     tmp_path: Path,
     capsys: pytest.CaptureFixture[str],
--- a/tests/console/test_router_process.py
+++ b/tests/console/test_router_process.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from pollenloom.console.router_exit import RouterExit
+from pollenloom.console.exit_code import ExitCode
 from tests.runtime_limits import assert_within_runtime_limits
 
 Started = subprocess.Popen[str]
@@ -63,7 +63,7 @@
     assert_within_runtime_limits(process.pid)
     process.send_signal(number)
     code, events = end(process)
-    assert code == RouterExit.STOPPED
+    assert code == ExitCode.OK
     assert list(events) == [
         'router_ready',
         'router_stopping',
@@ -83,7 +83,7 @@
     ready_line(process)
     process.terminate()
     code, events = end(process)
-    assert code == RouterExit.SHUTDOWN_INCOMPLETE
+    assert code == ExitCode.SHUTDOWN_INCOMPLETE
     assert 'frontend_stopped' in events
 
 
@@ -99,7 +99,7 @@
         assert process.poll() is None
     process.terminate()
     code, events = end(process)
-    assert code == RouterExit.SECOND_SIGNAL
+    assert code == ExitCode.SECOND_SIGNAL
     assert 'frontend_stopped' not in events
 
 
@@ -108,7 +108,7 @@
 ) -> None:
     """Guards against a router that runs on without one of its services."""
     code, events = end(run_process('broken', 1))
-    assert code == RouterExit.START_FAILED
+    assert code == ExitCode.START_FAILED
     assert events['router_start_failed']['fields']['error'] == 'address in use'
 
 
@@ -119,5 +119,5 @@
     assert 'start_began' in process.stderr.readline()
     process.terminate()
     code, events = end(process)
-    assert code == RouterExit.STOPPED
+    assert code == ExitCode.OK
     assert 'router_ready' not in events
