List the stable events, record owner and ramp decisions, show state as metrics

Cause: an operator could not see why a server got little work or who owned a pool since when; /metrics had no state to set alarms on; status showed the waiting requests of one router as those of the fleet. Pool owners record takeovers and changed limits of servers, looked at once a second. A collector tells revision, members, data centres, moves, pools and servers at each scrape. status sums waiting requests over routers and hides idle accounts. Run: flake8, mypy, tests of operations, observability, scripts, console, admission and dispatch.

--- a/scripts/generate_docs.py
+++ b/scripts/generate_docs.py
@@ -1,4 +1,4 @@
-"""Writes docs/configuration.md and docs/errors.md from the code.
+"""Writes docs/configuration.md, errors.md and events.md from the code.
 
 Needs `src` in PYTHONPATH. With --check it writes nothing and fails if a page
 is out of date.
@@ -18,6 +18,7 @@
 from pollenloom.configuration.service_file import ServiceFile
 from pollenloom.console.exit_code import ExitCode
 from pollenloom.core.error_answers import ERROR_ANSWERS
+from pollenloom.observability.event_name import EventName
 from pollenloom.settings.router_settings import RouterSettings
 from pollenloom.validation.field_schema import (
     Schema,
@@ -168,9 +169,35 @@
     return '\n'.join(lines) + '\n'
 
 
+def events_page() -> str:
+    """Return the table of event names."""
+    lines = [
+        '# Events',
+        '',
+        NOTICE,
+        '',
+        'Routers write each event as one JSON line to their log and keep the',
+        'latest 20,000 in memory for `pollenloom explain <subject>` and',
+        '`GET /events?subject=<id>`. Names and fields are stable.',
+        '',
+        '| event | meaning | subject | fields |',
+        '|---|---|---|---|',
+    ]
+    texts = attribute_texts(EventName)
+    for event in EventName:
+        meaning, _, rest = texts[event.name].rpartition(' Subject ')
+        subject, _, fields = rest.rstrip('.').partition(': ')
+        lines.append(f'| `{event.value}` | {meaning} | {subject} | {fields} |')
+    return '\n'.join(lines) + '\n'
+
+
 def main() -> int:
     """Write or check the pages; return 1 if one is out of date."""
-    pages = {'configuration.md': configuration_page, 'errors.md': errors_page}
+    pages = {
+        'configuration.md': configuration_page,
+        'errors.md': errors_page,
+        'events.md': events_page,
+    }
     outdated = []
     for name, make_page in pages.items():
         path = ROOT / 'docs' / name
--- a/src/pollenloom/admission/admission_scope.py
+++ b/src/pollenloom/admission/admission_scope.py
@@ -6,6 +6,7 @@
 from typing import Any, Self, TypeVar
 
 from pollenloom.admission.epoch_table import EpochTable
+from pollenloom.admission.pool_journal import PoolJournal
 from pollenloom.admission.pool_map import Pool, PoolMap
 from pollenloom.admission.ticket import Ticket
 from pollenloom.configuration.configuration_service import (
@@ -40,6 +41,7 @@
         pool_map: Pools of the configuration in force.
         owners: Owner of each pool.
         local_handlers: Handlers of messages to this VM itself.
+        journal: Event records of owners' decisions.
     """
 
     clock: Clock
@@ -54,6 +56,7 @@
     local_handlers: dict[type[PeerMessage], LocalHandler] = field(
         default_factory=dict
     )
+    journal: PoolJournal = field(default_factory=PoolJournal)
 
     @classmethod
     def from_kernel(cls, kernel: Kernel, shard_servers: int) -> Self:
@@ -79,6 +82,7 @@
             # Milliseconds tell the lives of one VM apart.
             stream=int(kernel.clock.wall() * 1000),
             shard_servers=shard_servers,
+            journal=PoolJournal.from_kernel(kernel),
         )
 
     @property
--- a/src/pollenloom/admission/pool_owners.py
+++ b/src/pollenloom/admission/pool_owners.py
@@ -92,11 +92,17 @@
         )
         allocator.epoch = self.scope.epochs.current(pool.pool).epoch + 1
         self.allocators[pool.pool] = allocator
+        self.scope.journal.taken_over(
+            pool.pool,
+            allocator.epoch,
+            'this router ranks first',
+        )
         return allocator
 
     def drop(self, pool: PoolId) -> None:
         """Leave a pool to its new owner."""
         self.exchange.send_all(pool, self.allocators[pool])
+        self.scope.journal.left(pool, self.scope.owners.get(pool))
         dropped = self.allocators.pop(pool)
         dropped.queue.clear()
         dropped.totals.owns_pools = any(
@@ -164,6 +170,11 @@
             return
         last = self.readopted_at.get(message.pool, float('-inf'))
         if now - last >= READOPT_SECONDS:
+            self.scope.journal.taken_over(
+                message.pool,
+                message.epoch + 1,
+                f'{sender} followed a newer owner',
+            )
             self.readopt(allocator, message.epoch + 1, now)
 
     def on_exchange(self, sender: VmId, message: CounterExchange) -> None:
@@ -179,6 +190,11 @@
         for allocator in self.allocators.values():
             known = self.scope.epochs.current(allocator.pool).epoch
             epoch = max(known, allocator.epoch) + 1
+            self.scope.journal.taken_over(
+                allocator.pool,
+                epoch,
+                'this router did not run for a while',
+            )
             self.readopt(allocator, epoch, now)
 
     def readopt(
@@ -201,5 +217,6 @@
         if now - self.swept_at >= SWEEP_SECONDS:
             self.swept_at = now
             self.sender.sweep(now)
+            self.scope.journal.note_servers(self.allocators.values())
             self.drop_idle()
         self.exchange.tick(self.allocators, now)
--- a/src/pollenloom/console/commands/explain_command.py
+++ b/src/pollenloom/console/commands/explain_command.py
@@ -28,7 +28,7 @@
 
 @cappa.command(
     name='explain',
-    help='Tell what happened to a request, move or data centre, and why.',
+    help='Tell what happened to a request, server, move, ..., and why.',
     description='Shows the event records that all routers have of one id, '
     'oldest first, and its present state. Event records are kept in the '
     "routers' memory, some minutes of them at full load, and are lost when a "
@@ -43,7 +43,8 @@
         str,
         cappa.Arg(
             value_name='ID',
-            help='Id of a request, a version move or a data centre.',
+            help='Id of a request, backend server, pool, router, data centre, '
+            'version move or publish.',
         ),
     ]
 
@@ -54,7 +55,8 @@
         if not report.events and not explanation.now:
             raise command_end(
                 f'No router has event records of {self.subject!r}.'
-                f'{told_by(report)} Check the id; old records are dropped.',
+                f'{told_by(report)} Check the id; old records are dropped, and '
+                'a request that was answered at the first attempt has none.',
                 code=ExitCode.NOT_FOUND,
             )
         times = [format_time(event.at) for event in report.events]
--- a/src/pollenloom/console/commands/publish_command.py
+++ b/src/pollenloom/console/commands/publish_command.py
@@ -1,8 +1,9 @@
 """`pollenloom publish`."""
 
 import asyncio
+import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from types import MappingProxyType
 from typing import Annotated, Final
@@ -27,6 +28,7 @@
 from pollenloom.kernel.clock import Clock
 from pollenloom.settings.router_settings import PlatformSettings
 
+PLATFORM_VARIABLE: Final = 'POLLENLOOM_PLATFORM'
 EXIT_CODES: Final = MappingProxyType(
     {
         PublishState.PUBLISHED: ExitCode.OK,
@@ -60,17 +62,18 @@
             help='Directories to look for pollenloom.toml files in.',
         ),
     ]
+    publisher: Annotated[
+        str,
+        cappa.Arg(long=True, help='Name that other operators are told.'),
+    ]
     platform: Annotated[
         str,
         cappa.Arg(
             long=True,
-            help='Base URL of the platform, such as http://10.0.0.1:7000.',
+            help='Base URL of the platform, such as http://10.0.0.1:7000.'
+            f' Default: {PLATFORM_VARIABLE}.',
         ),
-    ]
-    publisher: Annotated[
-        str,
-        cappa.Arg(long=True, help='Name that other operators are told.'),
-    ]
+    ] = field(default_factory=lambda: os.environ.get(PLATFORM_VARIABLE, ''))
     base: Annotated[
         int | None,
         cappa.Arg(
@@ -91,8 +94,9 @@
         """Run the command."""
         if not self.platform.startswith('http://'):
             raise cappa.Exit(
-                f'--platform: expected a URL that starts with http://,'
-                f' found {self.platform!r}',
+                '--platform: expected a URL that starts with http://,'
+                f' found {self.platform!r}; give it or set'
+                f' {PLATFORM_VARIABLE}',
                 code=ExitCode.USAGE,
             )
         collected = collect_files(self.directories)
--- a/src/pollenloom/console/commands/status_command.py
+++ b/src/pollenloom/console/commands/status_command.py
@@ -1,6 +1,7 @@
 """`pollenloom status`."""
 
 from dataclasses import dataclass
+from typing import Annotated
 
 import cappa
 
@@ -20,6 +21,14 @@
 class StatusCommand(OperatorOptions):
     """Show the fleet."""
 
+    idle: Annotated[
+        bool,
+        cappa.Arg(
+            long='--idle',
+            help='Show client accounts without requests, too.',
+        ),
+    ] = False
+
     def __call__(self) -> None:
         """Ask and print."""
         status = self.wait_for(self.client().status())
@@ -30,6 +39,6 @@
             status_tables.member_table(status),
             status_tables.pool_table(status),
             status_tables.server_table(status),
-            status_tables.account_table(status),
+            status_tables.account_table(status, idle=self.idle),
             status_tables.move_table(status.moves),
         )
--- a/src/pollenloom/console/status_tables.py
+++ b/src/pollenloom/console/status_tables.py
@@ -1,6 +1,7 @@
 """Tables of the fleet's status for people."""
 
 from collections.abc import Iterable
+from typing import Final
 
 from rich.table import Table
 from rich.text import Text
@@ -8,6 +9,9 @@
 from pollenloom.operations.event_entry import EventEntry
 from pollenloom.operations.fleet_status import FleetStatus, MoveView
 
+# Names that people copy to search for them are not broken over lines.
+WHOLE_COLUMNS: Final = frozenset(('time', 'router', 'event', 'move'))
+
 
 def make_table(
     title: str,
@@ -17,7 +21,8 @@
     """Return a table; an unknown value is shown as a dash."""
     table = Table(title=title, title_justify='left')
     for column in columns:
-        table.add_column(column, overflow='fold')
+        is_whole = column in WHOLE_COLUMNS
+        table.add_column(column, overflow='fold', no_wrap=is_whole)
     for row in rows:
         table.add_row(*(Text(show(cell)) for cell in row))
     return table
@@ -135,10 +140,22 @@
     )
 
 
-def account_table(status: FleetStatus) -> Table:
-    """Return shares and queues of the client accounts."""
+def account_table(status: FleetStatus, *, idle: bool) -> Table:
+    """Return shares and queues of the client accounts.
+
+    Accounts that were not served and have nothing waiting only with `idle`.
+    """
+    shown = [
+        account
+        for account in status.accounts
+        if idle or account.served or account.waiting
+    ]
+    hidden = len(status.accounts) - len(shown)
+    title = 'Client accounts'
+    if hidden:
+        title = f'{title} (and {hidden} without requests; --idle shows them)'
     return make_table(
-        'Client accounts',
+        title,
         ('account', 'service', 'share', 'served', 'served/share', 'waiting'),
         (
             (
@@ -149,7 +166,7 @@
                 account.served / account.share if account.share else None,
                 account.waiting,
             )
-            for account in status.accounts
+            for account in shown
         ),
     )
 
--- /dev/null
+++ b/src/pollenloom/observability/event_name.py
@@ -0,0 +1,98 @@
+"""Stable names of event records."""
+
+from enum import StrEnum, unique
+
+
+@unique
+class EventName(StrEnum):
+    """All events that routers record; names and fields stay as they are.
+
+    Each entry ends with the subject that `explain` finds it by and, after a
+    colon, its fields.
+
+    Attributes:
+        REFUSAL: A call got no whole answer of a backend server. Subject
+            request: service, kind, run, detail.
+        RETRY: A request is sent again from its start. Subject request:
+            service, account, attempt, events, run, detail.
+        RESUME: A stream goes on on another backend server. Subject request:
+            service, account, attempt, events, run, detail.
+        RETRY_DENIED: A request could be sent again, but the retry budget is
+            used up. Subject request: service, account, attempt, events, run,
+            detail.
+        ORDER_CLAIMED: The log decided on the claim of an order. Subject
+            request: verdict, key.
+        ORDER_CONCLUSION_LOST: The outcome of an order could not be written
+            to the log; repeats are answered "unknown". Subject idempotency
+            key: no fields.
+        CONFIGURATION_IN_FORCE: This router uses a new configuration. Subject
+            publish: revision, publisher.
+        PUBLISH_ACCEPTED: The log accepted a publish. Subject publish:
+            publisher, revision, winner, problems.
+        PUBLISH_LOST: Another publish came first. Subject publish: publisher,
+            revision, winner, problems.
+        PUBLISH_INVALID: A publish was refused for its files. Subject publish:
+            publisher, revision, winner, problems.
+        STATE_APPENDED: A log reader wrote a state to the log again before
+            its retention time ends. Subject state: detail.
+        STATE_APPEND_FAILED: That write failed; it is tried again. Subject
+            state: detail.
+        DATA_CENTRE_CHANGE_REQUESTED: An operator asked to take a data centre
+            out or bring it back. Subject data centre: state, reason.
+        DATA_CENTRE_STATE_CHANGED: This router has the new state in force.
+            Subject data centre: state, counter, origin.
+        MOVE_RUNNING: A version move started or reached a further stage.
+            Subject move: service, stage, reason, evidence.
+        MOVE_DONE: A version move is complete. Subject move: service, stage,
+            reason, evidence.
+        MOVE_TAKEN_BACK: A version move was taken back. Subject move: service,
+            stage, reason, evidence.
+        POOL_TAKEN_OVER: This router allocates for a pool from now on. Subject
+            pool: epoch, reason.
+        POOL_LEFT: This router allocates no longer for a pool. Subject pool:
+            owner, reason.
+        SERVER_COLD: The limit of a backend server fell, or its pool has a new
+            owner that does not know it warm. Subject server: pool, limit,
+            before, slots.
+        SERVER_RAMPING: The limit of a backend server rises. Subject server:
+            pool, limit, before, slots.
+        SERVER_WARM: A backend server has all its slots. Subject server: pool,
+            limit, before, slots.
+        MEMBER_STATE: This router sees another router in a new state. Subject
+            router: state, incarnation.
+        PEER_REJECTED: A connection was closed for a broken frame or a wrong
+            fleet key. Subject router or address: reason.
+        PLATFORM_UNREACHABLE: A log reader cannot reach the platform. Subject
+            router: no fields.
+        PLATFORM_REACHABLE: It can again. Subject router: no fields.
+        LOG_RECORDS_MISSED: The log dropped records before they were read.
+            Subject router: earliest.
+    """
+
+    REFUSAL = 'refusal'
+    RETRY = 'retry'
+    RESUME = 'resume'
+    RETRY_DENIED = 'retry_denied'
+    ORDER_CLAIMED = 'order_claimed'
+    ORDER_CONCLUSION_LOST = 'order_conclusion_lost'
+    CONFIGURATION_IN_FORCE = 'configuration_in_force'
+    PUBLISH_ACCEPTED = 'publish_accepted'
+    PUBLISH_LOST = 'publish_lost'
+    PUBLISH_INVALID = 'publish_invalid'
+    STATE_APPENDED = 'state_appended'
+    STATE_APPEND_FAILED = 'state_append_failed'
+    DATA_CENTRE_CHANGE_REQUESTED = 'data_centre_change_requested'
+    DATA_CENTRE_STATE_CHANGED = 'data_centre_state_changed'
+    MOVE_RUNNING = 'move_running'
+    MOVE_DONE = 'move_done'
+    MOVE_TAKEN_BACK = 'move_taken_back'
+    POOL_TAKEN_OVER = 'pool_taken_over'
+    POOL_LEFT = 'pool_left'
+    SERVER_COLD = 'server_cold'
+    SERVER_RAMPING = 'server_ramping'
+    SERVER_WARM = 'server_warm'
+    MEMBER_STATE = 'member_state'
+    PEER_REJECTED = 'peer_rejected'
+    PLATFORM_UNREACHABLE = 'platform_unreachable'
+    PLATFORM_REACHABLE = 'platform_reachable'
+    LOG_RECORDS_MISSED = 'log_records_missed'
--- a/src/pollenloom/operations/data_centre_control.py
+++ b/src/pollenloom/operations/data_centre_control.py
@@ -55,13 +55,13 @@
             and self.neighbours.configuration.current.revision
         ):
             return Error(unknown_data_centre(data_centre, known))
-        self.neighbours.configuration.set_data_centre_state(data_centre, state)
         self.neighbours.events.record(
             'data_centre_change_requested',
             data_centre,
             state=state.value,
             reason='an operator asked for it',
         )
+        self.neighbours.configuration.set_data_centre_state(data_centre, state)
         if not await self.reached(data_centre, state, WAIT_SECONDS):
             detail = f'{data_centre} did not become {state.value} here'
             return Error(Failure(ErrorKind.INTERNAL, detail))
--- a/src/pollenloom/operations/fleet_merge.py
+++ b/src/pollenloom/operations/fleet_merge.py
@@ -1,7 +1,10 @@
 """Merges the parts of the routers into the status of the fleet."""
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 
+import msgspec
+
 from pollenloom.admission.admission_status import AccountStatus, PoolStatus
 from pollenloom.core.backend_server import BackendServer
 from pollenloom.core.ids import AccountId, PoolId, ServerId, ServiceId, VmId
@@ -13,6 +16,7 @@
 )
 from pollenloom.operations.router_status import DataCentreReport, RouterStatus
 
+AccountKey = tuple[ServiceId, AccountId]
 # Whether the owner itself reports, its epoch, the pool.
 RankedPool = tuple[bool, int, PoolStatus]
 
@@ -33,21 +37,22 @@
     """Return one entry for each service and account.
 
     Pool owners exchange cumulative totals, so the highest total is the
-    latest; adding them up would count work more than once.
+    latest; adding them up would count work more than once. A request waits
+    on one router only, so waiting requests are added up.
     """
-    best: dict[tuple[ServiceId, AccountId], AccountStatus] = {}
+    best: dict[AccountKey, AccountStatus] = {}
+    waiting: Counter[AccountKey] = Counter()
     for part in parts:
         for account in part.admission.accounts:
             key = (account.service, account.account)
+            waiting[key] += account.waiting
             known = best.get(key)
-            if known is None or newer(account, known):
+            if known is None or account.served > known.served:
                 best[key] = account
-    return tuple(best[key] for key in sorted(best))
-
-
-def newer(account: AccountStatus, known: AccountStatus) -> bool:
-    """Whether an entry tells more than the known one."""
-    return (account.served, account.waiting) > (known.served, known.waiting)
+    return tuple(
+        msgspec.structs.replace(best[key], waiting=waiting[key])
+        for key in sorted(best)
+    )
 
 
 def merge_servers(
--- a/src/pollenloom/operations/operator_server.py
+++ b/src/pollenloom/operations/operator_server.py
@@ -34,6 +34,7 @@
 from pollenloom.operations.neighbours import Neighbours
 from pollenloom.operations.peer_questions import PeerQuestions
 from pollenloom.operations.readiness import Readiness
+from pollenloom.operations.status_collector import StatusCollector
 from pollenloom.settings.router_settings import RouterSettings
 
 if TYPE_CHECKING:
@@ -72,6 +73,8 @@
         self.neighbours = Neighbours(kernel)
         self.readiness = Readiness(kernel)
         self.registry = CollectorRegistry()
+        self.state_registry = CollectorRegistry()
+        self.state_registry.register(StatusCollector(kernel))
         self.app_name = app_name
         self.server: AsyncioServer | None = None
 
@@ -195,6 +198,7 @@
         if isinstance(source, MetricsSource):
             self.registry = source.registry
         text = generate_latest(self.registry)
+        text += generate_latest(self.state_registry)
         return raw(text, content_type=CONTENT_TYPE_LATEST)
 
     async def events(self, request: Request) -> HTTPResponse:
--- a/src/pollenloom_standins/commands/demo_command.py
+++ b/src/pollenloom_standins/commands/demo_command.py
@@ -1,6 +1,7 @@
 """Demonstration of the whole path."""
 
 import asyncio
+import signal
 import sys
 import tempfile
 from dataclasses import dataclass
@@ -27,12 +28,15 @@
 
     Attributes:
         examples: Directory with the example service files.
-        keep: Leave the fleet running until Ctrl-C.
+        keep: Leave the fleet running until Ctrl-C or SIGTERM.
+        new_version: Start engines of this version, too; they get no requests
+            until a version move to it is published.
         output: Directory for settings and logs; a temporary one if not set.
     """
 
     examples: Annotated[Path, cappa.Arg(long=True)] = Path('examples')
     keep: Annotated[bool, cappa.Arg(long=True)] = False
+    new_version: Annotated[str | None, cappa.Arg(long=True)] = None
     output: Annotated[Path | None, cappa.Arg(long=True)] = None
 
     def __call__(self) -> None:
@@ -42,9 +46,13 @@
         except (CheckFailedError, ProcessError) as error:
             say(f'FAILED: {error}')
             raise cappa.Exit(code=1) from None
+        except asyncio.CancelledError:
+            say('interrupted before all answers were checked')
+            raise cappa.Exit(code=1) from None
 
     async def run(self) -> None:
         """Run all steps."""
+        cancel_on_signals()
         if self.output is not None:
             self.output.mkdir(parents=True, exist_ok=True)
             await self.run_in(self.output)
@@ -55,12 +63,14 @@
     async def run_in(self, directory: Path) -> None:
         """Run all steps with settings and logs in a directory."""
         say('starting platform, backend servers and 3 routers')
-        fleet = Fleet(demo_plan(self.examples), directory)
+        plan = demo_plan(self.examples, self.new_version)
+        fleet = Fleet(plan, directory)
         async with fleet, aiohttp.ClientSession() as session:
             say('configuration published, all routers ready')
             await run_steps(DemoSteps(fleet, session))
             if self.keep:
-                await keep_running(fleet)
+                print_addresses(fleet)
+                await wait_for_signal()
             say('stopping all processes gracefully')
         say('done: every answer was checked')
 
@@ -78,13 +88,41 @@
         say(f'{title}: {await step()}')
 
 
-async def keep_running(fleet: Fleet) -> None:
-    """Print addresses and wait until the process is interrupted."""
+def cancel_on_signals() -> None:
+    """Cancel the current task on Ctrl-C and SIGTERM.
+
+    A process that ends on the signal itself would leave its children running.
+    """
+    task = asyncio.current_task()
+    if task is not None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(number, task.cancel)
+
+
+def print_addresses(fleet: Fleet) -> None:
+    """Print how to call and operate the fleet."""
     for plan in fleet.plan.routers:
-        address = fleet.callers(plan.vm)
-        say(f'{plan.vm}: {address}')
-        say(f"  curl -H 'Authorization: Bearer {API_KEY}' {address}/v1/models")
+        ready = fleet.routers[plan.vm].ready['ready']
+        say(
+            f'{plan.vm}: callers http://{ready["callers"]},'
+            f' operators {ready["operators"]}',
+        )
+    address = fleet.callers(fleet.plan.routers[0].vm)
+    token_file = fleet.operator.token_file
+    say(f'platform: {fleet.platform_url}')
+    say(f'settings, logs and token file: {fleet.directory.resolve()}')
+    say('To call it:')
+    say(f"  curl -H 'Authorization: Bearer {API_KEY}' {address}/v1/models")
+    say('To operate it (scripts/pollenloom status, publish, drain, ...):')
+    say(f'  export POLLENLOOM_OPERATORS={",".join(fleet.operator_addresses())}')
+    say(f'  export POLLENLOOM_TOKEN_FILE={token_file.resolve()}')
+    say(f'  export POLLENLOOM_PLATFORM={fleet.platform_url}')
     say('press Ctrl-C to stop')
+
+
+async def wait_for_signal() -> None:
+    """Wait until a signal cancels the task, and go on."""
     try:
         await asyncio.Event().wait()
     except asyncio.CancelledError:
--- a/src/pollenloom_standins/demo/demo_plan.py
+++ b/src/pollenloom_standins/demo/demo_plan.py
@@ -3,7 +3,7 @@
 from pathlib import Path
 from typing import Final
 
-from pollenloom.core.ids import DataCentreId, ServiceId, VmId
+from pollenloom.core.ids import DataCentreId, ServiceId, VersionId, VmId
 from pollenloom.core.states import Resource
 from pollenloom_standins.fleet.fleet_plan import (
     BackendPlan,
@@ -21,8 +21,11 @@
 SETTINGS_SECTIONS: Final = '[limits]\ndrain_grace_seconds = 0.2\n'
 
 
-def demo_plan(examples: Path) -> FleetPlan:
-    """Return a router, an engine and an application in each data centre."""
+def demo_plan(examples: Path, new_version: str | None = None) -> FleetPlan:
+    """Return a router, an engine and an application in each data centre.
+
+    With a new version there is an engine of it in each data centre, too.
+    """
     routers = [
         RouterPlan(
             vm=VmId(f'router-{data_centre}'),
@@ -45,6 +48,17 @@
         )
         for data_centre in DATA_CENTRES
     ]
+    if new_version is not None:
+        backends.extend(
+            BackendPlan(
+                vm=VmId(f'{MODEL}-{new_version}-{data_centre}'),
+                service=MODEL,
+                resource=Resource.MODEL,
+                data_centre=data_centre,
+                version=VersionId(new_version),
+            )
+            for data_centre in DATA_CENTRES
+        )
     return FleetPlan(
         routers=tuple(routers),
         backends=tuple(backends),
--- a/src/pollenloom_standins/fleet/fleet.py
+++ b/src/pollenloom_standins/fleet/fleet.py
@@ -81,10 +81,14 @@
         traceback: TracebackType | None,
     ) -> None:
         """Stop all processes: gracefully, or at once after an error."""
-        if error is None:
-            await self.stop()
-        else:
+        try:
+            if error is None:
+                await self.stop()
+        except BaseException:
+            # A second Ctrl-C cancels the stop.
             await self.kill_all()
+            raise
+        await self.kill_all()
 
     @property
     def platform_url(self) -> str:
--- a/tests/operations/test_operator_server.py
+++ b/tests/operations/test_operator_server.py
@@ -44,6 +44,8 @@
     assert [pool['waiting'] for pool in status['pools']] == [2]
     assert status['servers'][0]['in_flight'] == 2
     assert status['accounts'][0]['served'] == 300
+    # Each request waits on one router only.
+    assert status['accounts'][0]['waiting'] == 1 + 2 + 3
     assert status['configuration']['publisher'] == 'operator-1'
     assert status['moves'][0]['state'] == 'taken_back'
     assert status['moves'][0]['record']['reason'] == 'bad on route chat'
@@ -201,6 +203,22 @@
     assert 'operator_request_failed GET /status' in caplog.text
 
 
+async def test_state_is_in_the_metrics(
+    routers: Routers,
+    operator: aiohttp.ClientSession,
+) -> None:
+    """Guards against an outage that no alarm can be set on."""
+    async with operator.get(f'{routers[1].url}/metrics') as response:
+        text = await response.text()
+    for line in (
+        'pollenloom_waiting_requests 2.0',
+        'pollenloom_members{state="alive"} 3.0',
+        'pollenloom_data_centre_in_service{data_centre="hengelo"} 1.0',
+        'pollenloom_pool_epoch{pool="minutes/hengelo/0"} 3.0',
+    ):
+        assert line in text
+
+
 def test_long_status_fits_a_message() -> None:
     """Guards against a router that cannot tell 10,000 accounts at all."""
     admission = FakeAdmission(VmId('vm-1'), part=3).status(now=0)
