--- a/src/pollenloom/admission/pool_owners.py
+++ b/src/pollenloom/admission/pool_owners.py
@@ -127,6 +127,11 @@
         allocator.servers.has_load_reports = self.has_load_reports
         allocator.epoch = self.scope.epochs.current(pool.pool).epoch + 1
         self.allocators[pool.pool] = allocator
+        self.scope.journal.taken_over(
+            pool.pool,
+            allocator.epoch,
+            'this router ranks first',
+        )
         return allocator
 
     def expect_load_reports(self) -> None:
@@ -138,6 +143,7 @@
     def drop(self, pool: PoolId) -> None:
         """Leave a pool to its new owner."""
         self.exchange.send_all(self.allocators[pool])
+        self.scope.journal.left(pool, self.scope.owners.get(pool))
         dropped = self.allocators.pop(pool)
         dropped.queue.clear()
         dropped.totals.owns_pools = any(
@@ -200,6 +206,11 @@
             return
         last = self.readopted_at.get(message.pool, float('-inf'))
         if now - last >= READOPT_SECONDS:
+            self.scope.journal.taken_over(
+                message.pool,
+                message.epoch + 1,
+                f'{sender} followed a newer owner',
+            )
             self.readopt(allocator, message.epoch + 1, now)
 
     def on_exchange(self, sender: VmId, message: CounterExchange) -> None:
@@ -219,6 +230,11 @@
         for allocator in self.allocators.values():
             known = self.scope.epochs.current(allocator.pool).epoch
             epoch = max(known, allocator.epoch) + 1
+            self.scope.journal.taken_over(
+                allocator.pool,
+                epoch,
+                'this router did not run for a while',
+            )
             self.readopt(allocator, epoch, now)
 
     def readopt(
@@ -246,6 +262,7 @@
         if now - self.swept_at >= SWEEP_SECONDS:
             self.swept_at = now
             self.sender.sweep(now)
+            self.scope.journal.note_servers(self.allocators.values())
             self.drop_idle()
         self.exchange.tick(self.allocators, now)
 
