Count owner changes and end the runs of a killed server

Cause: runs of a killed server had no end and counted as running, which made the figures of restarts wrong (peak load 1.2 and 2.0 with the ramp). Some runs had a much larger gap than others, and nothing told whether owners changed.

Change: kept runs end at the kill; the growth of the pools' epochs is part of each result.

--- a/src/pollenloom_standins/experiment/backend_probe.py
+++ b/src/pollenloom_standins/experiment/backend_probe.py
@@ -6,11 +6,12 @@
 import msgspec
 
 from pollenloom.core.ids import VmId
+from pollenloom.kernel.clock import Clock
 from pollenloom_standins.backend.backend_reports import (
     HistoryReport,
     StateReport,
 )
-from pollenloom_standins.backend.run_history import RunRecord
+from pollenloom_standins.backend.run_history import RunOutcome, RunRecord
 from pollenloom_standins.fleet.fleet import Fleet
 
 
@@ -28,8 +29,13 @@
         self.cold_overloads = 0
 
     async def keep(self, vm: VmId) -> None:
-        """Keep the runs of a server that is about to be ended."""
-        self.earlier[vm].extend(await self.runs_of(vm))
+        """Keep the runs of a server that is about to be killed."""
+        runs = await self.runs_of(vm)
+        now = Clock().wall()
+        for run in runs:
+            if not run.ended:
+                run.end(RunOutcome.CANCELLED, now)
+        self.earlier[vm].extend(runs)
 
     async def histories(self) -> dict[VmId, list[RunRecord]]:
         """Return the runs of all backend servers."""
--- a/src/pollenloom_standins/experiment/experiment_run.py
+++ b/src/pollenloom_standins/experiment/experiment_run.py
@@ -17,6 +17,7 @@
 from pollenloom_standins.experiment.results import RouterUse, RunResult
 from pollenloom_standins.experiment.router_probe import (
     RouterProbe,
+    read_epochs,
     router_use,
 )
 from pollenloom_standins.experiment.run_context import RunContext
@@ -82,6 +83,7 @@
             backends=BackendProbe(fleet),
             seconds=self.seconds,
         )
+        epochs = await read_epochs(fleet)
         uses = await self.load(context, seed)
         data = RunData(
             records=context.load.records,
@@ -89,6 +91,7 @@
             started=context.load.started,
             seconds=self.seconds,
             shares=self.shares,
+            owner_changes=await read_epochs(fleet) - epochs,
         )
         return measure_run(self.experiment, context, data, seed, uses)
 
--- a/src/pollenloom_standins/experiment/results.py
+++ b/src/pollenloom_standins/experiment/results.py
@@ -119,6 +119,8 @@
         read_time: Calls of the application.
         idle_use: Routers before the load.
         load_use: Routers under load.
+        owner_changes: Pools that got another owner during the load, and
+            owners that started anew after a pause.
         figures: Further figures of the experiment.
         notes: Details of errors, with their number.
         curves: Tokens / share of busy accounts, each half second.
@@ -142,3 +144,4 @@
     figures: dict[str, float]
     notes: dict[str, int]
     curves: dict[str, tuple[float, ...]]
+    owner_changes: int = 0
--- a/src/pollenloom_standins/experiment/router_probe.py
+++ b/src/pollenloom_standins/experiment/router_probe.py
@@ -36,6 +36,18 @@
     counters: dict[str, float]
 
 
+class PoolEpochView(msgspec.Struct, frozen=True):
+    """The part of a pool's status with its epoch."""
+
+    epoch: int
+
+
+class EpochsView(msgspec.Struct, frozen=True):
+    """The part of the fleet's status with the epochs."""
+
+    pools: tuple[PoolEpochView, ...]
+
+
 class RouterProbe:
     """Reads metrics from the operators' addresses and from /proc."""
 
@@ -69,6 +81,13 @@
             return await answer.read()
 
 
+async def read_epochs(fleet: Fleet) -> int:
+    """Return the sum of all pools' epochs; it grows with each new owner."""
+    content = await read_status(fleet)
+    status = msgspec.json.decode(content, type=EpochsView)
+    return sum(pool.epoch for pool in status.pools)
+
+
 def sample_of(pid: int, metrics: str) -> RouterSample:
     """Return the sample of one process."""
     stat = Path(f'/proc/{pid}/stat').read_text(encoding='ascii')
--- a/src/pollenloom_standins/experiment/run_data.py
+++ b/src/pollenloom_standins/experiment/run_data.py
@@ -24,6 +24,7 @@
         started: Wall time of the start of the load.
         seconds: Length of the load.
         shares: Shares of the accounts.
+        owner_changes: Growth of the pools' epochs during the load.
     """
 
     records: Sequence[CallRecord]
@@ -31,6 +32,7 @@
     started: float
     seconds: float
     shares: Mapping[AccountId, float]
+    owner_changes: int = 0
 
     @cached_property
     def model_calls(self) -> tuple[CallRecord, ...]:
--- a/src/pollenloom_standins/experiment/run_measurement.py
+++ b/src/pollenloom_standins/experiment/run_measurement.py
@@ -60,6 +60,7 @@
         load_use=uses[1],
         figures=experiment.figures(context, data),
         notes=count_details(data.records),
+        owner_changes=data.owner_changes,
         curves={account: meter.curve(account) for account in busy},
     )
 
