--- /dev/null
+++ b/tests/frontend/test_slow_callers.py
@@ -0,0 +1,60 @@
+"""Callers that read slowly."""
+
+import asyncio
+
+import msgspec
+from aiohttp import web
+
+from tests.fakes.caller_router import Router
+from tests.fakes.fixed_configuration import KEY, MODEL
+
+EVENT = b'data: %b\n\n' % (b'x' * 65_536)
+EVENTS = 1024
+# The buffers of three sockets and of the router hold less than half.
+HELD_EVENTS = EVENTS // 2
+POLL_SECONDS = 0.2
+
+
+async def test_slow_caller_holds_the_server_up(router: Router) -> None:
+    """Guards against a router that keeps what a caller does not read."""
+    written = 0
+
+    async def flood(request: web.Request) -> web.StreamResponse:
+        nonlocal written
+        response = web.StreamResponse(
+            headers={
+                'X-Request-Id': request.headers['X-Request-Id'],
+                'Content-Type': 'text/event-stream',
+            },
+        )
+        await response.prepare(request)
+        for _ in range(EVENTS):
+            await response.write(EVENT)
+            written += 1
+        return response
+
+    backend = router.backends[0]
+    backend.script.append(flood)
+    host, _, port = router.url.removeprefix('http://').partition(':')
+    reader, writer = await asyncio.open_connection(host, int(port), limit=1024)
+    body = msgspec.json.encode(
+        {
+            'model': MODEL,
+            'stream': True,
+            'messages': [{'role': 'user', 'content': 'Weight of a striker?'}],
+        },
+    )
+    writer.write(
+        b'POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\n'
+        b'Authorization: Bearer %b\r\nContent-Length: %d\r\n\r\n%b'
+        % (KEY.encode(), len(body), body),
+    )
+    head = await reader.readuntil(b'\r\n\r\n')
+    assert head.startswith(b'HTTP/1.1 200')
+    before = -1
+    while written != before:
+        before = written
+        await asyncio.sleep(POLL_SECONDS)
+    assert 0 < written < HELD_EVENTS
+    writer.transport.abort()
+    await asyncio.wait_for(backend.left.wait(), 30)
