Accept bytes that arrive before a connection is set up

Cause: a caller's first bytes can come before Sanic's connection task has run for the first time; CallerProtocol then read an attribute that did not exist, and the connection was cut without an answer. Change: the attribute is read only if it is there. Run: the new test fails without the change and passes with it. Conclusion: fixed.

--- a/src/pollenloom/frontend/caller_protocol.py
+++ b/src/pollenloom/frontend/caller_protocol.py
@@ -38,5 +38,8 @@
         """Take bytes; the time of a request starts with its first one."""
         started = self._time
         super().data_received(data)
-        if self._http is not None and self._http.stage is Stage.REQUEST:
+        # Bytes can arrive before the connection's task has set the request
+        # up; the attribute does not exist until then.
+        http: CallerHttp | None = getattr(self, '_http', None)
+        if http is not None and http.stage is Stage.REQUEST:
             self._time = started
--- a/tests/frontend/test_slow_callers.py
+++ b/tests/frontend/test_slow_callers.py
@@ -1,10 +1,12 @@
 """Callers that read slowly."""
 
 import asyncio
+from unittest.mock import create_autospec
 
 import msgspec
 from aiohttp import web
 
+from pollenloom.frontend.caller_protocol import CallerProtocol
 from tests.fakes.caller_router import Router
 from tests.fakes.fixed_configuration import KEY, MODEL
 
@@ -58,3 +60,17 @@
     assert 0 < written < HELD_EVENTS
     writer.transport.abort()
     await asyncio.wait_for(backend.left.wait(), 30)
+
+
+async def test_bytes_before_the_connection_is_set_up(router: Router) -> None:
+    """Guards against a connection cut because its first bytes came early."""
+    loop = asyncio.get_running_loop()
+    protocol = CallerProtocol(loop=loop, app=router.callers.app)
+    transport = create_autospec(asyncio.Transport, instance=True)
+    protocol.connection_made(transport)
+    protocol.data_received(b'GET /healthz HTTP/1.1\r\n')
+    transport.close.assert_not_called()
+    task = protocol._task
+    protocol.connection_lost(None)
+    assert task is not None
+    await asyncio.wait([task])
