Look up the account of a request by name

Cause: each request searched the list of accounts of its service twice, which takes time in proportion to the accounts. Change: the service file keeps an index of its accounts. A failed measurement of the hot path prints the ends of the routers' logs.

--- a/src/pollenloom/configuration/service_file.py
+++ b/src/pollenloom/configuration/service_file.py
@@ -1,6 +1,7 @@
 """The short file beside a service's code."""
 
 from collections import Counter
+from functools import cached_property
 from typing import Annotated, Self
 
 from pydantic import (
@@ -77,7 +78,9 @@
 
     def find_account(self, name: str) -> AccountEntry | None:
         """Return the entry of a client account."""
-        for account in self.accounts:
-            if account.name == name:
-                return account
-        return None
+        return self.account_by_name.get(name)
+
+    @cached_property
+    def account_by_name(self) -> dict[str, AccountEntry]:
+        """Entries of all accounts; each request looks its account up."""
+        return {account.name: account for account in self.accounts}
--- a/src/pollenloom_standins/capacity/hot_path_run.py
+++ b/src/pollenloom_standins/capacity/hot_path_run.py
@@ -6,10 +6,13 @@
 import tempfile
 from contextlib import AsyncExitStack, ExitStack
 from pathlib import Path
+from typing import Final
+
+import aiohttp
 
 from pollenloom_standins.capacity.code_version import CodeVersion, checked_out
 from pollenloom_standins.capacity.hot_fleet import HotFleet
-from pollenloom_standins.capacity.hot_load import HotLoad
+from pollenloom_standins.capacity.hot_load import HotLoad, WrongAnswerError
 from pollenloom_standins.capacity.hot_path_experiment import (
     HotPathExperiment,
     HotPathSizes,
@@ -17,6 +20,9 @@
 from pollenloom_standins.capacity.hot_path_report import report_lines
 from pollenloom_standins.fleet.managed_process import ManagedProcess
 
+# Enough for the last events of a router.
+LOG_TAIL: Final = 4000
+
 
 def read_arguments() -> argparse.Namespace:
     """Read the command line."""
@@ -86,11 +92,25 @@
             fleets[version.label] = fleet
         load = await stack.enter_async_context(HotLoad.opened())
         experiment = HotPathExperiment(fleets, load, read_sizes(arguments))
-        await experiment.run()
+        try:
+            await experiment.run()
+        except (aiohttp.ClientError, WrongAnswerError):
+            sys.stderr.write(router_logs(fleets))
+            raise
     for line in report_lines(experiment):
         sys.stdout.write(f'{line}\n')
 
 
+def router_logs(fleets: dict[str, HotFleet]) -> str:
+    """Return the ends of the routers' logs and whether they still run."""
+    return '\n'.join(
+        f'{label} {vm}, runs: {router.is_running}\n'
+        f'{router.log_path.read_text()[-LOG_TAIL:]}'
+        for label, fleet in fleets.items()
+        for vm, router in fleet.routers.items()
+    )
+
+
 def read_sizes(arguments: argparse.Namespace) -> HotPathSizes:
     """Return the sizes that the command line asks for."""
     return HotPathSizes(
