Measure slopes for accounts, backlog, requests and orders

Cause: docs/CAPACITY.md is to be worked out from slopes that a run gives. Change: scripts/measure_slopes.py measures processor time, bytes and memory at three sizes each; the load of the hot path uses the account in the middle of the list, since the first one hid the cost of searching it.

--- /dev/null
+++ b/src/pollenloom_standins/capacity/admission_slopes.py
@@ -0,0 +1,96 @@
+"""Bytes and encoding time of the messages of admission by requests."""
+
+from functools import partial
+from typing import Final
+
+from pollenloom.admission.messages import (
+    AccountDemand,
+    Demand,
+    GrantedSlot,
+    Grants,
+    SettledGrant,
+    WaitingHead,
+)
+from pollenloom.admission.pool_allocator import Allocation
+from pollenloom.core.ids import GrantId, ServerId, VmId
+from pollenloom.peers.peer_codec import PeerCodec
+from pollenloom.peers.peer_frame import FrameKind, PeerFrame
+from pollenloom.peers.peer_message import PeerMessage
+from pollenloom_standins.capacity.owner_slopes import (
+    POOL,
+    settle,
+)
+from pollenloom_standins.capacity.service_files import account_name
+from pollenloom_standins.capacity.slope_table import SlopeTable, least_seconds
+
+REQUESTS: Final = (1, 4, 16)
+ROUNDS: Final = 200
+MICROSECONDS: Final = 1e6
+STREAM: Final = 1_893_456_000_000
+PREFIX_HASH: Final = 2**63
+CODEC: Final = PeerCodec(Demand, Grants)
+
+
+def make_messages(requests: int) -> tuple[PeerMessage, ...]:
+    """Return demand, grants and settlements of requests sent together."""
+    accounts = tuple(map(account_name, range(requests)))
+    head = WaitingHead(hint=300, age=0.01, prefixes=(PREFIX_HASH,) * 4)
+    slots = tuple(
+        GrantedSlot(
+            GrantId(f'router-001.{STREAM:x}.1.{number}'),
+            account,
+            ServerId('server-001'),
+            300,
+        )
+        for number, account in enumerate(accounts)
+    )
+    demand = Demand(
+        POOL,
+        STREAM,
+        1,
+        1,
+        accounts=tuple(AccountDemand(name, 1, (head,)) for name in accounts),
+    )
+    settled = Demand(
+        POOL,
+        STREAM,
+        2,
+        2,
+        settled=tuple(make_settled(slot) for slot in slots),
+    )
+    return demand, Grants(POOL, 7, 1, 1, slots), settled
+
+
+def make_settled(slot: GrantedSlot) -> SettledGrant:
+    """Return the settlement of a grant."""
+    return settle(Allocation(VmId('router-001'), slot))
+
+
+def carry(messages: tuple[PeerMessage, ...]) -> None:
+    """Encode and decode the messages as the two sides do."""
+    for _ in range(ROUNDS):
+        for message in messages:
+            frame = PeerFrame(FrameKind.MESSAGE, 0, message)
+            CODEC.decode(CODEC.encode(frame))
+
+
+def measure_admission() -> SlopeTable:
+    """Measure each number of requests in one exchange."""
+    table = SlopeTable(
+        'admission: demand, grants and settlement in three messages',
+        'requests',
+    )
+    for requests in REQUESTS:
+        messages = make_messages(requests)
+        sizes = [
+            len(CODEC.encode(PeerFrame(FrameKind.MESSAGE, 0, message)))
+            for message in messages
+        ]
+        seconds = least_seconds(partial(carry, messages)) / ROUNDS
+        table.rows[requests] = {
+            'demand bytes': sizes[0],
+            'grants bytes': sizes[1],
+            'settlement bytes': sizes[2],
+            'encode and decode us': MICROSECONDS * seconds,
+        }
+    return table
--- a/src/pollenloom_standins/capacity/hot_load.py
+++ b/src/pollenloom_standins/capacity/hot_load.py
@@ -29,12 +29,12 @@
 
     @classmethod
     @asynccontextmanager
-    async def opened(cls) -> AsyncGenerator['HotLoad', None]:
-        """Open the connections of a caller."""
+    async def opened(cls, account: int) -> AsyncGenerator['HotLoad', None]:
+        """Open the connections of a caller with the key of an account."""
         async with aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
             timeout=aiohttp.ClientTimeout(total=CALL_SECONDS),
-            headers={'Authorization': f'Bearer {api_key(0)}'},
+            headers={'Authorization': f'Bearer {api_key(account)}'},
         ) as session:
             yield cls(session)
 
--- a/src/pollenloom_standins/capacity/hot_path_run.py
+++ b/src/pollenloom_standins/capacity/hot_path_run.py
@@ -90,7 +90,9 @@
             stack.push_async_callback(fleet.stop)
             await fleet.start(server.ready['ready'])
             fleets[version.label] = fleet
-        load = await stack.enter_async_context(HotLoad.opened())
+        # The middle of the list stands for the mean account.
+        opened = HotLoad.opened(arguments.accounts // 2)
+        load = await stack.enter_async_context(opened)
         experiment = HotPathExperiment(fleets, load, read_sizes(arguments))
         try:
             await experiment.run()
--- a/tests/frontend/test_slow_callers.py
+++ b/tests/frontend/test_slow_callers.py
@@ -71,6 +71,6 @@
     protocol.data_received(b'GET /healthz HTTP/1.1\r\n')
     transport.close.assert_not_called()
     task = protocol._task
-    protocol.connection_lost(None)
+    protocol.connection_lost(None)  # type: ignore[no-untyped-call]
     assert task is not None
     await asyncio.wait([task])
