Count the routers once for each check of demand

Cause: the check that runs ten times a second, and fifty while anything waits, counted the routers anew for each pool by sorting all of them.

--- a/src/pollenloom/admission/demand_sender.py
+++ b/src/pollenloom/admission/demand_sender.py
@@ -84,12 +84,18 @@
 
     def tick(self, now: float) -> None:
         """Do what is due by the passing of time."""
+        repeat_seconds = self.repeat_seconds()
         for link in tuple(self.links.values()):
-            self.tick_link(link, now)
+            self.tick_link(link, now, repeat_seconds)
 
-    def tick_link(self, link: PoolLink, now: float) -> None:
+    def tick_link(
+        self,
+        link: PoolLink,
+        now: float,
+        repeat_seconds: float,
+    ) -> None:
         """Repeat what the owner may have lost."""
-        if now - link.stated_at >= self.repeat_seconds():
+        if now - link.stated_at >= repeat_seconds:
             link.restate(self.accounts_for(link))
             link.stated_at = now
         is_due = bool(link.due_settlements(now - RESEND_SECONDS))
@@ -98,7 +104,7 @@
 
     def repeat_seconds(self) -> float:
         """Time between two statements of unchanged demand."""
-        routers = len(self.scope.routers())
+        routers = len(self.scope.membership.members())
         return max(REPEAT_SECONDS, routers * REPEAT_SECONDS_PER_ROUTER)
 
     def accounts_for(self, link: PoolLink) -> set[AccountId]:
--- a/src/pollenloom_standins/capacity/slopes_run.py
+++ b/src/pollenloom_standins/capacity/slopes_run.py
@@ -12,6 +12,7 @@
     measure_index,
 )
 from pollenloom_standins.capacity.owner_slopes import measure_owner
+from pollenloom_standins.capacity.tick_slopes import measure_ticks
 
 
 def measure_slopes() -> None:
@@ -21,6 +22,7 @@
     for measure in (
         measure_configuration,
         measure_owner,
+        measure_ticks,
         measure_admission,
         measure_batches,
         measure_index,
