Test random sequences of faults

Cause: faults of the protocol between routers and owners showed only in sequences, such as a restart while grants were on their way. Change: three fixed seeds of kills, restarts, joins and lost servers with requests of up to 2.5 s.

--- /dev/null
+++ b/tests/admission/test_fleet_chaos.py
@@ -0,0 +1,86 @@
+"""Random sequences of faults, with requests that outlast a takeover."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from pollenloom.core.ids import VmId
+from tests.admission import fake_faults
+from tests.admission.fake_fleet import FakeFleet
+from tests.admission.fake_settings import ENSCHEDE, HENGELO
+from tests.admission.simulated_loop import simulate
+
+SLOTS = 6
+COSTS = (50, 300, 2500)
+Fault = Callable[[FakeFleet, VmId], Awaitable[None]]
+
+
+def flood(fleet: FakeFleet, vm: VmId) -> None:
+    def cost() -> float:
+        return fleet.chance.choice(COSTS)
+
+    for account in fleet.shares:
+        fleet.flood(fleet.routers[vm], account, cost)
+
+
+async def kill_owner(fleet: FakeFleet, vm: VmId) -> None:
+    await fleet.kill(fake_faults.owner(fleet))
+    await asyncio.sleep(fleet.chance.choice((0.6, 1, 3)))
+    fleet.tell_members()
+
+
+async def restart(fleet: FakeFleet, vm: VmId) -> None:
+    data_centre = fleet.members[vm].data_centre
+    await fleet.kill(vm)
+    await asyncio.sleep(fleet.chance.random())
+    await fleet.add_router(vm, data_centre)
+    flood(fleet, vm)
+
+
+async def join(fleet: FakeFleet, vm: VmId) -> None:
+    name = VmId(f'{vm}-{next(fleet.numbers)}')
+    await fleet.add_router(name, fleet.members[vm].data_centre)
+    flood(fleet, name)
+
+
+async def drop_server(fleet: FakeFleet, vm: VmId) -> None:
+    servers = fleet.configuration.backend_servers
+    dropped = servers.pop(0)
+    fleet.configuration.changed()
+    await asyncio.sleep(3 * fleet.chance.random())
+    servers.append(dropped)
+    fleet.configuration.changed()
+
+
+FAULTS: tuple[Fault, ...] = (kill_owner, restart, join, drop_server)
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_limits_hold_under_random_faults(seed: int) -> None:
+    """Guards against faults that only show one after the other."""
+
+    async def scenario() -> None:
+        fleet = FakeFleet(chance=random.Random(seed))
+        for number, place in enumerate((ENSCHEDE, HENGELO) * 2):
+            fleet.add_server(f's{number}', place, slots=SLOTS, cold_slots=3)
+        for number, place in enumerate((ENSCHEDE, HENGELO) * 4):
+            vm = VmId(f'r{number}')
+            await fleet.add_router(vm, place)
+            flood(fleet, vm)
+        await asyncio.sleep(2)
+        for _ in range(6):
+            vm = fleet.chance.choice(sorted(fleet.routers))
+            await fleet.chance.choice(FAULTS)(fleet, vm)
+            await asyncio.sleep(3 * fleet.chance.random())
+        await asyncio.sleep(5)
+        engines = fleet.engines.values()
+        assert max(engine.peak for engine in engines) == SLOTS
+        assert min(engine.in_flight for engine in engines) >= SLOTS - 1
+        await fleet.stop_callers(*fleet.tasks)
+        await asyncio.sleep(15)
+        assert fake_faults.open_grants(fleet) == 0
+        await fleet.stop()
+
+    simulate(scenario())
