Report no empty counts to the judge of a move

Cause: all routers reported to the judge twice a second during a move, but only pool owners count answers. At 320 routers this gave the judge 640 messages a second and a connection with each router. Change: a report without counts is not sent. A slope of the judge joins scripts/measure_slopes.py, resident memory joins the report of scripts/measure_hot_path.py. It was not measured in a fleet.

--- a/src/pollenloom/moves/move_controller.py
+++ b/src/pollenloom/moves/move_controller.py
@@ -159,7 +159,10 @@
         if record is not None and record.state is not MoveState.RUNNING:
             return
         judge_vm = self.membership.ranked(key)[0]
-        self.peers.send(judge_vm, self.make_report(key, move))
+        report = self.make_report(key, move)
+        # Only pool owners count, so most routers have nothing to tell.
+        if report.routes:
+            self.peers.send(judge_vm, report)
         if judge_vm == self.membership.own.vm:
             self.judge(service, move, now)
 
--- a/src/pollenloom_standins/capacity/hot_path_experiment.py
+++ b/src/pollenloom_standins/capacity/hot_path_experiment.py
@@ -16,6 +16,7 @@
 )
 from pollenloom_standins.capacity.hot_load import HotLoad
 from pollenloom_standins.capacity.linear_fit import LinearFit
+from pollenloom_standins.capacity.process_time import resident_bytes
 
 Measure = Callable[[str, int], Coroutine[object, object, None]]
 IDLE_SECONDS = 2.0
@@ -73,6 +74,7 @@
         self.load = load
         self.sizes = sizes
         self.idle: dict[str, dict[VmId, float]] = {}
+        self.memory: dict[str, list[int]] = {}
         self.points: defaultdict[PointsKey, Points] = defaultdict(dict)
 
     async def run(self) -> None:
@@ -80,6 +82,9 @@
         for label, fleet in self.fleets.items():
             await self.warm_up(fleet)
             self.idle[label] = await idle_rates(fleet)
+            self.memory[label] = [
+                resident_bytes(router.pid) for router in fleet.routers.values()
+            ]
         for _ in range(self.sizes.rounds):
             for events in self.sizes.events:
                 await self.on_all_fleets(self.measure_events, events)
--- a/src/pollenloom_standins/capacity/hot_path_report.py
+++ b/src/pollenloom_standins/capacity/hot_path_report.py
@@ -9,6 +9,7 @@
 
 MICROSECONDS = 1e6
 PERCENT = 100
+MEBIBYTE = 2**20
 
 
 def report_lines(experiment: HotPathExperiment) -> Iterator[str]:
@@ -17,6 +18,9 @@
     for label, rates in experiment.idle.items():
         shares = ', '.join(f'{PERCENT * rate:.2f}%' for rate in rates.values())
         yield f'{label}: idle routers use {shares} of a core'
+        sizes = [used / MEBIBYTE for used in experiment.memory[label]]
+        held = ', '.join(f'{size:.1f}' for size in sizes)
+        yield f'{label}: routers hold {held} MiB'
     for quantity in measured(experiment):
         yield f'{quantity.value}:'
         for label in labels:
--- /dev/null
+++ b/src/pollenloom_standins/capacity/judge_slopes.py
@@ -0,0 +1,58 @@
+"""Costs of the judge of a version move by the number of reporters."""
+
+from functools import partial
+from typing import Final
+
+from pollenloom.core.ids import RouteId, VmId
+from pollenloom.moves.collected_evidence import CollectedEvidence
+from pollenloom.moves.move_messages import EvidenceReport, RouteCounts
+from pollenloom.moves.version_counts import VersionCounts
+from pollenloom.peers.peer_codec import PeerCodec
+from pollenloom.peers.peer_frame import FrameKind, PeerFrame
+from pollenloom_standins.capacity.slope_table import SlopeTable, least_seconds
+
+REPORTERS: Final = (15, 75, 320)
+ROUTES: Final = ('chat-completions', 'completions')
+MICROSECONDS: Final = 1e6
+CODEC: Final = PeerCodec(EvidenceReport)
+
+
+def make_report() -> bytes:
+    """Return the frame of a report on both routes of a model."""
+    report = EvidenceReport(
+        register_key='move/service-0/v1-v2',
+        reporter_start=1_893_456_000_000,
+        test=1,
+        routes=tuple(
+            RouteCounts(
+                RouteId(route),
+                VersionCounts(100_000, 100, 1000),
+                VersionCounts(2000, 2, 20),
+            )
+            for route in ROUTES
+        ),
+    )
+    return CODEC.encode(PeerFrame(FrameKind.MESSAGE, 0, report))
+
+
+def collect(reporters: int, encoded: bytes) -> None:
+    """Decode one report of each reporter and add them up."""
+    collected = CollectedEvidence()
+    for number in range(reporters):
+        report = CODEC.decode(encoded).message
+        if isinstance(report, EvidenceReport):
+            collected.put(VmId(f'router-{number:03}'), report)
+    collected.total(1)
+
+
+def measure_judge() -> SlopeTable:
+    """Measure each number of reporters."""
+    table = SlopeTable('judge of a move, each report period', 'reporters')
+    encoded = make_report()
+    for reporters in REPORTERS:
+        seconds = least_seconds(partial(collect, reporters, encoded))
+        table.rows[reporters] = {
+            'decode and add up us': MICROSECONDS * seconds,
+            'bytes received': reporters * len(encoded),
+        }
+    return table
--- a/src/pollenloom_standins/capacity/slopes_run.py
+++ b/src/pollenloom_standins/capacity/slopes_run.py
@@ -7,6 +7,7 @@
 from pollenloom_standins.capacity.configuration_slopes import (
     measure_configuration,
 )
+from pollenloom_standins.capacity.judge_slopes import measure_judge
 from pollenloom_standins.capacity.order_slopes import (
     measure_batches,
     measure_index,
@@ -23,6 +24,7 @@
         measure_configuration,
         measure_owner,
         measure_ticks,
+        measure_judge,
         measure_admission,
         measure_batches,
         measure_index,
