--- a/src/pollenloom/configuration/configuration_service.py
+++ b/src/pollenloom/configuration/configuration_service.py
@@ -22,6 +22,14 @@
     def current(self) -> Configuration:
         """Configuration in force; revision 0 before the first is known."""
 
+    @property
+    @abstractmethod
+    def is_complete(self) -> bool:
+        """Whether a configuration and a VM list are known.
+
+        Without both, a router would refuse requests that others can serve.
+        """
+
     @abstractmethod
     def servers(self, service: ServiceId) -> tuple[BackendServer, ...]:
         """Servers that may get new work for a service.
--- a/src/pollenloom/configuration/configuration_store.py
+++ b/src/pollenloom/configuration/configuration_store.py
@@ -97,6 +97,11 @@
         """Configuration in force."""
         return self.configuration
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether a configuration and a VM list are known."""
+        return bool(self.configuration.revision and self.vm_list.as_of)
+
     def servers(self, service: ServiceId) -> tuple[BackendServer, ...]:
         """Servers that may get new work for a service."""
         known = self.server_cache.get(service)
--- a/src/pollenloom/configuration/file_cache.py
+++ b/src/pollenloom/configuration/file_cache.py
@@ -23,6 +23,11 @@
         self.latest: dict[tuple[str, str], CheckedFile[ServiceFile]] = {}
         self.previous = self.latest
 
+    def clear(self) -> None:
+        """Forget all files."""
+        self.latest = {}
+        self.previous = {}
+
     def load(self, files: 'Mapping[str, str]') -> CheckedServices:
         """Return the result of each file, by its name in sorted order."""
         known = {**self.previous, **self.latest}
--- a/src/pollenloom/frontend/caller_server.py
+++ b/src/pollenloom/frontend/caller_server.py
@@ -166,8 +166,7 @@
 
     async def readiness(self, _request: Request) -> HTTPResponse:
         """Tell whether new requests should be sent here."""
-        known = bool(self.configuration.current.revision)
-        ready = self.gate.ready and known
+        ready = self.gate.ready and self.configuration.is_complete
         return json_answer({'ready': ready}, {}, 200 if ready else 503)
 
 
--- a/src/pollenloom/operations/readiness.py
+++ b/src/pollenloom/operations/readiness.py
@@ -18,4 +18,6 @@
             return f'the router is {self.kernel.phase.value}'
         if not self.neighbours.configuration.current.revision:
             return 'no configuration is known yet'
+        if not self.neighbours.configuration.is_complete:
+            return 'no list of VMs is known yet'
         return ''
--- a/src/pollenloom_standins/capacity/admission_slopes.py
+++ b/src/pollenloom_standins/capacity/admission_slopes.py
@@ -58,7 +58,7 @@
         2,
         settled=tuple(make_settled(slot) for slot in slots),
     )
-    return demand, Grants(POOL, 7, 1, 1, slots), settled
+    return demand, Grants(POOL, 7, 1, 1, 1, slots), settled
 
 
 def make_settled(slot: GrantedSlot) -> SettledGrant:
--- a/src/pollenloom_standins/capacity/configuration_slopes.py
+++ b/src/pollenloom_standins/capacity/configuration_slopes.py
@@ -8,8 +8,8 @@
     encode_snapshot,
 )
 from pollenloom.configuration.file_loader import (
+    FILE_CACHE,
     load_accepted,
-    load_file,
     load_services,
 )
 from pollenloom.configuration.log_entries import ConfigurationSnapshot
@@ -47,7 +47,7 @@
 def measure_accounts(accounts: int) -> dict[str, float]:
     """Measure one number of accounts."""
     files = make_files(accounts)
-    load_file.cache_clear()
+    FILE_CACHE.clear()
     held, held_bytes = memory_of(
         lambda: Configuration(Revision(1), load_accepted(files)),
     )
@@ -106,7 +106,7 @@
 
 def validate_cold(files: dict[str, str]) -> None:
     """Check all files as a router does that has just started."""
-    load_file.cache_clear()
+    FILE_CACHE.clear()
     load_services(files, PRESENT)
 
 
--- a/tests/admission/fake_services.py
+++ b/tests/admission/fake_services.py
@@ -182,6 +182,10 @@
     async def stop(self) -> None:
         """Nothing to stop."""
 
+    @property
+    def is_complete(self) -> bool:
+        return bool(self.current.revision)
+
     def servers(self, service: ServiceId) -> tuple[BackendServer, ...]:
         return tuple(
             server
--- a/tests/configuration/test_configuration_store.py
+++ b/tests/configuration/test_configuration_store.py
@@ -5,6 +5,7 @@
 import cbor2
 import pytest
 
+from pollenloom.configuration.configuration import Configuration
 from pollenloom.configuration.configuration_store import ConfigurationStore
 from pollenloom.configuration.log_entries import (
     ConfigurationChange,
@@ -21,10 +22,11 @@
     VmId,
 )
 from pollenloom.core.states import DataCentreState, VmListState, VmRole
+from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.platform.log_entry import decode_entry, encode_entry
 from pollenloom.platform.log_reader import PAGE_RECORDS
-from pollenloom.platform.vm_entry import VmEntry
+from pollenloom.platform.vm_entry import VmEntry, VmList
 from tests.configuration.service_texts import NOW, service_text
 from tests.fakes.memory_membership import MemoryMembership
 from tests.fakes.memory_platform import AppendFault, MemoryPlatform
@@ -227,3 +229,14 @@
     await other.until(lambda: store(behind).current.revision == 2)
     assert store(first).current.publish_id == 'two'
     await other.stop()
+
+
+def test_router_without_a_vm_list_is_not_ready() -> None:
+    """Guards against refusals for lack of servers right after a start."""
+    configuration = ConfigurationStore(Kernel())
+    configuration.configuration = Configuration(Revision(1), {})
+    assert not configuration.is_complete
+    configuration.vm_list = VmList(as_of=1, vms=())
+    assert configuration.is_complete
+    configuration.configuration = Configuration(Revision(0), {})
+    assert not configuration.is_complete
--- a/tests/fakes/fixed_configuration.py
+++ b/tests/fakes/fixed_configuration.py
@@ -45,6 +45,10 @@
         """Configuration set by the test."""
         return self.configuration
 
+    @property
+    def is_complete(self) -> bool:
+        return bool(self.current.revision)
+
     def servers(self, service: ServiceId) -> tuple[BackendServer, ...]:
         """No servers: the admission of the test knows them."""
         return ()
--- a/tests/operations/fakes.py
+++ b/tests/operations/fakes.py
@@ -198,6 +198,10 @@
     def current(self) -> Configuration:
         return self.configuration
 
+    @property
+    def is_complete(self) -> bool:
+        return bool(self.current.revision)
+
     def servers(self, service: ServiceId) -> tuple[BackendServer, ...]:
         return (SERVER,)
 
