Name the key of a missing secret, show moves in words, test the binary with a call

A move is recorded when its state or stage changes; its register still follows each test. Tables show stage, share, reason and counts of a move. A fleet may run its routers from the binary; the new test makes a call through one and checks the limits in /proc.

--- a/src/pollenloom/console/commands/router_command.py
+++ b/src/pollenloom/console/commands/router_command.py
@@ -9,6 +9,7 @@
 from pollenloom.console.command_end import command_end
 from pollenloom.console.exit_code import ExitCode
 from pollenloom.settings.router_settings import RouterSettings
+from pollenloom.settings.secret_files import check_secret_files
 from pollenloom.settings.settings_loader import load_settings
 
 
@@ -54,7 +55,10 @@
         cappa.Exit: With all problems of the file.
     """
     checked = load_settings(path)
-    if checked.model is None:
-        problems = '\n'.join(problem.render() for problem in checked.problems)
-        raise cappa.Exit(problems, code=ExitCode.INVALID_FILE)
+    problems = list(checked.problems)
+    if checked.model is not None:
+        problems.extend(check_secret_files(path, checked.model))
+    if checked.model is None or problems:
+        told = '\n'.join(problem.render() for problem in problems)
+        raise command_end(told, code=ExitCode.INVALID_FILE)
     return checked.model
--- a/src/pollenloom/console/status_tables.py
+++ b/src/pollenloom/console/status_tables.py
@@ -3,9 +3,14 @@
 from collections.abc import Iterable
 from typing import Final
 
+import msgspec
 from rich.table import Table
 from rich.text import Text
 
+from pollenloom.moves.move_judge import STAGE_SHARES
+from pollenloom.moves.move_record import MoveRecord, RouteEvidence
+from pollenloom.moves.version_counts import VersionCounts
+from pollenloom.observability.json_log import format_time
 from pollenloom.operations.event_entry import EventEntry
 from pollenloom.operations.fleet_status import FleetStatus, MoveView
 
@@ -192,9 +197,31 @@
 
 
 def describe_move(move: MoveView) -> str:
-    """Return what the judge of a move wrote besides its state."""
-    return describe_fields(
-        {key: part for key, part in move.record.items() if key != 'state'},
+    """Return stage, reason and evidence of a move."""
+    if not move.record:
+        return f'starts at {move.start}'
+    record = msgspec.convert(move.record, MoveRecord)
+    share = f'{STAGE_SHARES[record.stage]:.0%} of requests'
+    parts = [
+        f'stage {record.stage + 1} of {len(STAGE_SHARES)} ({share})',
+        f'since {format_time(record.since)}: {record.reason}',
+    ]
+    parts.extend(describe_evidence(route) for route in record.evidence)
+    return '; '.join(parts)
+
+
+def describe_evidence(route: RouteEvidence) -> str:
+    """Return the counts of both versions on one route."""
+    old = describe_counts(route.old)
+    new = describe_counts(route.new)
+    return f'{route.route} is {route.verdict}: old {old}, new {new}'
+
+
+def describe_counts(counts: VersionCounts) -> str:
+    """Return the counts of one version."""
+    return (
+        f'{counts.requests} requests with {counts.failures} failed'
+        f' and {counts.slow} slow'
     )
 
 
--- a/src/pollenloom/moves/move_controller.py
+++ b/src/pollenloom/moves/move_controller.py
@@ -205,8 +205,11 @@
     def publish(self, key: str, record: MoveRecord) -> None:
         """Spread a new state to all routers and to the log."""
         own = self.membership.own.vm
+        known = self.known.get(key)
         payload = msgspec.msgpack.encode(record)
         self.registers.put(key, RegisterValue(record.rank, own, payload))
+        if known is not None and is_repeated(known, record):
+            return
         self.events.record(
             f'move_{record.state.value}',
             record.move,
@@ -230,3 +233,12 @@
             make_key(record.service, record.move),
             RegisterValue(record.rank, '', msgspec.msgpack.encode(record)),
         )
+
+
+def is_repeated(known: MoveRecord, record: MoveRecord) -> bool:
+    """Whether only the evidence changed.
+
+    The last stage ends a test about every 0.5 s under load; an event and a
+    log record for each would push older ones out.
+    """
+    return (known.state, known.stage) == (record.state, record.stage)
--- a/src/pollenloom/observability/event_name.py
+++ b/src/pollenloom/observability/event_name.py
@@ -63,8 +63,8 @@
         PEER_REJECTED: A connection was closed for a broken frame or a wrong
             fleet key. Subject router or address: reason.
         PLATFORM_UNREACHABLE: A log reader cannot reach the platform. Subject
-            router: no fields.
-        PLATFORM_REACHABLE: It can again. Subject router: no fields.
+            router: reason.
+        PLATFORM_REACHABLE: It can again. Subject router: reason.
         LOG_RECORDS_MISSED: The log dropped records before they were read.
             Subject router: earliest.
     """
--- a/src/pollenloom/platform/log_reader.py
+++ b/src/pollenloom/platform/log_reader.py
@@ -158,7 +158,10 @@
     async def read_page(self) -> Result[LogPage, Failure]:
         """Read one page and hand out its records."""
         answer = await self.platform.read(self.cursor.position, PAGE_RECORDS)
-        self.reachability.note(reachable=answer.is_ok())
+        self.reachability.note(
+            reachable=answer.is_ok(),
+            reason='' if answer.is_ok() else answer.error.detail,
+        )
         if answer.is_error():
             self.cursor.at_end = False
             return answer
--- a/src/pollenloom/platform/reachability.py
+++ b/src/pollenloom/platform/reachability.py
@@ -15,10 +15,10 @@
         self.own = own
         self.reachable = True
 
-    def note(self, *, reachable: bool) -> None:
-        """Note the result of a call."""
+    def note(self, *, reachable: bool, reason: str = '') -> None:
+        """Note the result of a call, with the reason of a failure."""
         if reachable is self.reachable:
             return
         self.reachable = reachable
         name = 'platform_reachable' if reachable else 'platform_unreachable'
-        self.events.record(name, self.own)
+        self.events.record(name, self.own, reason=reason)
--- a/src/pollenloom_standins/fleet/fleet.py
+++ b/src/pollenloom_standins/fleet/fleet.py
@@ -33,6 +33,7 @@
 READY_POLL_SECONDS: Final = 0.05
 OPERATOR_TOKEN: Final = 'demo-operator-token'
 FLEET_KEY: Final = 'demo-fleet-key-of-24-bytes'
+PRODUCT: Final = (sys.executable, '-m', 'pollenloom')
 STANDIN_KINDS: Final = MappingProxyType(
     {
         Resource.MODEL: 'engine',
@@ -49,7 +50,8 @@
         directory: Where settings, secrets and output files are written.
         routers: Router processes by VM id.
         backends: Backend server processes by VM id.
-        seed: Peers' address that routers join by.
+        seeds: Peers' addresses that routers join by.
+        router_command: Command line of the product, without arguments.
     """
 
     def __init__(self, plan: FleetPlan, directory: Path) -> None:
@@ -63,6 +65,11 @@
         self.routers: dict[VmId, ManagedProcess] = {}
         self.backends: dict[VmId, ManagedProcess] = {}
         self.seeds: dict[VmId, str] = {}
+        self.router_command: tuple[str, ...] = (
+            sys.executable,
+            '-m',
+            'pollenloom',
+        )
         self.operator = FleetOperator(directory / 'operator.token')
 
     async def __aenter__(self) -> Self:
@@ -137,9 +144,7 @@
         process = ManagedProcess(
             plan.vm,
             (
-                sys.executable,
-                '-m',
-                'pollenloom',
+                *self.router_command,
                 'router',
                 '--settings',
                 str(path),
--- a/src/pollenloom_standins/fleet/managed_process.py
+++ b/src/pollenloom_standins/fleet/managed_process.py
@@ -68,7 +68,7 @@
                 # Ctrl-C in a terminal goes to the whole process group. A
                 # router would get it besides the SIGTERM of `terminate` and
                 # take that for the second signal, which ends it at once.
-                process_group=0,
+                start_new_session=True,
             )
         try:
             async with asyncio.timeout(READY_SECONDS):
--- a/tests/console/test_commands.py
+++ b/tests/console/test_commands.py
@@ -191,3 +191,19 @@
     told = capsys.readouterr().err
     assert 'data_centre: expected' in told
     assert 'vm: expected' in told
+
+
+def test_missing_secrets_are_told_by_their_key(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against a stack trace for a key file that is not there."""
+    root = Path(__file__).resolve().parents[2]
+    example = (root / 'examples/xelaju/router.toml').read_text('utf-8')
+    path = tmp_path / 'router.toml'
+    path.write_text(example, encoding='utf-8')
+    (tmp_path / 'fleet.key').write_text('short', encoding='utf-8')
+    assert run('router', '--settings', str(path)) == ExitCode.INVALID_FILE
+    told = ' '.join(capsys.readouterr().err.split())
+    assert 'operator_token_file: expected a readable file' in told
+    assert 'peers.fleet_key_file: expected a readable file' in told
--- a/tests/console/test_one_binary.py
+++ b/tests/console/test_one_binary.py
@@ -7,8 +7,17 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+import aiohttp
 import pytest
 
+from pollenloom.core.ids import DataCentreId, ServiceId, VmId
+from pollenloom.core.states import Resource
+from pollenloom_standins.fleet.fleet import Fleet
+from pollenloom_standins.fleet.fleet_plan import (
+    BackendPlan,
+    FleetPlan,
+    RouterPlan,
+)
 from tests.runtime_limits import assert_within_runtime_limits
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -126,3 +135,50 @@
     assert_within_runtime_limits(router.pid)
     router.terminate()
     assert router.wait(TIMEOUT_SECONDS) == 0
+
+
+@pytest.fixture
+def fleet(
+    binary: Path,
+    bare_environment: dict[str, str],
+    tmp_path: Path,
+) -> Fleet:
+    """One engine and one router started from the file."""
+    data_centre = DataCentreId('hengelo')
+    plan = FleetPlan(
+        routers=(
+            RouterPlan(
+                vm=VmId('vm-1'),
+                data_centre=data_centre,
+                host='127.0.0.1',
+            ),
+        ),
+        backends=(
+            BackendPlan(
+                vm=VmId('engine-1'),
+                service=ServiceId('answers'),
+                resource=Resource.MODEL,
+                data_centre=data_centre,
+            ),
+        ),
+        directories=(ROOT / 'examples' / 'carromwerk',),
+    )
+    one_router = Fleet(plan, tmp_path)
+    variables = (f'{name}={text}' for name, text in bare_environment.items())
+    # `env` replaces itself, so that the router keeps the process id.
+    one_router.router_command = ('env', '-i', *variables, str(binary))
+    return one_router
+
+
+async def test_call_through_a_router_from_the_file(fleet: Fleet) -> None:
+    """Guards against a file that starts but cannot serve."""
+    async with fleet, aiohttp.ClientSession() as session:
+        answer = await session.post(
+            f'{fleet.callers(VmId("vm-1"))}/v1/completions',
+            json={'model': 'answers', 'prompt': 'striker weight? [tokens=5]'},
+            headers={'Authorization': 'Bearer demo-key-webshop'},
+        )
+        assert answer.status == 200, await answer.text()
+        usage = (await answer.json())['usage']
+        assert usage['completion_tokens'] == 5
+        assert_within_runtime_limits(fleet.routers[VmId('vm-1')].pid)
