--- a/src/pollenloom_standins/experiment/version_move_experiment.py
+++ b/src/pollenloom_standins/experiment/version_move_experiment.py
@@ -170,8 +170,8 @@
             for run in new_runs
         )
         return {
-            'done': 'done' in marks,
-            'taken_back': 'taken_back' in marks,
+            'done': int('done' in marks),
+            'taken_back': int('taken_back' in marks),
             'seconds': -1 if ended is None else ended - begun,
             'new_version_part': len(new_runs) / total,
             'failed_by_new_version': failed,
