Read load reports and cache events of owned servers

Pool owners guessed cached prefixes from their own grants and learnt of cold starts, leaving servers and higher fencing numbers only from failed requests.

One task for each server of an owned pool now polls GET /load and, for model services, GET /cache-events once a second. Beliefs about prefixes take grants as predictions and events as facts; gaps and restarts make them expire, and each server keeps 2,048 at most. Load reports give the cold and leaving flags, the highest fencing number and the requests that no known router accounts for. A cold report older than the last rise of the ramp is ignored, and a server that answers neither polls nor requests gets one probe at a time.

A 409 is now settled as a refused fencing number: it no longer halves the ramp's limit, and the owner takes the pool over again with a higher number. Baselines with divided slots read no reports.

--- a/src/pollenloom/admission/admission_scope.py
+++ b/src/pollenloom/admission/admission_scope.py
@@ -119,6 +119,10 @@
         everywhere = self.membership.ranked(pool.pool)
         return tuple(vm for vm in everywhere if vm != self.own)[:1]
 
+    def exceed(self, epoch: int) -> int:
+        """Return a fencing number that fences off one seen elsewhere."""
+        return epoch + 1
+
     def routers(self) -> tuple[VmId, ...]:
         """VMs that may hold grants: all that are not dead."""
         members = {member.vm for member in self.membership.members()}
--- a/src/pollenloom/admission/allocator_admission.py
+++ b/src/pollenloom/admission/allocator_admission.py
@@ -2,13 +2,14 @@
 
 import asyncio
 from contextlib import suppress
-from typing import Self
+from typing import ClassVar, Self
 
 from expression import Error, Ok, Result
 
 from pollenloom.admission.admission import Admission
 from pollenloom.admission.admission_scope import AdmissionScope
 from pollenloom.admission.admission_status import AdmissionStatus
+from pollenloom.admission.engine_reports.report_readers import ReportReaders
 from pollenloom.admission.grant import Grant
 from pollenloom.admission.grant_client import SPREAD_SECONDS, GrantClient
 from pollenloom.admission.home_pool import HomePool
@@ -47,6 +48,8 @@
     Both sides run on each VM; a VM owns the pools for which it ranks first.
     """
 
+    reads_reports: ClassVar[bool] = True
+
     def __init__(
         self,
         kernel: Kernel,
@@ -82,6 +85,7 @@
         self.client = GrantClient(self.scope)
         self.owners = PoolOwners(self.scope, options)
         self.home = HomePool(self.scope)
+        self.readers = ReportReaders.from_kernel(self.kernel, self.owners)
         if KernelServiceName.MOVES in self.kernel.services:
             moves = self.kernel.find(KernelServiceName.MOVES, MoveService)
             self.limit_versions(MovingShares(moves))
@@ -168,6 +172,8 @@
         self.scope.refresh()
         self.client.refresh()
         self.owners.refresh()
+        if self.reads_reports:
+            self.readers.refresh()
 
     def subscribe(self) -> None:
         """Handle the messages of admission."""
--- a/src/pollenloom/admission/divided_scope.py
+++ b/src/pollenloom/admission/divided_scope.py
@@ -36,6 +36,13 @@
         """No other VM continues this router's allocation."""
         return ()
 
+    def exceed(self, epoch: int) -> int:
+        """Equal numbers do: the routers share a server, none replaces another.
+
+        Numbers that exceed each other's would rise without end.
+        """
+        return epoch
+
     def routers(self) -> tuple[VmId, ...]:
         """Only this VM."""
         return (self.own,)
--- /dev/null
+++ b/src/pollenloom/admission/engine_reports/__init__.py
@@ -0,0 +1,1 @@
+"""What model engines and applications report of themselves."""
--- /dev/null
+++ b/src/pollenloom/admission/engine_reports/engine_reports.py
@@ -0,0 +1,30 @@
+"""Interface to the reports of backend servers."""
+
+from abc import abstractmethod
+from typing import ClassVar
+
+from expression import Result
+
+from pollenloom.admission.engine_reports.cache_event import CacheEventPage
+from pollenloom.admission.engine_reports.load_report import LoadReport
+from pollenloom.core.failure import Failure
+from pollenloom.kernel.kernel_service import KernelService
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+
+
+class EngineReports(KernelService):
+    """Reads what backend servers tell of themselves."""
+
+    name: ClassVar[KernelServiceName] = KernelServiceName.ENGINE_REPORTS
+
+    @abstractmethod
+    async def load(self, address: str) -> Result[LoadReport, Failure]:
+        """Return the load of a server, some time old."""
+
+    @abstractmethod
+    async def cache_events(
+        self,
+        address: str,
+        start: int,
+    ) -> Result[CacheEventPage, Failure]:
+        """Return the cache events of an engine from a number on."""
--- a/src/pollenloom/admission/grant_client.py
+++ b/src/pollenloom/admission/grant_client.py
@@ -121,6 +121,7 @@
             server_leaving=settlement.server_leaving,
             route=grant.route,
             duration_seconds=settlement.duration_seconds,
+            server_fenced=settlement.server_fenced,
         )
         self.settled.add(settled, self.scope.now())
         pool = self.scope.pool_map.pool_of.get(server, grant.pool)
--- a/src/pollenloom/admission/grant_ledger.py
+++ b/src/pollenloom/admission/grant_ledger.py
@@ -23,6 +23,7 @@
     granted_at: float
     check_at: float
     hint: float = 0
+    epoch: int = 0
 
 
 class GrantLedger:
--- a/src/pollenloom/admission/messages.py
+++ b/src/pollenloom/admission/messages.py
@@ -74,6 +74,8 @@
     # Only set while the service moves between versions.
     route: RouteId = NO_ROUTE
     duration_seconds: float | None = None
+    # Whether the server refused the fencing number.
+    server_fenced: bool = False
 
 
 class Demand(PeerMessage, frozen=True):
--- a/src/pollenloom/admission/pool_allocator.py
+++ b/src/pollenloom/admission/pool_allocator.py
@@ -134,7 +134,11 @@
         correction = settled.cost - grant.charged
         self.totals.charge(self.pool, grant.account, correction)
         self.servers.release(grant)
-        self.learn(grant, settled, now)
+        if settled.server_fenced:
+            # Says nothing about the server's load.
+            self.servers.note_fenced(grant)
+        else:
+            self.learn(grant, settled, now)
         if settled.outcome is Outcome.UNUSED and stream is not None:
             stream.avoid[grant.server] = now + AVOID_SECONDS
 
@@ -198,6 +202,7 @@
             state
             for state in self.servers
             if avoid.get(state.server.server, now) <= now
+            and state.refused_epoch < self.epoch
         ]
         return self.choice.choose(usable, pending, now)
 
@@ -217,7 +222,7 @@
         slot = GrantedSlot(grant_id, account, server, charged)
         self.totals.charge(self.pool, account, charged)
         self.hold(router, slot, now, hint=pending.hint)
-        state.note_prefixes(pending.prefixes)
+        state.beliefs.predict(pending.prefixes, now)
         self.credit.granted(state.server.version, self.servers.versions(), now)
         stream = self.streams[router]
         stream.on_the_way.append(
@@ -242,6 +247,7 @@
             granted_at=now,
             check_at=now + CHECK_SECONDS,
             hint=hint,
+            epoch=self.epoch if isinstance(slot, GrantedSlot) else 0,
         )
         self.ledger.add(grant)
         self.servers.hold(slot.server)
--- a/src/pollenloom/admission/pool_owners.py
+++ b/src/pollenloom/admission/pool_owners.py
@@ -1,15 +1,13 @@
 """Owner side of admission: the pools that this VM owns."""
 
-from collections.abc import Iterable
-
 from pollenloom.admission.admission_scope import AdmissionScope
+from pollenloom.admission.engine_reports.load_report import LoadReport
 from pollenloom.admission.exchange import Exchange
 from pollenloom.admission.grant_sender import GrantSender
 from pollenloom.admission.messages import (
     CounterExchange,
     Demand,
     NotOwner,
-    ReportRequest,
     TakeoverReport,
 )
 from pollenloom.admission.pause_guard import PauseGuard
@@ -18,6 +16,7 @@
     PoolAllocator,
 )
 from pollenloom.admission.pool_map import Pool
+from pollenloom.admission.takeovers import Takeovers
 from pollenloom.admission.version_shares import UnlimitedShares, VersionShares
 from pollenloom.core.ids import PoolId, ServerId, VmId
 
@@ -26,9 +25,6 @@
 # Most acknowledgements travel with a grant before that.
 ACKNOWLEDGE_SECONDS = 1.0
 SWEEP_SECONDS = 1.0
-# Two VMs that both believe to own a pool must not fence each other off
-# faster than their views of the membership converge.
-READOPT_SECONDS = 1.0
 
 
 class PoolOwners:
@@ -47,7 +43,7 @@
         self.exchange = Exchange(scope)
         self.guard = PauseGuard(PAUSE_SECONDS)
         self.created = 0
-        self.readopted_at: dict[PoolId, float] = {}
+        self.takeovers = Takeovers(scope)
         self.swept_at: float = 0
 
     def refresh(self) -> None:
@@ -74,7 +70,7 @@
         routers = self.scope.routers()
         adopted = allocator.servers.replace(pool.servers, routers, now)
         if adopted:
-            self.ask_routers(allocator, adopted, takeover=is_new)
+            self.takeovers.ask_routers(allocator, adopted, takeover=is_new)
         self.sender.allocate_soon(pool.pool)
 
     def create(self, pool: Pool) -> PoolAllocator:
@@ -120,23 +116,6 @@
                 allocator.remove_router(router, now)
             self.sender.allocate_soon(allocator.pool)
 
-    def ask_routers(
-        self,
-        allocator: PoolAllocator,
-        servers: Iterable[ServerId],
-        *,
-        takeover: bool,
-    ) -> None:
-        """Ask all routers for the grants they hold on these servers."""
-        request = ReportRequest(
-            allocator.pool,
-            allocator.epoch,
-            takeover,
-            tuple(servers),
-        )
-        for router in self.scope.routers():
-            self.scope.send(router, request)
-
     def on_demand(self, sender: VmId, message: Demand) -> None:
         """Take demand and settlements, then allocate."""
         now = self.scope.now()
@@ -147,6 +126,7 @@
             self.scope.send(sender, NotOwner(message.pool, epoch))
             return
         allocator.demand(sender, message, now)
+        self.takeovers.keep_ahead(allocator, now)
         self.sender.allocate_soon(message.pool)
 
     def on_report(self, sender: VmId, message: TakeoverReport) -> None:
@@ -162,9 +142,25 @@
         now = self.scope.now()
         if allocator is None or message.epoch < allocator.epoch:
             return
-        last = self.readopted_at.get(message.pool, float('-inf'))
-        if now - last >= READOPT_SECONDS:
-            self.readopt(allocator, message.epoch + 1, now)
+        self.takeovers.raise_epoch(allocator, message.epoch + 1, now)
+
+    def on_load_report(
+        self,
+        pool: PoolId,
+        server: ServerId,
+        report: LoadReport,
+        at: float,
+    ) -> None:
+        """Learn from a load report that was right at an earlier time."""
+        allocator = self.allocators.get(pool)
+        state = allocator.servers.get(server) if allocator else None
+        if allocator is None or state is None:
+            return
+        now = self.scope.now()
+        state.take_report(report, at, now)
+        allocator.servers.fencing.report(report.highest_fencing_number)
+        self.takeovers.keep_ahead(allocator, now)
+        self.sender.allocate_soon(pool)
 
     def on_exchange(self, sender: VmId, message: CounterExchange) -> None:
         """Take over the totals of another pool."""
@@ -179,24 +175,14 @@
         for allocator in self.allocators.values():
             known = self.scope.epochs.current(allocator.pool).epoch
             epoch = max(known, allocator.epoch) + 1
-            self.readopt(allocator, epoch, now)
-
-    def readopt(
-        self,
-        allocator: PoolAllocator,
-        epoch: int,
-        now: float,
-    ) -> None:
-        """Take over a pool again that this VM owned before."""
-        self.readopted_at[allocator.pool] = now
-        allocator.readopt(self.scope.routers(), epoch, now)
-        self.ask_routers(allocator, allocator.servers.servers, takeover=True)
+            self.takeovers.readopt(allocator, epoch, now)
 
     def tick(self) -> None:
         """Do what is due by the passing of time."""
         now = self.scope.now()
         self.check_pause(now)
         for allocator in self.allocators.values():
+            self.takeovers.keep_ahead(allocator, now)
             self.sender.allocate_pool(allocator, now)
         if now - self.swept_at >= SWEEP_SECONDS:
             self.swept_at = now
--- a/src/pollenloom/admission/pool_servers.py
+++ b/src/pollenloom/admission/pool_servers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Iterator
 
+from pollenloom.admission.engine_reports.fencing_watch import FencingWatch
 from pollenloom.admission.grant_ledger import OpenGrant
 from pollenloom.admission.server_ramp import ServerRamp
 from pollenloom.admission.server_state import Adoption, ServerState
@@ -17,6 +18,7 @@
     def __init__(self, *, ramp: bool) -> None:
         self.ramp = ramp
         self.servers: dict[ServerId, ServerState] = {}
+        self.fencing = FencingWatch()
 
     def __iter__(self) -> Iterator[ServerState]:
         """All servers."""
@@ -96,9 +98,16 @@
         if not state.listed and state.in_flight == 0:
             self.servers.pop(grant.server)
 
+    def note_fenced(self, grant: OpenGrant) -> None:
+        """Use a server again only with a higher fencing number."""
+        self.fencing.refuse(grant.epoch)
+        state = self.servers.get(grant.server)
+        if state is not None:
+            state.refused_epoch = max(state.refused_epoch, grant.epoch)
+
     def hold(self, server: ServerId) -> None:
         """Count a grant."""
-        self.servers[server].in_flight += 1
+        self.servers[server].hold()
 
     def adopt_all(self, routers: Iterable[VmId], now: float) -> None:
         """Open no server until all routers reported what they hold."""
--- a/src/pollenloom/admission/server_choice.py
+++ b/src/pollenloom/admission/server_choice.py
@@ -52,7 +52,8 @@
         now: float,
     ) -> float:
         """Relative load, less the worth of the cached prefix."""
-        load = state.in_flight / state.ramp.limit_at(now)
+        load = state.in_flight / state.limit_at(now)
         if not self.affinity or not pending.prefixes:
             return load
-        return load - AFFINITY_WEIGHT * state.cached_part(pending.prefixes)
+        cached = state.beliefs.cached_part(pending.prefixes, now)
+        return load - AFFINITY_WEIGHT * cached
--- a/src/pollenloom/admission/server_ramp.py
+++ b/src/pollenloom/admission/server_ramp.py
@@ -69,6 +69,12 @@
         self.fell_at = float('-inf')
         self.closed_until = float('-inf')
         self.failed_probes = 0
+        self.risen_at = float('-inf')
+
+    @property
+    def failed_last(self) -> bool:
+        """Whether the last answer was a failure."""
+        return bool(self.recent) and not self.recent[-1]
 
     @property
     def cold(self) -> bool:
@@ -139,6 +145,8 @@
         self.good_answers += 1
         if self.good_answers >= self.limit:
             self.good_answers = 0
+            if self.limit < self.slots:
+                self.risen_at = now
             self.limit = min(self.slots, self.limit * 2)
 
     def observe_latency(self, seconds: float) -> None:
@@ -162,6 +170,11 @@
         margin = self.baseline + COLD_MARGIN_SECONDS
         return self.latency > max(COLD_FACTOR * self.baseline, margin)
 
+    def turn_cold(self, now: float) -> None:
+        """Fall back since the server reports that it is cold."""
+        if self.enabled:
+            self.fall(now)
+
     def fall(self, now: float) -> None:
         """Go back to what a cold server bears."""
         self.limit = min(self.limit, self.cold_slots)
--- a/src/pollenloom/admission/server_state.py
+++ b/src/pollenloom/admission/server_state.py
@@ -1,15 +1,14 @@
 """A backend server as the owner of its pool sees it."""
 
-from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from pollenloom.admission.engine_reports.load_report import LoadReport
+from pollenloom.admission.engine_reports.prefix_beliefs import PrefixBeliefs
+from pollenloom.admission.engine_reports.server_reports import ServerReports
 from pollenloom.admission.server_ramp import ServerRamp
 from pollenloom.core.backend_server import BackendServer
 from pollenloom.core.ids import VmId
 
-# About the prefixes that an engine's cache holds; 0.2 MB for each server.
-KEPT_PREFIXES = 2048
-
 
 @dataclass(slots=True)
 class Adoption:
@@ -38,6 +37,9 @@
         adoption: Ends when its load over the fleet is known.
         in_flight: Grants in use over the whole fleet.
         listed: Whether the configuration lets it get new work.
+        refused_epoch: Highest fencing number that it refused.
+        beliefs: Prefixes that it is believed to have cached.
+        reports: Its load reports.
     """
 
     server: BackendServer
@@ -45,25 +47,42 @@
     adoption: Adoption
     in_flight: int = 0
     listed: bool = True
-    prefixes: OrderedDict[int, None] = field(default_factory=OrderedDict)
+    refused_epoch: int = 0
+    beliefs: PrefixBeliefs = field(default_factory=PrefixBeliefs)
+    reports: ServerReports = field(default_factory=ServerReports)
 
     def free(self, now: float) -> int:
         """Grants that may be given now."""
         if not self.listed or not self.adoption.is_over(now):
             return 0
-        return max(0, self.ramp.limit_at(now) - self.in_flight)
-
-    def note_prefixes(self, prefixes: tuple[int, ...]) -> None:
-        """Remember what the server will have in its prefix cache."""
-        for prefix in prefixes:
-            self.prefixes[prefix] = None
-            self.prefixes.move_to_end(prefix)
-        while len(self.prefixes) > KEPT_PREFIXES:
-            self.prefixes.popitem(last=False)
-
-    def cached_part(self, prefixes: tuple[int, ...]) -> float:
-        """Part of the known prefixes that is cached, 0 to 1."""
-        for position in range(len(prefixes), 0, -1):
-            if prefixes[position - 1] in self.prefixes:
-                return position / len(prefixes)
-        return 0
+        if self.reports.leaving:
+            return 0
+        taken = self.in_flight + self.reports.foreign(now)
+        return max(0, self.limit_at(now) - taken)
+
+    def limit_at(self, now: float) -> int:
+        """Requests that may be in flight now, over the whole fleet.
+
+        A server that answers neither polls nor requests gets one probe.
+        """
+        limit = self.ramp.limit_at(now)
+        if self.reports.silent and self.ramp.failed_last:
+            return min(limit, 1)
+        return limit
+
+    def hold(self) -> None:
+        """Count a grant."""
+        self.in_flight += 1
+        self.reports.note_in_flight(self.in_flight)
+
+    def take_report(self, report: LoadReport, at: float, now: float) -> None:
+        """Learn from a load report that was right at some earlier time."""
+        restarts = self.reports.restarts
+        if not self.reports.take(report, at, now):
+            return
+        self.reports.begin_period(self.in_flight)
+        if self.reports.restarts > restarts:
+            self.beliefs.restart()
+        # Settlements after the report have shown that the server is warm.
+        if report.cold and at > self.ramp.risen_at:
+            self.ramp.turn_cold(now)
--- a/src/pollenloom/admission/settlement.py
+++ b/src/pollenloom/admission/settlement.py
@@ -18,6 +18,7 @@
         duration_seconds: Time from sending to the end of the answer.
         server_cold: Whether the server said that it is cold.
         server_leaving: Whether the server said that it is leaving.
+        server_fenced: Whether the server refused the fencing number.
     """
 
     grant: Grant
@@ -27,3 +28,4 @@
     duration_seconds: float | None = None
     server_cold: bool = False
     server_leaving: bool = False
+    server_fenced: bool = False
--- a/src/pollenloom/admission/static_division_admission.py
+++ b/src/pollenloom/admission/static_division_admission.py
@@ -12,6 +12,9 @@
     router leaves the parts of the others idle.
     """
 
+    # They tell the load of all routers together.
+    reads_reports = False
+
     def make_scope(self) -> AdmissionScope:
         """Own all pools, with a part of the slots."""
         scope = DividedScope.from_kernel(self.kernel, self.shard_servers)
--- /dev/null
+++ b/src/pollenloom/admission/takeovers.py
@@ -0,0 +1,66 @@
+"""Takeovers of pools, and the fencing numbers that they need."""
+
+from collections.abc import Iterable
+
+from pollenloom.admission.admission_scope import AdmissionScope
+from pollenloom.admission.messages import ReportRequest
+from pollenloom.admission.pool_allocator import PoolAllocator
+from pollenloom.core.ids import PoolId, ServerId
+
+# Two VMs that both believe to own a pool must not fence each other off
+# faster than their views of the membership converge.
+READOPT_SECONDS = 1.0
+
+
+class Takeovers:
+    """Asks routers what they hold, and fences former owners off."""
+
+    def __init__(self, scope: AdmissionScope) -> None:
+        self.scope = scope
+        self.readopted_at: dict[PoolId, float] = {}
+
+    def ask_routers(
+        self,
+        allocator: PoolAllocator,
+        servers: Iterable[ServerId],
+        *,
+        takeover: bool,
+    ) -> None:
+        """Ask all routers for the grants they hold on these servers."""
+        request = ReportRequest(
+            allocator.pool,
+            allocator.epoch,
+            takeover,
+            tuple(servers),
+        )
+        for router in self.scope.routers():
+            self.scope.send(router, request)
+
+    def readopt(
+        self,
+        allocator: PoolAllocator,
+        epoch: int,
+        now: float,
+    ) -> None:
+        """Take over a pool again that this VM owned before."""
+        self.readopted_at[allocator.pool] = now
+        allocator.readopt(self.scope.routers(), epoch, now)
+        self.ask_routers(allocator, allocator.servers.servers, takeover=True)
+
+    def raise_epoch(
+        self,
+        allocator: PoolAllocator,
+        epoch: int,
+        now: float,
+    ) -> None:
+        """Take over a pool again with a higher number, but not too often."""
+        last = self.readopted_at.get(allocator.pool, float('-inf'))
+        if now - last >= READOPT_SECONDS:
+            self.readopt(allocator, epoch, now)
+
+    def keep_ahead(self, allocator: PoolAllocator, now: float) -> None:
+        """Exceed the fencing numbers that the pool's servers have seen."""
+        fencing = allocator.servers.fencing
+        if fencing.is_behind(allocator.epoch):
+            epoch = self.scope.exceed(fencing.highest)
+            self.raise_epoch(allocator, epoch, now)
--- a/src/pollenloom/console/service_catalogue.py
+++ b/src/pollenloom/console/service_catalogue.py
@@ -7,6 +7,9 @@
 from typing import Final
 
 from pollenloom.admission.admission_factory import make_admission
+from pollenloom.admission.engine_reports.http_engine_reports import (
+    HttpEngineReports,
+)
 from pollenloom.configuration.configuration_store import ConfigurationStore
 from pollenloom.dispatch.dispatcher import Dispatcher
 from pollenloom.frontend.caller_server import CallerServer
@@ -66,6 +69,7 @@
     make_log_reader,
     make_configuration,
     MoveController.from_config,
+    HttpEngineReports.from_config,
     make_admission,
     Dispatcher.from_config,
     OrderDesk.from_config,
--- a/src/pollenloom/dispatch/attempt_failure.py
+++ b/src/pollenloom/dispatch/attempt_failure.py
@@ -18,6 +18,7 @@
         exclude_server: Whether further attempts avoid the server.
         server_cold: Whether the server said that it is cold.
         server_leaving: Whether the server said that it is leaving.
+        server_fenced: Whether the server refused the fencing number.
     """
 
     kind: ErrorKind
@@ -27,3 +28,4 @@
     exclude_server: bool = True
     server_cold: bool = False
     server_leaving: bool = False
+    server_fenced: bool = False
--- a/src/pollenloom/dispatch/dispatcher.py
+++ b/src/pollenloom/dispatch/dispatcher.py
@@ -283,6 +283,7 @@
     use.outcome = failure.outcome
     use.server_cold = failure.server_cold
     use.server_leaving = failure.server_leaving
+    use.server_fenced = failure.server_fenced
 
 
 def judge_answer(
--- a/src/pollenloom/dispatch/grant_use.py
+++ b/src/pollenloom/dispatch/grant_use.py
@@ -23,6 +23,7 @@
         cost: Real cost in the unit of the resource.
         server_cold: Whether the server said that it is cold.
         server_leaving: Whether the server said that it is leaving.
+        server_fenced: Whether the server refused the fencing number.
     """
 
     grant: Grant
@@ -35,6 +36,7 @@
     cost: float = 0
     server_cold: bool = False
     server_leaving: bool = False
+    server_fenced: bool = False
 
     def settlement(self, now: float) -> Settlement:
         """Return the report for admission."""
@@ -51,6 +53,7 @@
             duration_seconds=now - self.started_at,
             server_cold=self.server_cold,
             server_leaving=self.server_leaving,
+            server_fenced=self.server_fenced,
         )
 
     def first_byte_seconds(self) -> float | None:
--- a/src/pollenloom/dispatch/refusal.py
+++ b/src/pollenloom/dispatch/refusal.py
@@ -44,4 +44,5 @@
         exclude_server=status != HTTPStatus.CONFLICT,
         server_cold=refusal.reason == 'cold',
         server_leaving=refusal.reason == 'leaving',
+        server_fenced=status == HTTPStatus.CONFLICT,
     )
--- a/src/pollenloom/kernel/kernel_service_name.py
+++ b/src/pollenloom/kernel/kernel_service_name.py
@@ -10,6 +10,7 @@
     ADMISSION = 'admission'
     CONFIGURATION = 'configuration'
     DISPATCH = 'dispatch'
+    ENGINE_REPORTS = 'engine_reports'
     EVENTS = 'events'
     FRONTEND = 'frontend'
     LOG = 'log'
--- a/src/pollenloom_standins/engine/cache_events.py
+++ b/src/pollenloom_standins/engine/cache_events.py
@@ -41,7 +41,7 @@
 
     Attributes:
         events: Events from `n` on that are old enough.
-        next: Number to ask for next.
+        next: Number to ask for next; below `n` after a restart.
     """
 
     events: tuple[CacheEvent, ...]
@@ -95,5 +95,7 @@
             for event in self.events
             if event.sequence >= start and event.at <= limit
         )
-        following = events[-1].sequence + 1 if events else start
+        following = min(start, self.sequence)
+        if events:
+            following = events[-1].sequence + 1
         return CacheEventPage(events=events, next=following)
--- /dev/null
+++ b/tests/admission/engine_reports/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the reports of engines and applications."""
--- /dev/null
+++ b/tests/admission/engine_reports/test_server_state.py
@@ -0,0 +1,103 @@
+"""What load reports change in the limit of a backend server."""
+
+import pytest
+
+from pollenloom.admission.engine_reports.load_report import LoadReport
+from pollenloom.admission.server_ramp import ServerAnswer, ServerRamp
+from pollenloom.admission.server_state import Adoption, ServerState
+from pollenloom.core.backend_server import BackendServer
+from pollenloom.core.ids import DataCentreId, ServerId, ServiceId, VersionId
+from pollenloom.core.states import Outcome
+
+SLOTS = 8
+COLD_SLOTS = 2
+
+
+@pytest.fixture
+def state() -> ServerState:
+    """A warm server."""
+    server = BackendServer(
+        server=ServerId('s1'),
+        service=ServiceId('minutes'),
+        data_centre=DataCentreId('enschede'),
+        version=VersionId('v1'),
+        address='127.0.0.1:1',
+        slots=SLOTS,
+        cold_slots=COLD_SLOTS,
+    )
+    state = ServerState(
+        server, ServerRamp(SLOTS, COLD_SLOTS), Adoption(set(), 0)
+    )
+    serve(state, 0, 6)
+    assert state.free(1) == SLOTS
+    return state
+
+
+def serve(state: ServerState, now: float, answers: int) -> None:
+    answer = ServerAnswer(
+        outcome=Outcome.SERVED,
+        granted_at=now,
+        first_byte_seconds=0.01,
+    )
+    for _ in range(answers):
+        state.ramp.record(answer, now)
+
+
+def test_reported_cold_start_lowers_the_limit(state: ServerState) -> None:
+    """Guards against full load on a server that turned cold unseen."""
+    state.take_report(LoadReport(running=0, cold=True), 9.5, 10)
+    assert state.free(10) == COLD_SLOTS
+    serve(state, 10.1, 6)
+    assert state.free(10.2) == SLOTS
+    # Right at 10.0, before the answers that proved the server warm.
+    state.take_report(LoadReport(running=0, cold=True), 10.0, 11)
+    assert state.free(11) == SLOTS
+
+
+def test_reported_leaving_ends_grants(state: ServerState) -> None:
+    """Guards against new work on a leaving server, and for ever after."""
+    state.take_report(LoadReport(running=0, leaving=True), 9.5, 10)
+    assert state.free(10) == 0
+    state.take_report(LoadReport(running=0), 9.0, 11)
+    assert state.free(11) == 0
+    state.take_report(LoadReport(running=0), 11.5, 12)
+    assert state.free(12) == SLOTS
+
+
+def test_unknown_requests_count(state: ServerState) -> None:
+    """Guards against overload by requests of routers that nobody knows."""
+    state.hold()
+    state.hold()
+    state.take_report(LoadReport(running=4, waiting=1), 9.5, 10)
+    assert state.free(10) == SLOTS - 2 - 3
+    # The report still shows requests that have ended since.
+    state.in_flight = 0
+    state.take_report(LoadReport(running=2), 10.5, 11)
+    assert state.free(11) == SLOTS
+    state.take_report(LoadReport(running=7), 11.5, 12)
+    assert state.free(12) < SLOTS
+    # Without reports the count becomes void.
+    assert state.free(16) == SLOTS
+
+
+def test_silent_failing_server_gets_one_probe(state: ServerState) -> None:
+    """Guards against full load on a server that answers nothing."""
+    state.reports.miss()
+    state.reports.miss()
+    assert state.free(10) == SLOTS
+    state.ramp.record(ServerAnswer(outcome=Outcome.FAILED, granted_at=10), 10)
+    assert state.free(10) == 1
+    state.hold()
+    assert state.free(10) == 0
+    state.in_flight = 0
+    state.take_report(LoadReport(running=0), 10, 11)
+    assert state.free(11) == SLOTS
+
+
+def test_lost_fencing_number_clears_beliefs(state: ServerState) -> None:
+    """Guards against belief in the cache of a restarted engine."""
+    state.beliefs.predict((1,), 1)
+    state.take_report(LoadReport(running=0, highest_fencing_number=4), 1, 1)
+    assert state.beliefs.believes(1, 2)
+    state.take_report(LoadReport(running=0), 2, 2)
+    assert not state.beliefs.believes(1, 2)
--- a/tests/admission/fake_fleet.py
+++ b/tests/admission/fake_fleet.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import ExitStack
 from dataclasses import dataclass, field, replace
 
@@ -25,6 +25,7 @@
 )
 from pollenloom.core.states import Outcome, Resource
 from pollenloom.kernel.kernel import Kernel
+from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.membership.member import Member
 from pollenloom.settings.router_settings import (
     AdmissionSettings,
@@ -131,13 +132,14 @@
         slots: int = 4,
         cold_slots: int = 4,
         version: str = 'v1',
+        address: str = '127.0.0.1:1',
     ) -> FakeEngine:
         server = BackendServer(
             server=ServerId(name),
             service=SERVICE,
             data_centre=data_centre,
             version=VersionId(version),
-            address='127.0.0.1:1',
+            address=address,
             slots=slots,
             cold_slots=cold_slots,
         )
@@ -150,6 +152,7 @@
         self,
         name: str,
         data_centre: DataCentreId = ENSCHEDE,
+        services: Sequence[KernelService] = (),
     ) -> FakeRouter:
         vm = VmId(name)
         entry = member(vm, data_centre)
@@ -159,6 +162,8 @@
         kernel.register(peers)
         kernel.register(membership)
         kernel.register(self.configuration)
+        for service in services:
+            kernel.register(service)
         admission = make_admission(
             kernel, make_settings(vm, data_centre, self.admission)
         )
