--- a/src/pollenloom/admission/demand_sender.py
+++ b/src/pollenloom/admission/demand_sender.py
@@ -24,7 +24,9 @@
 # Keeps the repeated demand at an owner below 200 messages/s.
 REPEAT_SECONDS_PER_ROUTER = 0.005
 RESEND_SECONDS = 2.0
-PREFIXES_SENT = 4
+# Chunks of the prefixes that owners are told. Prompts that share a prefix
+# have these in common however long the rest of each is.
+SENT_LENGTHS = (1, 2, 4, 8, 16)
 
 
 class DemandSender:
@@ -174,6 +176,13 @@
             yield AccountDemand(account, len(waiting), heads(waiting, now))
 
 
+def sent_prefixes(hashes: tuple[int, ...]) -> tuple[int, ...]:
+    """Return the prefixes that an owner is told, longest last."""
+    return tuple(
+        hashes[length - 1] for length in SENT_LENGTHS if length <= len(hashes)
+    )
+
+
 def heads(
     waiting: Sequence[WaitingRequest],
     now: float,
@@ -184,7 +193,7 @@
             hint=request.ticket.cost_hint,
             age=now - request.since,
             retry=request.ticket.retry,
-            prefixes=request.ticket.prefix_hashes[-PREFIXES_SENT:],
+            prefixes=sent_prefixes(request.ticket.prefix_hashes),
             excluded=tuple(sorted(request.ticket.excluded)),
         )
         for request in waiting[:COUNT_SHOWN]
--- /dev/null
+++ b/src/pollenloom_standins/affinity/__init__.py
@@ -0,0 +1,1 @@
+"""Measures what cached prefixes are worth to callers."""
--- a/src/pollenloom_standins/backend/run_history.py
+++ b/src/pollenloom_standins/backend/run_history.py
@@ -37,6 +37,8 @@
         tokens: Tokens generated; 0 for an application.
         cold: Whether the server was cold when it started.
         running: Requests in progress when it started, with this one.
+        prompt_tokens: Tokens of the prompt; 0 for an application.
+        uncached_tokens: Prompt tokens that were not in the cache.
     """
 
     request_id: str
@@ -49,6 +51,8 @@
     tokens: int = 0
     cold: bool = False
     running: int = 0
+    prompt_tokens: int = 0
+    uncached_tokens: float = 0
 
     def end(self, outcome: RunOutcome, wall: float) -> None:
         """Set the end, unless an injected fault has set it before."""
--- a/src/pollenloom_standins/engine/engine_service.py
+++ b/src/pollenloom_standins/engine/engine_service.py
@@ -107,13 +107,11 @@
     async def prefill(self, call: 'Call', completion: Completion) -> None:
         """Process the prompt; cached prefixes take no time."""
         hashes = read_prefix_hashes(call.request)
-        uncached = 1 - self.cache.cached_share(hashes)
-        seconds = (
-            completion.tokens.prompt_tokens
-            * uncached
-            * self.engine.prefill_token_seconds
-        )
-        await self.spend(call, seconds)
+        prompt_tokens = completion.tokens.prompt_tokens
+        uncached = prompt_tokens * (1 - self.cache.cached_share(hashes))
+        call.record.prompt_tokens = prompt_tokens
+        call.record.uncached_tokens = uncached
+        await self.spend(call, uncached * self.engine.prefill_token_seconds)
         change = self.cache.store(hashes)
         self.cache_events.add(change, self.clock.monotonic())
 
