--- a/src/pollenloom/admission/engine_reports/prefix_beliefs.py
+++ b/src/pollenloom/admission/engine_reports/prefix_beliefs.py
@@ -58,6 +58,7 @@
             self.observe(event, now)
         if page.next < self.next_sequence:
             self.restart(page.next)
+        self.skip_to(page.next, now)
         self.expire(now)
 
     def observe(self, event: CacheEvent, now: float) -> None:
@@ -67,8 +68,7 @@
         """
         if event.sequence < self.next_sequence:
             self.restart(event.sequence)
-        if event.sequence > self.next_sequence and self.doubted_at is None:
-            self.doubted_at = now
+        self.skip_to(event.sequence, now)
         self.next_sequence = event.sequence + 1
         self.has_events = True
         for prefix in event.hashes:
@@ -77,6 +77,12 @@
             else:
                 self.beliefs.pop(prefix, None)
 
+    def skip_to(self, sequence: int, now: float) -> None:
+        """Doubt all beliefs if events before a number are missing."""
+        if sequence > self.next_sequence and self.doubted_at is None:
+            self.doubted_at = now
+        self.next_sequence = max(self.next_sequence, sequence)
+
     def note(self, prefix: int, now: float, *, is_fact: bool) -> None:
         """Make a belief the most recent one; drop the oldest above the limit.
 
--- a/tests/admission/engine_reports/test_prefix_beliefs.py
+++ b/tests/admission/engine_reports/test_prefix_beliefs.py
@@ -111,6 +111,15 @@
     assert set(beliefs.beliefs) == {2, 3}
 
 
+def test_gap_at_the_end_of_a_page(beliefs: PrefixBeliefs) -> None:
+    """Guards against a lost eviction that no later event reveals."""
+    beliefs.observe(stored(0, 1), 0)
+    beliefs.read(CacheEventPage(events=(), next=4), 1)
+    beliefs.expire(1 + GAP_SECONDS)
+    assert not beliefs.beliefs
+    assert beliefs.next_sequence == 4
+
+
 def test_unconfirmed_prediction_expires(beliefs: PrefixBeliefs) -> None:
     """Guards against belief in the prompt of a request that never ran."""
     beliefs.predict((1, 2), 0)
