Don't take uncached prompts for a cold start

With cached prefixes the baseline of the first byte follows the fast answers, so that prompts that are not cached looked like a cold start and the limit fell to cold_slots again and again.

A load report that says "not cold" and is from after the fall now makes the latency that the server had the usual one. Reports from before the fall change nothing, and a reported cold start still lowers the limit.

Run: tests of admission, dispatch, the engine stand-in, moves and scripts.

--- a/src/pollenloom/admission/server_ramp.py
+++ b/src/pollenloom/admission/server_ramp.py
@@ -70,6 +70,9 @@
         self.closed_until = float('-inf')
         self.failed_probes = 0
         self.risen_at = float('-inf')
+        self.slowed_at = float('inf')
+        # Latency that the server had while it reported to be warm.
+        self.warm_latency: float = 0
 
     @property
     def failed_last(self) -> bool:
@@ -140,6 +143,8 @@
             return
         if self.is_slow():
             self.fall(now)
+            # Reports are late: each later fall would outdate the next one.
+            self.slowed_at = min(self.slowed_at, now)
             return
         self.failed_probes = 0
         self.good_answers += 1
@@ -167,8 +172,20 @@
         """Whether the first byte comes much later than from a warm server."""
         if self.baseline is None or self.latency is None:
             return False
-        margin = self.baseline + COLD_MARGIN_SECONDS
-        return self.latency > max(COLD_FACTOR * self.baseline, margin)
+        usual = max(self.baseline, self.warm_latency)
+        margin = usual + COLD_MARGIN_SECONDS
+        return self.latency > max(COLD_FACTOR * usual, margin)
+
+    def confirm_warm(self, at: float) -> None:
+        """Take the latency as usual if a server is slow but not cold.
+
+        Prompts that are not cached take many times longer than cached ones,
+        which looks like a cold start. Only a report from after the fall tells
+        the two apart.
+        """
+        if at > self.slowed_at and self.latency is not None:
+            self.warm_latency = max(self.warm_latency, self.latency)
+            self.slowed_at = float('inf')
 
     def turn_cold(self, now: float) -> None:
         """Fall back since the server reports that it is cold."""
--- a/src/pollenloom/admission/server_state.py
+++ b/src/pollenloom/admission/server_state.py
@@ -84,5 +84,7 @@
         if self.reports.restarts > restarts:
             self.beliefs.restart()
         # Settlements after the report have shown that the server is warm.
-        if report.cold and at > self.ramp.risen_at:
+        if not report.cold:
+            self.ramp.confirm_warm(at)
+        elif at > self.ramp.risen_at:
             self.ramp.turn_cold(now)
--- a/tests/admission/engine_reports/test_server_state.py
+++ b/tests/admission/engine_reports/test_server_state.py
@@ -33,11 +33,16 @@
     return state
 
 
-def serve(state: ServerState, now: float, answers: int) -> None:
+def serve(
+    state: ServerState,
+    now: float,
+    answers: int,
+    seconds: float = 0.01,
+) -> None:
     answer = ServerAnswer(
         outcome=Outcome.SERVED,
         granted_at=now,
-        first_byte_seconds=0.01,
+        first_byte_seconds=seconds,
     )
     for _ in range(answers):
         state.ramp.record(answer, now)
@@ -54,6 +59,20 @@
     assert state.free(11) == SLOTS
 
 
+def test_uncached_prompts_are_no_cold_start(state: ServerState) -> None:
+    """Guards against lost capacity after cached prompts, which are fast."""
+    serve(state, 2, 2, seconds=0.5)
+    assert state.free(2) == COLD_SLOTS
+    # From before the fall: the server may have turned cold since.
+    state.take_report(LoadReport(running=0), 1.5, 2.5)
+    # Falls again, after the time of the next report.
+    serve(state, 3.2, 8, seconds=0.5)
+    assert state.free(3.2) == COLD_SLOTS
+    state.take_report(LoadReport(running=0), 3, 3.5)
+    serve(state, 3.6, 8, seconds=0.5)
+    assert state.free(3.6) == SLOTS
+
+
 def test_reported_leaving_ends_grants(state: ServerState) -> None:
     """Guards against new work on a leaving server, and for ever after."""
     state.take_report(LoadReport(running=0, leaving=True), 9.5, 10)
