Put the VM list before the first router starts

Cause: the fleet started its first router beside the backend servers, to start faster. Routers were ready with a VM list without servers, and the demonstration's first call was refused: no server of answers may get it.

Change: publish and start the backend servers together, then put the VM list, then start the routers.

Run: tests/standins/test_demo.py failed before and passes. The measurements were made with the order before; their load starts 3 s after the routers are ready. They were not repeated.

--- a/src/pollenloom_standins/fleet/fleet.py
+++ b/src/pollenloom_standins/fleet/fleet.py
@@ -94,12 +94,15 @@
     async def start(self) -> None:
         """Start the stand-ins, the routers, and publish."""
         await self.platform.start()
-        first, *others = self.plan.routers
         await asyncio.gather(
             self.operator.publish(self.platform_url, *self.plan.directories),
-            self.start_router(first),
             *(self.start_backend(backend) for backend in self.plan.backends),
         )
+        # A router that starts before its first VM list is complete is ready,
+        # but has no servers until it reads the list again.
+        await self.put_vm_list()
+        first, *others = self.plan.routers
+        await self.start_router(first)
         await asyncio.gather(*(self.start_router(plan) for plan in others))
         await self.put_vm_list()
         await self.wait_until_ready()
