--- a/tests/console/test_one_binary.py
+++ b/tests/console/test_one_binary.py
@@ -122,17 +122,32 @@
         [binary, 'router', '--settings', settings],
         env=bare_environment,
         stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
         text=True,
     ) as process:
         yield process
         process.kill()
 
 
-def test_router_runs_in_one_process(router: subprocess.Popen[str]) -> None:
+async def test_router_runs_in_one_process(
+    router: subprocess.Popen[str],
+) -> None:
     """Guards against child processes, io_uring and shared memory."""
     assert router.stdout is not None
-    assert json.loads(router.stdout.readline())['ready']['vm'] == 'vm-1'
+    assert router.stderr is not None
+    ready = json.loads(router.stdout.readline())['ready']
+    assert ready['vm'] == 'vm-1'
     assert_within_runtime_limits(router.pid)
+    # Without a platform it waits, is alive and says why it is not ready.
+    lines = map(json.loads, router.stderr)
+    told = next(line for line in lines if 'platform' in line['event'])
+    assert told['event'] == 'platform_unreachable'
+    assert 'GET /log' in told['fields']['reason']
+    async with aiohttp.ClientSession(f'http://{ready["operators"]}') as session:
+        assert (await session.get('/healthz')).status == 200
+        readiness = await session.get('/readyz')
+        assert readiness.status == 503
+        assert 'no configuration' in (await readiness.json())['state']
     router.terminate()
     assert router.wait(TIMEOUT_SECONDS) == 0
 
