--- a/src/pollenloom/frontend/request_reader.py
+++ b/src/pollenloom/frontend/request_reader.py
@@ -79,7 +79,10 @@
     service = context.configuration.services.get(ServiceId(body.model))
     if service is None or service.resource is not Resource.MODEL:
         return Error(
-            Failure(ErrorKind.UNKNOWN_MODEL, 'no service offers this model')
+            Failure(
+                ErrorKind.UNKNOWN_MODEL,
+                'no service offers this model; GET /v1/models lists them',
+            )
         )
     prompt = body.prompt()
     draft = CallerRequest(
