--- a/src/pollenloom/admission/engine_reports/http_engine_reports.py
+++ b/src/pollenloom/admission/engine_reports/http_engine_reports.py
@@ -15,6 +15,7 @@
 from pollenloom.core.failure import Failure
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.settings.router_settings import RouterSettings
+from pollenloom.transport.shielded_connector import ShieldedConnector
 
 CALL_SECONDS: Final = 1.0
 # 10,000 events with 16 hashes each, which a new owner reads once.
@@ -38,6 +39,7 @@
     async def start(self) -> None:
         """Open the session that all polls share."""
         self.session = aiohttp.ClientSession(
+            connector=ShieldedConnector(),
             timeout=aiohttp.ClientTimeout(total=CALL_SECONDS),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
--- a/src/pollenloom/admission/engine_reports/report_readers.py
+++ b/src/pollenloom/admission/engine_reports/report_readers.py
@@ -55,12 +55,15 @@
             for pool, allocator in self.owners.allocators.items()
             for server in allocator.servers.servers
         }
-        for gone in self.tasks.keys() - owned:
-            self.tasks.pop(gone).cancel()
+        # A task ends by itself when its server leaves the pool. It is not
+        # cancelled: routers whose connection attempts were cancelled here
+        # stopped handling any event (uvloop 0.22.1, aiohttp 3.14).
+        for key in tuple(self.tasks):
+            if self.tasks[key].done():
+                self.tasks.pop(key)
         for pool, server in sorted(owned):
-            # A task ends by itself when its server leaves the pool.
             task = self.tasks.get((pool, server))
-            if task is None or task.done():
+            if task is None:
                 self.tasks[pool, server] = self.kernel.spawn(
                     f'reports of {server}',
                     self.follow(source, pool, server),
--- a/src/pollenloom/dispatch/http_backend_client.py
+++ b/src/pollenloom/dispatch/http_backend_client.py
@@ -29,6 +29,7 @@
 from pollenloom.dispatch.traced_response import TracedResponse
 from pollenloom.kernel.clock import Clock
 from pollenloom.settings.router_settings import DispatchSettings
+from pollenloom.transport.shielded_connector import ShieldedConnector
 
 EVENT_STREAM: Final = 'text/event-stream'
 MAX_ANSWER_BYTES: Final = 16_777_216
@@ -174,7 +175,7 @@
         trace.on_connection_create_end.append(note_connection)
         trace.on_connection_reuseconn.append(note_connection)
         session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=not reuse),
+            connector=ShieldedConnector(force_close=not reuse),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=SET_BY_CALLERS,
--- a/src/pollenloom/observability/event_name.py
+++ b/src/pollenloom/observability/event_name.py
@@ -24,7 +24,7 @@
             request: verdict, key.
         ORDER_CONCLUSION_LOST: The outcome of an order could not be written
             to the log; repeats are answered "unknown". Subject idempotency
-            key: no fields.
+            key: reason.
         CONFIGURATION_IN_FORCE: This router uses a new configuration. Subject
             publish: revision, publisher.
         PUBLISH_ACCEPTED: The log accepted a publish. Subject publish:
--- a/src/pollenloom/platform/http_platform.py
+++ b/src/pollenloom/platform/http_platform.py
@@ -13,6 +13,7 @@
 from pollenloom.platform.log_page import LogPage
 from pollenloom.platform.platform import Platform
 from pollenloom.platform.vm_entry import VmList
+from pollenloom.transport.shielded_connector import ShieldedConnector
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -61,7 +62,10 @@
 
     async def start(self) -> None:
         """Open the HTTP session; the platform need not be up."""
-        self.opened_session = aiohttp.ClientSession(timeout=self.timeout)
+        self.opened_session = aiohttp.ClientSession(
+            connector=ShieldedConnector(),
+            timeout=self.timeout,
+        )
 
     async def stop(self) -> None:
         """Close the HTTP session."""
--- /dev/null
+++ b/src/pollenloom/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to other processes, beyond what the libraries do."""
--- /dev/null
+++ b/src/pollenloom/transport/shielded_connector.py
@@ -0,0 +1,46 @@
+"""HTTP connector whose connection attempts are not cancelled half-way."""
+
+import asyncio
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+Connection = tuple[asyncio.Transport, ResponseHandler]
+
+
+class ShieldedConnector(aiohttp.TCPConnector):
+    """Lets an attempt end by itself when its request is cancelled.
+
+    A cancelled attempt closes its socket although uvloop 0.22.1 already has a
+    transport on it. The descriptor is closed twice; if it was reused between,
+    libuv aborts the process (soak seed 611).
+    """
+
+    def __init__(self, *, limit: int = 0, force_close: bool = False) -> None:
+        super().__init__(limit=limit, force_close=force_close)
+        self.attempts: set[asyncio.Task[Connection]] = set()
+
+    async def _wrap_create_connection(
+        self,
+        *args: Any,
+        **kwargs: Any,
+    ) -> Connection:
+        attempt = asyncio.ensure_future(
+            super()._wrap_create_connection(*args, **kwargs),
+        )
+        self.attempts.add(attempt)
+        attempt.add_done_callback(self.attempts.discard)
+        try:
+            return await asyncio.shield(attempt)
+        except asyncio.CancelledError:
+            attempt.add_done_callback(close_unused)
+            raise
+
+
+def close_unused(attempt: asyncio.Task[Connection]) -> None:
+    """Close a connection that nobody waits for any more."""
+    if attempt.cancelled() or attempt.exception() is not None:
+        return
+    transport, _ = attempt.result()
+    transport.abort()
--- a/tests/orders/test_claim_desk.py
+++ b/tests/orders/test_claim_desk.py
@@ -59,3 +59,15 @@
 async def test_new_order_is_told_not_run(desk: ClaimDesk) -> None:
     """Guards against an outage that leaves callers in doubt."""
     assert await claim_again(desk) is ClaimVerdict.UNAVAILABLE
+
+
+async def test_restarted_desk_does_not_vouch_for_a_key(desk: ClaimDesk) -> None:
+    """Guards against "not run" from a desk that has read nothing yet.
+
+    Soak seed 307: a router restarted during an outage, and a repeat of an
+    order that had run was told that it was not.
+    """
+    tail: Any = SimpleNamespace(caught_up=False, earliest_retained_at=None)
+    desk.tail = tail
+    error = VERDICT_ERRORS[await claim_again(desk)]
+    assert ERROR_ANSWERS[error].run is RunStatus.UNKNOWN
--- /dev/null
+++ b/tests/transport/test_shielded_connector.py
@@ -0,0 +1,59 @@
+"""Cancelled requests on the event loop of a router."""
+
+import asyncio
+import random
+from typing import Any
+
+import pytest
+from aiohttp import ClientSession, web
+
+from pollenloom.transport.shielded_connector import ShieldedConnector
+
+ROUNDS = 600
+REQUESTS = 6
+MOST_STEPS = 12
+
+
+@pytest.fixture
+def faults() -> list[dict[str, Any]]:
+    """What the event loop reported as unhandled."""
+    return []
+
+
+async def serve() -> tuple[web.AppRunner, str]:
+    async def answer(request: web.Request) -> web.Response:
+        await request.read()
+        return web.Response(text='ok')
+
+    application = web.Application()
+    application.router.add_get('/', answer)
+    runner = web.AppRunner(application)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    host, port = runner.addresses[0][:2]
+    return runner, f'http://{host}:{port}/'
+
+
+async def test_cancelled_attempts_close_their_socket_once(
+    faults: list[dict[str, Any]],
+) -> None:
+    """Guards against descriptors closed twice, which abort the process."""
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: faults.append(context))
+    runner, url = await serve()
+    draw = random.Random(1)
+    async with ClientSession(connector=ShieldedConnector()) as session:
+        for _ in range(ROUNDS):
+            tasks = [
+                asyncio.ensure_future(session.get(url)) for _ in range(REQUESTS)
+            ]
+            for _ in range(draw.randrange(MOST_STEPS)):
+                await asyncio.sleep(0)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            for task in tasks:
+                if not task.cancelled() and task.exception() is None:
+                    task.result().close()
+    await runner.cleanup()
+    assert not faults
