Move the answers to orders out of the order desk

Change: order_answers.py has the functions between answers and log records. Conclusion: one job a module.

--- a/src/pollenloom/orders/order_desk.py
+++ b/src/pollenloom/orders/order_desk.py
@@ -1,7 +1,6 @@
 """Service that runs orders at most once."""
 
 import asyncio
-import hashlib
 import uuid
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Final, Self
@@ -22,6 +21,13 @@
 from pollenloom.orders.claim_desk import ClaimDesk
 from pollenloom.orders.claim_verdict import ClaimVerdict
 from pollenloom.orders.order_answer import OrderAnswer
+from pollenloom.orders.order_answers import (
+    fail,
+    fingerprint,
+    make_answer,
+    make_outcome,
+    replay,
+)
 from pollenloom.orders.order_entries import (
     OrderClaim,
     OrderOutcome,
@@ -41,7 +47,6 @@
 
 if TYPE_CHECKING:
     from pollenloom.core.caller_request import CallerRequest
-    from pollenloom.dispatch.backend_answer import BackendAnswer
     from pollenloom.kernel.kernel import Kernel
     from pollenloom.settings.router_settings import RouterSettings
 
@@ -59,7 +64,6 @@
 # During a platform outage they would use up the whole time of the shutdown;
 # without them repeats are told that the outcome is unknown.
 DRAIN_SECONDS: Final = 5.0
-MAX_RECORDED_BODY_BYTES: Final = 131_072
 
 VERDICT_ERRORS: Final = MappingProxyType(
     {
@@ -325,57 +329,3 @@
             entry.key.key if entry else '',
             reason='no order desk recorded it in time',
         )
-
-
-def fail(kind: ErrorKind, detail: str) -> Result[OrderAnswer, Failure]:
-    """Return a failure."""
-    return Error(Failure(kind, detail))
-
-
-def fingerprint(request: 'CallerRequest') -> str:
-    """Return the hash that tells a repeat from another call."""
-    digest = hashlib.sha256()
-    digest.update(f'{request.method} {request.path}\n'.encode())
-    digest.update(request.body)
-    return digest.hexdigest()
-
-
-def make_outcome(claim: OrderClaim, answer: 'BackendAnswer') -> OrderOutcome:
-    """Return the record of an answer."""
-    is_complete = len(answer.body) <= MAX_RECORDED_BODY_BYTES
-    return OrderOutcome(
-        key=claim.key,
-        claim=claim.claim,
-        known=True,
-        status=answer.status,
-        headers=dict(answer.headers),
-        body=answer.body if is_complete else b'',
-        complete=is_complete,
-    )
-
-
-def make_answer(answer: 'BackendAnswer') -> OrderAnswer:
-    """Return the answer to the call that ran the order."""
-    return OrderAnswer(
-        status=answer.status,
-        headers=dict(answer.headers),
-        body=answer.body,
-        replayed=False,
-    )
-
-
-def replay(outcome: OrderOutcome) -> Result[OrderAnswer, Failure]:
-    """Return the recorded answer to a repeat."""
-    if not outcome.complete:
-        return fail(
-            ErrorKind.ANSWER_CUT,
-            'the order was run; its answer was too large to record',
-        )
-    return Ok(
-        OrderAnswer(
-            status=outcome.status,
-            headers=outcome.headers,
-            body=outcome.body,
-            replayed=True,
-        ),
-    )
