Keep the options of peer links in one place; drop leftovers of merges

Cause: both ends of a websocket spelt out the same seven options, so that a limit could have been changed at one end only; merges left an unused service name, a key built twice for each answer of a moving service, and two comments that were no longer true. Change: link_options.py for connect and serve; the rest is removed or corrected. Behaviour is as before. Conclusion: one definition each. Left: Admission.observe_epoch has no caller in the product since load reports carry fencing numbers; a test uses it.

--- a/src/pollenloom/admission/engine_reports/report_readers.py
+++ b/src/pollenloom/admission/engine_reports/report_readers.py
@@ -40,7 +40,6 @@
         name = KernelServiceName.ENGINE_REPORTS
         if name not in kernel.services:
             return cls(kernel, None, owners)
-        # Found by its interface, which mypy does not take for `type[...]`.
         source = kernel.find(name, EngineReports)
         owners.expect_load_reports()
         return cls(kernel, source, owners)
--- a/src/pollenloom/admission/messages.py
+++ b/src/pollenloom/admission/messages.py
@@ -74,6 +74,9 @@
         server_leaving: Whether the server said that it is leaving.
         unusable: Whether requests wait but none may go to the server, or
             the router does not know the server yet.
+        route: Route of the request, evidence for version moves.
+        duration_seconds: Time to the end of the answer.
+        server_fenced: Whether the server refused the fencing number.
     """
 
     grant_id: GrantId
@@ -86,11 +89,9 @@
     first_byte_seconds: float | None = None
     server_cold: bool = False
     server_leaving: bool = False
-    # Only set while the service moves between versions.
     route: RouteId = NO_ROUTE
     duration_seconds: float | None = None
     unusable: bool = False
-    # Whether the server refused the fencing number.
     server_fenced: bool = False
 
 
--- a/src/pollenloom/kernel/kernel_service_name.py
+++ b/src/pollenloom/kernel/kernel_service_name.py
@@ -13,7 +13,6 @@
     ENGINE_REPORTS = 'engine_reports'
     EVENTS = 'events'
     FRONTEND = 'frontend'
-    LOAD = 'load'
     LOG = 'log'
     MEMBERSHIP = 'membership'
     METRICS = 'metrics'
--- a/src/pollenloom/moves/move_controller.py
+++ b/src/pollenloom/moves/move_controller.py
@@ -117,8 +117,8 @@
         service = self.configuration.current.services.get(report.service)
         if service is None or service.move is None:
             return
-        self.book(register_key(service.service, service.move), service.move)
-        self.books[register_key(service.service, service.move)].note(report)
+        key = register_key(service.service, service.move)
+        self.book(key, service.move).note(report)
 
     def records(self) -> tuple[MoveRecord, ...]:
         """Return the reports on all known moves, the latest last."""
--- a/src/pollenloom/peers/peer_connections.py
+++ b/src/pollenloom/peers/peer_connections.py
@@ -11,11 +11,9 @@
 from pollenloom.core.failure import Failure
 from pollenloom.peers.address_book import AddressBook
 from pollenloom.peers.idle_sweeper import IDLE_REASON
+from pollenloom.peers.link_options import MAX_FRAME_BYTES
 from pollenloom.peers.peer_connection import PeerConnection
-from pollenloom.peers.peer_dialler import (
-    MAX_FRAME_BYTES,
-    PeerDialler,
-)
+from pollenloom.peers.peer_dialler import PeerDialler
 from pollenloom.peers.peer_frame import FrameError
 from pollenloom.peers.peer_link import PeerLink
 from pollenloom.peers.peer_links import LinkEvent
--- a/src/pollenloom/peers/peer_dialler.py
+++ b/src/pollenloom/peers/peer_dialler.py
@@ -1,6 +1,5 @@
 """Opening of connections to other routers."""
 
-import logging
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -10,25 +9,16 @@
 
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
-from pollenloom.peers.handshake import HANDSHAKE_SECONDS, Handshake
+from pollenloom.peers.handshake import Handshake
+from pollenloom.peers.link_options import LINK_OPTIONS
 
 if TYPE_CHECKING:
     from websockets.asyncio.client import ClientConnection
 
     from pollenloom.peers.peer_identity import PeerIdentity
 
-MAX_FRAME_BYTES = 1_048_576
-# A closing peer answers at once or is lost.
-CLOSE_SECONDS = 1
-# Frames of one connection read ahead of their handling.
-READ_AHEAD_FRAMES = 64
 ANY_HOST = '0.0.0.0'
 
-# The library logs each failed connection with a traceback; the network
-# records an event instead.
-library_logger = logging.getLogger('pollenloom.websockets')
-library_logger.setLevel(logging.CRITICAL)
-
 
 @dataclass(frozen=True, slots=True)
 class DialledPeer:
@@ -82,14 +72,8 @@
         """
         return await connect(
             f'ws://{address}',
-            compression=None,
             user_agent_header=None,
             proxy=None,
-            open_timeout=HANDSHAKE_SECONDS,
-            close_timeout=CLOSE_SECONDS,
-            ping_interval=None,
-            max_size=MAX_FRAME_BYTES,
-            max_queue=READ_AHEAD_FRAMES,
-            logger=library_logger,
             local_addr=self.local_address,
+            **LINK_OPTIONS,
         )
--- a/src/pollenloom/peers/websocket_peer_network.py
+++ b/src/pollenloom/peers/websocket_peer_network.py
@@ -12,16 +12,11 @@
 from pollenloom.core.failure import Failure
 from pollenloom.core.ids import DataCentreId, VmId
 from pollenloom.peers.fleet_key import FleetKey
-from pollenloom.peers.handshake import HANDSHAKE_SECONDS, Handshake
+from pollenloom.peers.handshake import Handshake
 from pollenloom.peers.idle_sweeper import IdleSweeper
+from pollenloom.peers.link_options import LINK_OPTIONS
 from pollenloom.peers.peer_connections import PeerConnections
-from pollenloom.peers.peer_dialler import (
-    CLOSE_SECONDS,
-    MAX_FRAME_BYTES,
-    READ_AHEAD_FRAMES,
-    PeerDialler,
-    library_logger,
-)
+from pollenloom.peers.peer_dialler import PeerDialler
 from pollenloom.peers.peer_dispatcher import PeerDispatcher
 from pollenloom.peers.peer_frame import FrameKind, PeerFrame
 from pollenloom.peers.peer_identity import PeerIdentity
@@ -107,14 +102,8 @@
             self.connections.accept,
             host,
             int(port),
-            compression=None,
             server_header=None,
-            open_timeout=HANDSHAKE_SECONDS,
-            close_timeout=CLOSE_SECONDS,
-            ping_interval=None,
-            max_size=MAX_FRAME_BYTES,
-            max_queue=READ_AHEAD_FRAMES,
-            logger=library_logger,
+            **LINK_OPTIONS,
         )
         sweeper = IdleSweeper(self.vm, self.connections.connections)
         self.kernel.spawn('peer sweeper', sweeper.run())
