Move the client of the append-only log out of platform/

Cause: platform/ is to hold the adapter to the users' machines, with names, formats and calls only; the product's own log client also decides. Ruled out: a second folder beside it, which would leave two meanings of one name. Change: pollenloom.platform is pollenloom.log_service; tests follow.

--- a/src/pollenloom/configuration/backend_selection.py
+++ b/src/pollenloom/configuration/backend_selection.py
@@ -10,7 +10,7 @@
 
     from pollenloom.configuration.service_file import ServiceFile
     from pollenloom.core.ids import DataCentreId
-    from pollenloom.platform.vm_entry import VmEntry, VmList
+    from pollenloom.log_service.vm_entry import VmEntry, VmList
 
 
 def select_servers(
--- a/src/pollenloom/configuration/capacity_warnings.py
+++ b/src/pollenloom/configuration/capacity_warnings.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from pollenloom.configuration.service_file import ServiceFile
     from pollenloom.core.ids import ServiceId
-    from pollenloom.platform.vm_entry import VmList
+    from pollenloom.log_service.vm_entry import VmList
 
 
 def find_warnings(
--- a/src/pollenloom/configuration/change_follower.py
+++ b/src/pollenloom/configuration/change_follower.py
@@ -18,8 +18,8 @@
 from pollenloom.configuration.publish_outcome import PublishOutcome
 from pollenloom.configuration.register_gate import RegisterGate
 from pollenloom.core.ids import Offset
+from pollenloom.log_service.log_tail import LogTail
 from pollenloom.observability.event_log import EventLog
-from pollenloom.platform.log_tail import LogTail
 from pollenloom.validation.file_problem import render_problems
 
 Step = Callable[[], list[PublishOutcome]]
--- a/src/pollenloom/configuration/configuration_register.py
+++ b/src/pollenloom/configuration/configuration_register.py
@@ -3,8 +3,8 @@
 import zlib
 
 from pollenloom.configuration.log_entries import ConfigurationSnapshot
+from pollenloom.log_service.log_entry import decode_entry, encode_entry
 from pollenloom.membership.register_value import RegisterValue
-from pollenloom.platform.log_entry import decode_entry, encode_entry
 
 CONFIGURATION_KEY = 'configuration'
 
--- a/src/pollenloom/configuration/configuration_store.py
+++ b/src/pollenloom/configuration/configuration_store.py
@@ -34,14 +34,14 @@
 from pollenloom.core.states import DataCentreState
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.log_service.log_tail import LogTail
+from pollenloom.log_service.platform import Platform
+from pollenloom.log_service.vm_entry import VmList
+from pollenloom.log_service.vm_list_codec import VM_LIST_KEY, decode_vm_list
 from pollenloom.membership.membership import Membership
 from pollenloom.membership.register_value import RegisterValue
 from pollenloom.membership.registers import Registers
 from pollenloom.observability.event_log import EventLog
-from pollenloom.platform.log_tail import LogTail
-from pollenloom.platform.platform import Platform
-from pollenloom.platform.vm_entry import VmList
-from pollenloom.platform.vm_list_codec import VM_LIST_KEY, decode_vm_list
 
 
 class ConfigurationStore(ConfigurationService):
--- a/src/pollenloom/configuration/history_reader.py
+++ b/src/pollenloom/configuration/history_reader.py
@@ -10,10 +10,10 @@
 )
 from pollenloom.core.failure import Failure
 from pollenloom.core.ids import DataCentreId, Offset
-from pollenloom.platform.log_cursor import LogCursor
-from pollenloom.platform.log_entry import decode_entry
-from pollenloom.platform.log_page import LogPage, LogRecord
-from pollenloom.platform.platform import Platform
+from pollenloom.log_service.log_cursor import LogCursor
+from pollenloom.log_service.log_entry import decode_entry
+from pollenloom.log_service.log_page import LogPage, LogRecord
+from pollenloom.log_service.platform import Platform
 
 PAGE_RECORDS = 1000
 # Orders fill most of the log. A first window of some seconds at full rate
--- a/src/pollenloom/configuration/log_entries.py
+++ b/src/pollenloom/configuration/log_entries.py
@@ -4,7 +4,7 @@
 
 from pollenloom.core.ids import DataCentreId, Offset, PublishId, Revision, VmId
 from pollenloom.core.states import DataCentreState
-from pollenloom.platform.log_entry import LogEntry
+from pollenloom.log_service.log_entry import LogEntry
 
 
 class ConfigurationChange(
--- a/src/pollenloom/configuration/log_upkeep.py
+++ b/src/pollenloom/configuration/log_upkeep.py
@@ -24,13 +24,13 @@
 from pollenloom.core.ids import DataCentreId, Offset
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.log_service.log_entry import LogEntry, encode_entry
+from pollenloom.log_service.log_position import decode_position
+from pollenloom.log_service.log_tail import LogTail
+from pollenloom.log_service.platform import Platform
 from pollenloom.membership.membership import Membership
 from pollenloom.membership.register_value import RegisterValue
 from pollenloom.observability.event_log import EventLog
-from pollenloom.platform.log_entry import LogEntry, encode_entry
-from pollenloom.platform.log_position import decode_position
-from pollenloom.platform.log_tail import LogTail
-from pollenloom.platform.platform import Platform
 
 POSITION_PREFIX = 'log_position/'
 UPKEEP_SECONDS = 0.5
--- a/src/pollenloom/configuration/publisher.py
+++ b/src/pollenloom/configuration/publisher.py
@@ -24,8 +24,8 @@
 from pollenloom.core.failure import Failure
 from pollenloom.core.ids import PublishId, Revision
 from pollenloom.kernel.clock import Clock
-from pollenloom.platform.log_entry import encode_entry
-from pollenloom.platform.platform import Platform
+from pollenloom.log_service.log_entry import encode_entry
+from pollenloom.log_service.platform import Platform
 from pollenloom.validation.file_problem import FileProblem
 
 FIRST_PAUSE_SECONDS = 0.1
--- a/src/pollenloom/configuration/startup_loader.py
+++ b/src/pollenloom/configuration/startup_loader.py
@@ -11,9 +11,9 @@
     make_register,
 )
 from pollenloom.configuration.history_reader import HistoryReader
+from pollenloom.log_service.log_tail import LogTail
+from pollenloom.log_service.platform import Platform
 from pollenloom.membership.registers import Registers
-from pollenloom.platform.log_tail import LogTail
-from pollenloom.platform.platform import Platform
 
 RETRY_SECONDS = 1.0
 
--- a/src/pollenloom/console/platform_client.py
+++ b/src/pollenloom/console/platform_client.py
@@ -3,8 +3,8 @@
 from collections.abc import AsyncGenerator
 from contextlib import asynccontextmanager
 
-from pollenloom.platform.http_platform import HttpPlatform
-from pollenloom.platform.platform import Platform
+from pollenloom.log_service.http_platform import HttpPlatform
+from pollenloom.log_service.platform import Platform
 from pollenloom.settings.router_settings import PlatformSettings
 
 
--- a/src/pollenloom/console/service_catalogue.py
+++ b/src/pollenloom/console/service_catalogue.py
@@ -15,6 +15,8 @@
 from pollenloom.frontend.caller_server import CallerServer
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
+from pollenloom.log_service.http_platform import HttpPlatform
+from pollenloom.log_service.log_reader import LogReader
 from pollenloom.membership.gossip_membership import GossipMembership
 from pollenloom.membership.register_store import RegisterStore
 from pollenloom.moves.move_controller import MoveController
@@ -23,8 +25,6 @@
 from pollenloom.operations.operator_server import OperatorServer
 from pollenloom.orders.order_desk import OrderDesk
 from pollenloom.peers.websocket_peer_network import WebsocketPeerNetwork
-from pollenloom.platform.http_platform import HttpPlatform
-from pollenloom.platform.log_reader import LogReader
 from pollenloom.settings.router_settings import RouterSettings
 
 ServiceFactory = Callable[[Kernel, RouterSettings], KernelService]
--- a/src/pollenloom/platform/http_platform.py
+++ b/src/pollenloom/log_service/http_platform.py
@@ -10,9 +10,9 @@
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
 from pollenloom.core.ids import Offset
-from pollenloom.platform.log_page import LogPage
-from pollenloom.platform.platform import Platform
-from pollenloom.platform.vm_entry import VmList
+from pollenloom.log_service.log_page import LogPage
+from pollenloom.log_service.platform import Platform
+from pollenloom.log_service.vm_entry import VmList
 from pollenloom.transport.shielded_connector import ShieldedConnector
 
 if TYPE_CHECKING:
--- a/src/pollenloom/platform/log_cursor.py
+++ b/src/pollenloom/log_service/log_cursor.py
@@ -3,10 +3,10 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from pollenloom.core.ids import Offset
-from pollenloom.platform.retained_time import RetainedTime
+from pollenloom.log_service.retained_time import RetainedTime
 
 if TYPE_CHECKING:
-    from pollenloom.platform.log_page import LogPage, LogRecord
+    from pollenloom.log_service.log_page import LogPage, LogRecord
 
 
 class NewRecords(NamedTuple):
--- a/src/pollenloom/platform/log_reader.py
+++ b/src/pollenloom/log_service/log_reader.py
@@ -11,15 +11,15 @@
 from pollenloom.core.ids import Offset, VmId
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.log_service.log_cursor import LogCursor
+from pollenloom.log_service.log_page import LogPage
+from pollenloom.log_service.log_subscribers import LogSubscribers
+from pollenloom.log_service.log_tail import EntryT, LogTail
+from pollenloom.log_service.platform import Platform
+from pollenloom.log_service.reachability import Reachability
+from pollenloom.log_service.reader_group import ReaderGroup
+from pollenloom.log_service.vm_list_reader import VmListReader
 from pollenloom.observability.event_log import EventLog
-from pollenloom.platform.log_cursor import LogCursor
-from pollenloom.platform.log_page import LogPage
-from pollenloom.platform.log_subscribers import LogSubscribers
-from pollenloom.platform.log_tail import EntryT, LogTail
-from pollenloom.platform.platform import Platform
-from pollenloom.platform.reachability import Reachability
-from pollenloom.platform.reader_group import ReaderGroup
-from pollenloom.platform.vm_list_reader import VmListReader
 
 if TYPE_CHECKING:
     from pollenloom.settings.router_settings import PlatformSettings
--- a/src/pollenloom/platform/log_subscribers.py
+++ b/src/pollenloom/log_service/log_subscribers.py
@@ -7,8 +7,8 @@
 from absl import logging
 
 from pollenloom.core.ids import Offset
-from pollenloom.platform.log_entry import LogEntry, decode_entry
-from pollenloom.platform.log_page import LogRecord
+from pollenloom.log_service.log_entry import LogEntry, decode_entry
+from pollenloom.log_service.log_page import LogRecord
 
 Handler = Callable[[Offset, float, Any], None]
 
--- a/src/pollenloom/platform/log_tail.py
+++ b/src/pollenloom/log_service/log_tail.py
@@ -10,7 +10,7 @@
 from pollenloom.core.ids import Offset, VmId
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
-from pollenloom.platform.log_entry import LogEntry
+from pollenloom.log_service.log_entry import LogEntry
 
 EntryT = TypeVar('EntryT', bound=LogEntry)
 
--- a/src/pollenloom/platform/platform.py
+++ b/src/pollenloom/log_service/platform.py
@@ -9,8 +9,8 @@
 from pollenloom.core.ids import Offset
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
-from pollenloom.platform.log_page import LogPage
-from pollenloom.platform.vm_entry import VmList
+from pollenloom.log_service.log_page import LogPage
+from pollenloom.log_service.vm_entry import VmList
 
 
 class Platform(KernelService):
--- a/src/pollenloom/platform/reader_group.py
+++ b/src/pollenloom/log_service/reader_group.py
@@ -8,15 +8,15 @@
 from pollenloom.kernel.clock import Clock
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
-from pollenloom.membership.membership import Membership
-from pollenloom.membership.register_value import RegisterValue
-from pollenloom.membership.registers import Registers
-from pollenloom.platform.log_position import (
+from pollenloom.log_service.log_position import (
     LogPosition,
     decode_position,
     encode_position,
 )
-from pollenloom.platform.reading_duty import READERS, ReadingDuty
+from pollenloom.log_service.reading_duty import READERS, ReadingDuty
+from pollenloom.membership.membership import Membership
+from pollenloom.membership.register_value import RegisterValue
+from pollenloom.membership.registers import Registers
 
 
 class ReaderGroup:
--- a/src/pollenloom/platform/vm_list_codec.py
+++ b/src/pollenloom/log_service/vm_list_codec.py
@@ -5,7 +5,7 @@
 import cbor2
 import msgspec
 
-from pollenloom.platform.vm_entry import VmList
+from pollenloom.log_service.vm_entry import VmList
 
 VM_LIST_KEY = 'vm_list'
 
--- a/src/pollenloom/platform/vm_list_reader.py
+++ b/src/pollenloom/log_service/vm_list_reader.py
@@ -4,15 +4,15 @@
 
 from absl import logging
 
-from pollenloom.membership.register_value import RegisterValue
-from pollenloom.platform.platform import Platform
-from pollenloom.platform.reader_group import ReaderGroup
-from pollenloom.platform.vm_entry import VmList
-from pollenloom.platform.vm_list_codec import (
+from pollenloom.log_service.platform import Platform
+from pollenloom.log_service.reader_group import ReaderGroup
+from pollenloom.log_service.vm_entry import VmList
+from pollenloom.log_service.vm_list_codec import (
     VM_LIST_KEY,
     decode_vm_list,
     encode_vm_list,
 )
+from pollenloom.membership.register_value import RegisterValue
 
 VM_LIST_SECONDS = 1.0
 
--- a/src/pollenloom/membership/fleet_joiner.py
+++ b/src/pollenloom/membership/fleet_joiner.py
@@ -9,9 +9,9 @@
 
 if TYPE_CHECKING:
     from pollenloom.core.ids import VmId
+    from pollenloom.log_service.vm_entry import VmEntry
     from pollenloom.membership.member_table import MemberTable
     from pollenloom.peers.peer_links import PeerLinks
-    from pollenloom.platform.vm_entry import VmEntry
 
 ALONE_SECONDS = 0.25
 # Bounds the time until two sides find each other after a partition.
--- a/src/pollenloom/membership/gossip_membership.py
+++ b/src/pollenloom/membership/gossip_membership.py
@@ -18,7 +18,7 @@
 
 if TYPE_CHECKING:
     from pollenloom.kernel.kernel import Kernel
-    from pollenloom.platform.vm_entry import VmEntry
+    from pollenloom.log_service.vm_entry import VmEntry
     from pollenloom.settings.router_settings import RouterSettings
 
 MILLISECONDS = 1000
--- a/src/pollenloom/membership/membership.py
+++ b/src/pollenloom/membership/membership.py
@@ -7,8 +7,8 @@
 from pollenloom.core.ids import DataCentreId, VmId
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.log_service.vm_entry import VmEntry
 from pollenloom.membership.member import Member
-from pollenloom.platform.vm_entry import VmEntry
 
 
 class Membership(KernelService):
--- a/src/pollenloom/moves/move_controller.py
+++ b/src/pollenloom/moves/move_controller.py
@@ -11,6 +11,8 @@
 from pollenloom.core.ids import Offset, ServiceId, VersionId, VmId
 from pollenloom.core.states import MoveState
 from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.log_service.log_tail import LogTail
+from pollenloom.log_service.platform import Platform
 from pollenloom.membership.membership import Membership
 from pollenloom.membership.register_value import RegisterValue
 from pollenloom.membership.registers import Registers
@@ -33,8 +35,6 @@
 from pollenloom.moves.version_counts import VersionCounts
 from pollenloom.observability.event_log import EventLog
 from pollenloom.peers.peer_network import PeerNetwork
-from pollenloom.platform.log_tail import LogTail
-from pollenloom.platform.platform import Platform
 
 if TYPE_CHECKING:
     from pollenloom.configuration.move_entry import MoveEntry
--- a/src/pollenloom/moves/move_log.py
+++ b/src/pollenloom/moves/move_log.py
@@ -5,14 +5,14 @@
 
 import msgspec
 
+from pollenloom.log_service.log_entry import encode_entry
 from pollenloom.membership.register_value import RegisterValue
 from pollenloom.moves.move_messages import MoveLogEntry
 from pollenloom.moves.move_record import MoveRecord
-from pollenloom.platform.log_entry import encode_entry
 
 if TYPE_CHECKING:
+    from pollenloom.log_service.platform import Platform
     from pollenloom.membership.registers import Registers
-    from pollenloom.platform.platform import Platform
 
 RETRY_SECONDS: Final = 2.0
 
--- a/src/pollenloom/moves/move_messages.py
+++ b/src/pollenloom/moves/move_messages.py
@@ -3,10 +3,10 @@
 import msgspec
 
 from pollenloom.core.ids import RouteId
+from pollenloom.log_service.log_entry import LogEntry
 from pollenloom.moves.move_record import MoveRecord
 from pollenloom.moves.version_counts import VersionCounts
 from pollenloom.peers.peer_message import PeerMessage
-from pollenloom.platform.log_entry import LogEntry
 
 
 class RouteCounts(msgspec.Struct, frozen=True, array_like=True):
--- a/src/pollenloom/orders/claim_desk.py
+++ b/src/pollenloom/orders/claim_desk.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING, Final
 
 from pollenloom.core.ids import Offset
+from pollenloom.log_service.log_entry import decode_entry
 from pollenloom.orders.claim_decision import ClaimDecision
 from pollenloom.orders.claim_verdict import ClaimVerdict
 from pollenloom.orders.order_batcher import OrderBatcher
@@ -19,14 +20,13 @@
     ConcludeAnswer,
     ConcludeOrder,
 )
-from pollenloom.platform.log_entry import decode_entry
 
 if TYPE_CHECKING:
     from pollenloom.core.ids import VmId
     from pollenloom.kernel.kernel import Kernel
+    from pollenloom.log_service.log_tail import LogTail
+    from pollenloom.log_service.platform import Platform
     from pollenloom.membership.membership import Membership
-    from pollenloom.platform.log_tail import LogTail
-    from pollenloom.platform.platform import Platform
 
 # Records older than this are not needed although the log may keep them: it
 # bounds the memory of the index.
--- a/src/pollenloom/orders/order_batcher.py
+++ b/src/pollenloom/orders/order_batcher.py
@@ -5,19 +5,19 @@
 from typing import TYPE_CHECKING, Final
 
 from pollenloom.core.error_kind import ErrorKind
+from pollenloom.log_service.log_entry import encode_entry
 from pollenloom.orders.order_entries import (
     OrderBatch,
     OrderClaim,
     OrderOutcome,
     OrderRelease,
 )
-from pollenloom.platform.log_entry import encode_entry
 
 if TYPE_CHECKING:
     from pollenloom.kernel.kernel import Kernel
+    from pollenloom.log_service.log_tail import LogTail
+    from pollenloom.log_service.platform import Platform
     from pollenloom.orders.order_index import OrderIndex
-    from pollenloom.platform.log_tail import LogTail
-    from pollenloom.platform.platform import Platform
 
 # 5 data centres with one desk each stay below 250 appends/s at this period;
 # the platform takes several hundred.
--- a/src/pollenloom/orders/order_desk.py
+++ b/src/pollenloom/orders/order_desk.py
@@ -16,6 +16,8 @@
 from pollenloom.core.states import RunStatus
 from pollenloom.dispatch.dispatch import Dispatch
 from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.log_service.log_tail import LogTail
+from pollenloom.log_service.platform import Platform
 from pollenloom.membership.membership import Membership
 from pollenloom.observability.event_log import EventLog
 from pollenloom.orders.claim_desk import ClaimDesk
@@ -42,8 +44,6 @@
 )
 from pollenloom.orders.order_service import OrderService
 from pollenloom.peers.peer_network import PeerNetwork
-from pollenloom.platform.log_tail import LogTail
-from pollenloom.platform.platform import Platform
 
 if TYPE_CHECKING:
     from pollenloom.core.caller_request import CallerRequest
--- a/src/pollenloom/orders/order_entries.py
+++ b/src/pollenloom/orders/order_entries.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from pollenloom.core.ids import ClaimId, VmId
+from pollenloom.log_service.log_entry import LogEntry
 from pollenloom.orders.order_key import OrderKey
-from pollenloom.platform.log_entry import LogEntry
 
 
 class OrderClaim(msgspec.Struct, frozen=True, array_like=True):
--- a/src/pollenloom_standins/capacity/order_slopes.py
+++ b/src/pollenloom_standins/capacity/order_slopes.py
@@ -6,6 +6,7 @@
 import uuid_utils
 
 from pollenloom.core.ids import ClaimId, Offset, ServiceId, VmId
+from pollenloom.log_service.log_entry import decode_entry, encode_entry
 from pollenloom.orders.order_entries import (
     OrderBatch,
     OrderClaim,
@@ -13,7 +14,6 @@
 )
 from pollenloom.orders.order_index import OrderIndex
 from pollenloom.orders.order_key import OrderKey
-from pollenloom.platform.log_entry import decode_entry, encode_entry
 from pollenloom_standins.capacity.service_files import account_name
 from pollenloom_standins.capacity.slope_table import (
     SlopeTable,
--- a/src/pollenloom_standins/fleet/list_entries.py
+++ b/src/pollenloom_standins/fleet/list_entries.py
@@ -1,7 +1,7 @@
 """Entries of the platform's VM list for the VMs of a fleet."""
 
 from pollenloom.core.states import VmListState, VmRole
-from pollenloom.platform.vm_entry import VmEntry
+from pollenloom.log_service.vm_entry import VmEntry
 from pollenloom_standins.fleet.fleet_plan import BackendPlan, RouterPlan
 
 
--- a/src/pollenloom_standins/platform/platform_service.py
+++ b/src/pollenloom_standins/platform/platform_service.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from pollenloom.kernel.kernel_service_name import KernelServiceName
-from pollenloom.platform.vm_entry import VmEntry, VmList
+from pollenloom.log_service.vm_entry import VmEntry, VmList
 from pollenloom_standins.fault_draw import FaultDraw, one_less
 from pollenloom_standins.lagged_value import LaggedValue
 from pollenloom_standins.platform.platform_faults import PlatformFaults
--- a/src/pollenloom_standins/platform/record_log.py
+++ b/src/pollenloom_standins/platform/record_log.py
@@ -4,7 +4,7 @@
 from itertools import islice
 
 from pollenloom.core.ids import Offset
-from pollenloom.platform.log_page import LogPage, LogRecord
+from pollenloom.log_service.log_page import LogPage, LogRecord
 
 
 class RecordLog:
--- a/tests/configuration/test_configuration_store.py
+++ b/tests/configuration/test_configuration_store.py
@@ -24,9 +24,9 @@
 from pollenloom.core.states import DataCentreState, VmListState, VmRole
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
-from pollenloom.platform.log_entry import decode_entry, encode_entry
-from pollenloom.platform.log_reader import PAGE_RECORDS
-from pollenloom.platform.vm_entry import VmEntry, VmList
+from pollenloom.log_service.log_entry import decode_entry, encode_entry
+from pollenloom.log_service.log_reader import PAGE_RECORDS
+from pollenloom.log_service.vm_entry import VmEntry, VmList
 from tests.configuration.service_texts import NOW, service_text
 from tests.fakes.memory_membership import MemoryMembership
 from tests.fakes.memory_platform import AppendFault, MemoryPlatform
--- a/tests/configuration/test_publisher.py
+++ b/tests/configuration/test_publisher.py
@@ -22,7 +22,7 @@
 )
 from pollenloom.configuration.publisher import Publisher
 from pollenloom.core.ids import Offset
-from pollenloom.platform.log_entry import decode_entry, encode_entry
+from pollenloom.log_service.log_entry import decode_entry, encode_entry
 from tests.configuration.service_texts import NOW, service_text
 from tests.fakes.memory_platform import AppendFault, MemoryPlatform
 from tests.manual_clock import ManualClock
--- a/tests/console/test_publish_and_check.py
+++ b/tests/console/test_publish_and_check.py
@@ -11,7 +11,7 @@
 from pollenloom.console.commands import publish_command
 from pollenloom.console.exit_code import ExitCode
 from pollenloom.kernel.clock import Clock
-from pollenloom.platform.platform import Platform
+from pollenloom.log_service.platform import Platform
 from pollenloom.settings.router_settings import PlatformSettings
 from tests.configuration.service_texts import service_text
 from tests.fakes.memory_platform import AppendFault, MemoryPlatform
--- a/tests/fakes/memory_membership.py
+++ b/tests/fakes/memory_membership.py
@@ -4,9 +4,9 @@
 
 from pollenloom.core.ids import DataCentreId, VmId
 from pollenloom.core.states import MemberState
+from pollenloom.log_service.vm_entry import VmEntry
 from pollenloom.membership.member import Member
 from pollenloom.membership.membership import Membership
-from pollenloom.platform.vm_entry import VmEntry
 
 
 def make_member(vm: str, data_centre: str) -> Member:
--- a/tests/fakes/memory_platform.py
+++ b/tests/fakes/memory_platform.py
@@ -10,9 +10,9 @@
 from pollenloom.core.failure import Failure
 from pollenloom.core.ids import Offset
 from pollenloom.kernel.clock import Clock
-from pollenloom.platform.log_page import LogPage, LogRecord
-from pollenloom.platform.platform import Platform
-from pollenloom.platform.vm_entry import VmEntry, VmList
+from pollenloom.log_service.log_page import LogPage, LogRecord
+from pollenloom.log_service.platform import Platform
+from pollenloom.log_service.vm_entry import VmEntry, VmList
 
 
 class AppendFault(Enum):
--- a/tests/fakes/router.py
+++ b/tests/fakes/router.py
@@ -6,9 +6,9 @@
 
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
+from pollenloom.log_service.log_reader import LogReader
 from pollenloom.membership.member import Member
 from pollenloom.observability.event_log import EventLog
-from pollenloom.platform.log_reader import LogReader
 from tests.fakes.memory_membership import MemoryMembership, make_member
 from tests.fakes.memory_platform import MemoryPlatform
 from tests.fakes.memory_registers import MemoryRegisters
--- a/tests/platform/conftest.py
+++ b/tests/log_service/conftest.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from pollenloom.platform.http_platform import HttpPlatform
+from pollenloom.log_service.http_platform import HttpPlatform
 from pollenloom.settings.router_settings import PlatformSettings
 from pollenloom_standins.commands.platform_command import PlatformCommand
 from tests.standin_runner import RunningStandin, run_standin
--- a/tests/platform/test_http_platform.py
+++ b/tests/log_service/test_http_platform.py
@@ -7,8 +7,11 @@
 
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.ids import Offset
-from pollenloom.platform.http_platform import HttpPlatform, read_append_answer
-from pollenloom.platform.vm_entry import VmEntry
+from pollenloom.log_service.http_platform import (
+    HttpPlatform,
+    read_append_answer,
+)
+from pollenloom.log_service.vm_entry import VmEntry
 from tests.standin_runner import RunningStandin
 
 ENTRY = {
--- a/tests/platform/test_log_reader.py
+++ b/tests/log_service/test_log_reader.py
@@ -8,11 +8,11 @@
 
 from pollenloom.core.ids import DataCentreId, Offset, VmId
 from pollenloom.core.states import VmListState, VmRole
-from pollenloom.platform.log_entry import LogEntry, encode_entry
-from pollenloom.platform.reading_duty import ReadingDuty
-from pollenloom.platform.retained_time import RetainedTime
-from pollenloom.platform.vm_entry import VmEntry
-from pollenloom.platform.vm_list_codec import VM_LIST_KEY, decode_vm_list
+from pollenloom.log_service.log_entry import LogEntry, encode_entry
+from pollenloom.log_service.reading_duty import ReadingDuty
+from pollenloom.log_service.retained_time import RetainedTime
+from pollenloom.log_service.vm_entry import VmEntry
+from pollenloom.log_service.vm_list_codec import VM_LIST_KEY, decode_vm_list
 from tests.fakes.memory_platform import MemoryPlatform
 from tests.fakes.router import Fleet, Router
 from tests.manual_clock import ManualClock
--- a/tests/membership/test_gossip_membership.py
+++ b/tests/membership/test_gossip_membership.py
@@ -10,8 +10,8 @@
     VmListState,
     VmRole,
 )
+from pollenloom.log_service.vm_entry import VmEntry
 from pollenloom.membership.register_value import RegisterValue
-from pollenloom.platform.vm_entry import VmEntry
 from tests.fleet import FleetNode, eventually
 from tests.membership.conftest import PROCESS_VM, Fleet
 
