--- a/src/pollenloom/admission/local_servers.py
+++ b/src/pollenloom/admission/local_servers.py
@@ -18,6 +18,9 @@
 # prompt prefix does not keep it.
 MISS_CHANCES: Final = (0.15, 0.6)
 FURTHER_MISS_CHANCE: Final = 1.0
+# A queue that shows in the latency moves requests away from the server that
+# keeps their prefix only if it is long; else all prompts are read everywhere.
+LATENCY_WEIGHT: Final = 0.2
 # Servers by which a service goes on when all of it looks bad.
 KEPT_SHARE: Final = 0.5
 # A server that answers badly is weighed as if its answers took longer.
@@ -171,7 +174,7 @@
         penalty = PENALTY_SECONDS * health.bad / (total + 1)
         if is_bulk:
             work = (load.window.outstanding + cost) / PREFILL_RATE
-            return health.latency + work + penalty
+            return LATENCY_WEIGHT * health.latency + work + penalty
         return (health.latency + PREFILL_RATE**-1) * (1 + load.in_flight) + (
             penalty
         )
--- a/src/pollenloom/catalogue/store_census.py
+++ b/src/pollenloom/catalogue/store_census.py
@@ -22,6 +22,8 @@
 ANNOUNCE_SECONDS: Final = 8.0
 EXPIRY_SECONDS: Final = 20.0
 FIRST_RETRY_SECONDS: Final = 0.3
+# A late count of routers only makes shares too large or small for a while.
+READ_WAIT_SECONDS: Final = 8.0
 
 
 class NodeRecord(msgspec.Struct, frozen=True):
@@ -52,7 +54,12 @@
             KernelServiceName.KEYED_STORE,
             KeyedStore,
         )
-        follower = TopicFollower(self.kernel, StoreTopic.NODES, self.take)
+        follower = TopicFollower(
+            self.kernel,
+            StoreTopic.NODES,
+            self.take,
+            wait_seconds=READ_WAIT_SECONDS,
+        )
         self.kernel.spawn('census-announce', self.announce())
         self.kernel.spawn('census-read', follower.run())
 
--- a/src/pollenloom/catalogue/topic_follower.py
+++ b/src/pollenloom/catalogue/topic_follower.py
@@ -15,8 +15,8 @@
 from pollenloom.observability.event_name import EventName
 
 # A read waits this long for a record. A connection that went silent shows
-# after this time and the limit of a call.
-WAIT_SECONDS: Final = 1.0
+# after this time and the limit of a call, together three seconds.
+WAIT_SECONDS: Final = 2.0
 # Calls cost money; two reads a second bind a drain within its two seconds.
 PACE_SECONDS: Final = 0.5
 # A store that refuses is asked again after this time.
@@ -41,11 +41,13 @@
         topic: StoreTopic,
         take: Taker,
         on_regained: Callable[[float], None] | None = None,
+        wait_seconds: float = WAIT_SECONDS,
     ) -> None:
         self.kernel = kernel
         self.topic = topic
         self.take = take
         self.on_regained = on_regained
+        self.wait_seconds = wait_seconds
         self.events = kernel.find(KernelServiceName.EVENTS, EventLog)
         self.store = kernel.find(
             KernelServiceName.KEYED_STORE,
@@ -73,7 +75,11 @@
     async def follow(self, offset: Offset) -> None:
         """Read changes until some were dropped."""
         while True:
-            read = await self.store.changes(self.topic, offset, WAIT_SECONDS)
+            read = await self.store.changes(
+                self.topic,
+                offset,
+                self.wait_seconds,
+            )
             if read.is_error():
                 self.failed(read.error)
                 await asyncio.sleep(RETRY_SECONDS)
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `pollenloom.platform`."""
--- /dev/null
+++ b/tests/platform/test_configuration_codec.py
@@ -0,0 +1,91 @@
+"""The operators' configuration."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollenloom.platform.configuration_codec import decode_configuration
+from pollenloom.routing.route_kind import RouteKind
+from pollenloom.routing.routing_configuration import RoutingConfiguration
+
+ROUTE = {
+    'name': 'r-1',
+    'host': 'Shop.example',
+    'path_prefix': '/a/',
+    'route_type': 'streaming',
+    'timeout_ms': 15_000,
+    'target_latency_ms': 800,
+    'priority': 1,
+    'weighted_services': [
+        {'service': 'answers', 'weight': 90},
+        {'service': 'answers-2', 'weight': 10},
+    ],
+    'max_attempts': 2,
+    'public': False,
+    'resumable': True,
+}
+CONFIGURATION = {
+    'version': 7,
+    'routes': [
+        ROUTE,
+        {
+            **ROUTE,
+            'name': 'r-2',
+            'path_prefix': '/a/b/',
+            'route_type': 'non_idempotent',
+        },
+    ],
+    'services': [
+        {
+            'name': 'answers',
+            'max_connections': 620,
+            'cold_start_s': 3.0,
+            'cold_per_s': 14.0,
+            'engine': {'slots': 128},
+        },
+    ],
+    'limits': {'max_body_bytes': 1000, 'idle_timeout_ms': 15_000},
+    'tenants': [{'name': 'shop', 'api_keys': ['k1', 'k2'], 'priority': 1}],
+}
+
+
+@pytest.fixture
+def configuration() -> RoutingConfiguration:
+    """The decoded example."""
+    return decode_configuration(msgspec.json.encode(CONFIGURATION)).ok
+
+
+def test_longest_prefix_wins(configuration: RoutingConfiguration) -> None:
+    """Guards against a request that runs at the service of a shorter one."""
+    longer = configuration.find_route('shop.example', '/a/b/c')
+    shorter = configuration.find_route('shop.example', '/a/bc')
+    assert longer and longer.route == 'r-2'
+    assert shorter and shorter.route == 'r-1'
+    assert configuration.find_route('other.example', '/a/') is None
+
+
+def test_units_and_keys(configuration: RoutingConfiguration) -> None:
+    """Guards against milliseconds taken for seconds."""
+    route = configuration.find_route('shop.example', '/a/')
+    assert route
+    assert (route.timeout, route.objective) == (15, 0.8)
+    assert route.kind is RouteKind.STREAMING
+    assert route.is_repeatable
+    assert configuration.accounts == {'k1': 'shop', 'k2': 'shop'}
+    assert configuration.limits.idle_seconds == 15
+
+
+def test_unknown_kind_runs_at_most_once() -> None:
+    """Guards against repeating a request of a kind that came later."""
+    route = {**ROUTE, 'route_type': 'keyed'}
+    payload = msgspec.json.encode({**CONFIGURATION, 'routes': [route]})
+    found = decode_configuration(payload).ok.find_route('shop.example', '/a/')
+    assert found
+    assert not found.is_repeatable
+
+
+@given(st.binary(max_size=300))
+def test_any_bytes_are_read_or_refused(payload: bytes) -> None:
+    """Guards against a record that ends the reading task."""
+    decode_configuration(payload)
--- /dev/null
+++ b/tests/platform/test_header_dialect.py
@@ -0,0 +1,95 @@
+"""Header names of callers and servers."""
+
+import pytest
+
+from pollenloom.core.ids import AccountId, ServerId
+from pollenloom.gateway.headers import Header
+from pollenloom.gateway.raw_request import RawRequest
+from pollenloom.platform.header_dialect import HeaderDialect
+
+
+def make_request(*headers: Header) -> RawRequest:
+    """Return a request with these headers."""
+    return RawRequest(b'POST', b'/a/', headers, b'', 0, keeps_alive=True)
+
+
+@pytest.fixture
+def dialect() -> HeaderDialect:
+    """The dialect."""
+    return HeaderDialect()
+
+
+def test_key_and_claimed_account_do_not_reach_a_server(
+    dialect: HeaderDialect,
+) -> None:
+    """Guards against a key that leaks and an account that is made up."""
+    request = make_request(
+        (b'api-key', b'secret'),
+        (b'x-pollenloom-tenant', b'somebody'),
+        (b'x-pollenloom-hold', b'h'),
+        (b'kv-from', b'1.2.3.4:5/x'),
+        (b'accept', b'*/*'),
+    )
+    account = AccountId('shop')
+    headers = dialect.server_headers(request, ServerId('i-1'), account, 2, '')
+    assert (b'accept', b'*/*') in headers
+    assert (b'x-pollenloom-tenant', b'shop') in headers
+    assert (b'x-pollenloom-deadline-ms', b'2000') in headers
+    assert (b'x-pollenloom-expect-instance', b'i-1') in headers
+    names = [name for name, _ in headers]
+    assert b'api-key' not in names
+    assert b'x-pollenloom-hold' not in names
+    assert b'kv-from' not in names
+    assert names.count(b'x-pollenloom-tenant') == 1
+
+
+def test_connection_headers_end_here(dialect: HeaderDialect) -> None:
+    """Guards against a length or encoding that frames another message."""
+    request = make_request(
+        (b'connection', b'keep-alive'),
+        (b'transfer-encoding', b'chunked'),
+        (b'content-length', b'3'),
+    )
+    names = {
+        name
+        for name, _ in dialect.server_headers(
+            request, ServerId('i-1'), None, 1, ''
+        )
+    }
+    assert names == {
+        b'x-pollenloom-deadline-ms',
+        b'x-pollenloom-expect-instance',
+    }
+
+
+def test_facts(dialect: HeaderDialect) -> None:
+    """Guards against parts or token counts that are mixed up."""
+    facts = dialect.read_facts(
+        make_request(
+            (b'x-pollenloom-attempt-id', b'a1'),
+            (b'x-pollenloom-token-usage', b'1460,80'),
+            (b'x-pollenloom-prompt-prefix', b'aa:800,bb:410,cc:250'),
+            (b'x-pollenloom-deadline-ms', b'1500'),
+        )
+    )
+    assert facts.request_id == 'a1'
+    assert facts.patience == 1.5
+    assert (facts.shared_tokens, facts.own_tokens) == (1210, 250)
+    assert facts.affinity_key == 'bb'
+    assert facts.cost == 1620
+
+
+@pytest.mark.parametrize('text', [b'', b'x', b',,', b'1', b'-5,3', b'nan,1'])
+def test_odd_numbers_are_survived(
+    dialect: HeaderDialect,
+    text: bytes,
+) -> None:
+    """Guards against a header that ends the task of a connection."""
+    facts = dialect.read_facts(
+        make_request(
+            (b'x-pollenloom-token-usage', text),
+            (b'x-pollenloom-prompt-prefix', text),
+            (b'x-pollenloom-length-hint', text),
+        )
+    )
+    assert facts.prompt_tokens >= 0
--- /dev/null
+++ b/tests/routing/test_send_window.py
@@ -0,0 +1,38 @@
+"""Window of unread prompts at one server."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollenloom.routing.send_window import (
+    FIRST_WINDOW,
+    LARGEST_WINDOW,
+    SMALLEST_WINDOW,
+    SendWindow,
+)
+
+
+def test_empty_window_takes_any_request() -> None:
+    """Guards against a large prompt that is never sent."""
+    window = SendWindow()
+    assert window.has_room(10 * LARGEST_WINDOW)
+
+
+def test_late_first_byte_shrinks_the_window_once() -> None:
+    """Guards against one queue that counts many times."""
+    window = SendWindow()
+    window.observe(1, 0.4, 10)
+    window.observe(1, 0.4, 10.01)
+    assert window.limit < FIRST_WINDOW
+    assert window.limit > FIRST_WINDOW / 2
+
+
+@given(st.lists(st.tuples(st.floats(0, 5), st.floats(0, 1e5))))
+def test_limit_stays_in_its_range(steps: list[tuple[float, float]]) -> None:
+    """Guards against a window that closes or grows for ever."""
+    window = SendWindow()
+    for number, (seconds, cost) in enumerate(steps):
+        window.sent(cost)
+        window.observe(seconds, 0.4, number)
+        window.released(cost)
+        assert SMALLEST_WINDOW <= window.limit <= LARGEST_WINDOW
+        assert window.outstanding >= 0
