Tell other routers of load; keep prompts with the server that read them

Cause: each router saw only its own part of a server's queue, and a latency average moved sessions between servers: shared parts were read again. Change: datagrams with unread tokens, ten a second to eight routers; the cost of reading a shared part again counts five times against a queue.

--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -11,15 +11,16 @@
 from pollenloom.admission.grant import Grant
 from pollenloom.admission.local_backlog import WaitingTicket
 from pollenloom.admission.local_pool import LocalPool
-from pollenloom.admission.local_servers import Placement
+from pollenloom.admission.local_servers import Conditions, Placement
 from pollenloom.admission.settlement import Settlement
 from pollenloom.admission.ticket import Ticket
 from pollenloom.catalogue.catalogue import Catalogue
 from pollenloom.catalogue.fleet_census import FleetCensus
+from pollenloom.catalogue.load_exchange import LoadExchange
 from pollenloom.core.backend_server import BackendServer
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
-from pollenloom.core.ids import GrantId, PoolId, ServiceId
+from pollenloom.core.ids import GrantId, PoolId, ServerId, ServiceId
 from pollenloom.core.states import Outcome
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
@@ -62,6 +63,11 @@
             KernelServiceName.FLEET_CENSUS,
             FleetCensus,
         )
+        self.exchange = self.kernel.find(
+            KernelServiceName.LOAD_EXCHANGE,
+            LoadExchange,
+        )
+        self.exchange.own_load = self.own_load
         self.catalogue.watch(self.pump_all)
         self.kernel.spawn('admission-recheck', self.recheck())
 
@@ -125,6 +131,13 @@
             retry_after_seconds=max(SHORTEST_RETRY_SECONDS, wait),
         )
 
+    def own_load(self) -> dict[ServerId, float]:
+        """Return the prompt tokens that this router has at the servers."""
+        unread: dict[ServerId, float] = {}
+        for pool in self.pools.values():
+            unread |= pool.unread()
+        return unread
+
     def pool(self, service: ServiceId) -> LocalPool:
         """Return the pool of a service."""
         pool = self.pools.get(service)
@@ -150,9 +163,13 @@
         now = self.kernel.clock.monotonic()
         pool = self.pool(service)
         servers = self.catalogue.directory.usable(service, now)
-        rate = self.cold_rate(service, now)
+        conditions = Conditions(
+            now,
+            self.cold_rate(service, now),
+            self.exchange.fleet_unread(now),
+        )
         while pool.backlog.queues:
-            found = pool.next_placement(servers, rate, now)
+            found = pool.next_placement(servers, conditions)
             if found is None:
                 return
             waiting, placement = found
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -4,9 +4,13 @@
 from typing import Final
 
 from pollenloom.admission.local_backlog import LocalBacklog, WaitingTicket
-from pollenloom.admission.local_servers import LocalServers, Placement
+from pollenloom.admission.local_servers import (
+    Conditions,
+    LocalServers,
+    Placement,
+)
 from pollenloom.admission.ticket import Ticket
-from pollenloom.core.ids import PoolId
+from pollenloom.core.ids import PoolId, ServerId
 from pollenloom.routing.server_directory import KnownServer
 
 # Time over which the rate of sending is measured.
@@ -28,16 +32,14 @@
     def next_placement(
         self,
         servers: list[KnownServer],
-        cold_rate: float,
-        now: float,
+        conditions: Conditions,
     ) -> tuple[WaitingTicket, Placement] | None:
         """Return the next request that may be sent, with its server."""
         for waiting in self.backlog.heads():
             placement = self.servers.place(
                 waiting.ticket,
                 servers,
-                cold_rate,
-                now,
+                conditions,
             )
             if placement is not None:
                 return waiting, placement
@@ -75,3 +77,11 @@
             return False
         limit = ticket.objective * HOPE_SHARE
         return self.expected_wait(ticket, now) > limit
+
+    def unread(self) -> dict[ServerId, float]:
+        """Prompt tokens that this router has at the servers."""
+        return {
+            server: load.window.outstanding
+            for server, load in self.servers.loads.items()
+            if load.window.outstanding
+        }
--- a/src/pollenloom/admission/local_servers.py
+++ b/src/pollenloom/admission/local_servers.py
@@ -1,5 +1,6 @@
 """Choice of a backend server by what this router sees itself."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -16,11 +17,11 @@
 PREFILL_RATE: Final = 100_000.0
 # Chance that the first, the second and a further server in the rank of a
 # prompt prefix does not keep it.
-MISS_CHANCES: Final = (0.15, 0.6)
+MISS_CHANCES: Final = (0.1, 0.7)
 FURTHER_MISS_CHANCE: Final = 1.0
-# A queue that shows in the latency moves requests away from the server that
-# keeps their prefix only if it is long; else all prompts are read everywhere.
-LATENCY_WEIGHT: Final = 0.2
+# Reading a shared part again takes engine time from all other requests, so it
+# counts this many times against a shorter queue.
+REREAD_WEIGHT: Final = 5.0
 # Servers by which a service goes on when all of it looks bad.
 KEPT_SHARE: Final = 0.5
 # A server that answers badly is weighed as if its answers took longer.
@@ -37,6 +38,22 @@
     in_flight: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Conditions:
+    """What holds for all servers of a service while one is chosen.
+
+    Attributes:
+        now: Monotonic seconds.
+        cold_rate: What this router may send to a cold server, requests a
+            second; 0 for no limit.
+        fleet_unread: Prompt tokens that other routers have at the servers.
+    """
+
+    now: float
+    cold_rate: float
+    fleet_unread: Mapping[ServerId, float]
+
+
 @dataclass(frozen=True, slots=True)
 class Placement:
     """A chosen server and the cost that its window was charged."""
@@ -67,32 +84,46 @@
         self,
         ticket: Ticket,
         servers: list[KnownServer],
-        cold_rate: float,
-        now: float,
+        conditions: Conditions,
     ) -> Placement | None:
         """Return a server with room for the request, if there is one.
 
-        `cold_rate` is what this router may send to a cold server, requests a
-        second; 0 for no limit.
+        Of servers that would answer at nearly the same time, the one that
+        probably keeps the prompt's prefix is taken.
         """
-        sound = self.sound(ticket, servers, now)
-        ranking = self.ranked(ticket, sound)
+        now = conditions.now
         best: Placement | None = None
         best_score = float('inf')
+        ranking = self.ranked(ticket, self.sound(ticket, servers, now))
         for rank, known in enumerate(ranking):
             load = self.load(known.entry.server, now)
             cost = self.expected_cost(ticket, rank)
-            is_cold = known.is_cold(now) and cold_rate > 0
-            if is_cold and not load.gate.may_send(cold_rate, now):
+            if not self.may_send(load, known, cost, conditions):
                 continue
-            if not self.has_room(load, known, cost):
-                continue
-            score = self.score(load, cost, now, is_bulk=cost > 1)
+            reread = self.miss_chance(rank) * ticket.shared_tokens
+            score = self.score(load, known, cost, conditions)
+            score += REREAD_WEIGHT * reread / PREFILL_RATE
             if score < best_score:
                 best = Placement(known, cost)
                 best_score = score
         return best
 
+    def may_send(
+        self,
+        load: ServerLoad,
+        known: KnownServer,
+        cost: float,
+        conditions: Conditions,
+    ) -> bool:
+        """Whether a server has room and, if it is cold, bears it."""
+        now = conditions.now
+        rate = conditions.cold_rate
+        is_cold = rate > 0 and known.is_cold(now)
+        if is_cold and not load.gate.may_send(rate, now):
+            return False
+        is_free = load.in_flight < known.entry.slots
+        return is_free and load.window.has_room(cost)
+
     def sound(
         self,
         ticket: Ticket,
@@ -142,39 +173,29 @@
         """Tokens that a server of that rank has to read."""
         if not ticket.prefix_hashes:
             return max(1, ticket.prompt_tokens)
-        chance = (
-            MISS_CHANCES[rank]
-            if rank < len(MISS_CHANCES)
-            else FURTHER_MISS_CHANCE
-        )
         own = max(1, ticket.prompt_tokens - ticket.shared_tokens)
-        return own + chance * ticket.shared_tokens
+        return own + self.miss_chance(rank) * ticket.shared_tokens
 
-    def has_room(
-        self,
-        load: ServerLoad,
-        known: KnownServer,
-        cost: float,
-    ) -> bool:
-        """Whether the server's slots and window take one more request."""
-        return load.in_flight < known.entry.slots and load.window.has_room(cost)
+    def miss_chance(self, rank: int) -> float:
+        """Chance that a server of that rank does not keep the prefix."""
+        if rank < len(MISS_CHANCES):
+            return MISS_CHANCES[rank]
+        return FURTHER_MISS_CHANCE
 
     def score(
         self,
         load: ServerLoad,
+        known: KnownServer,
         cost: float,
-        now: float,
-        *,
-        is_bulk: bool,
+        conditions: Conditions,
     ) -> float:
         """Expected time to the first byte in seconds; the least wins."""
         health = load.health
-        health.decay(now)
+        health.decay(conditions.now)
         total = health.good + health.bad
         penalty = PENALTY_SECONDS * health.bad / (total + 1)
-        if is_bulk:
-            work = (load.window.outstanding + cost) / PREFILL_RATE
-            return LATENCY_WEIGHT * health.latency + work + penalty
-        return (health.latency + PREFILL_RATE**-1) * (1 + load.in_flight) + (
-            penalty
-        )
+        if cost <= 1:
+            return health.latency * (1 + load.in_flight) + penalty
+        unread = load.window.outstanding + cost
+        unread += conditions.fleet_unread.get(known.entry.server, 0)
+        return unread / PREFILL_RATE + penalty
--- a/src/pollenloom/catalogue/fleet_census.py
+++ b/src/pollenloom/catalogue/fleet_census.py
@@ -15,3 +15,7 @@
     @abstractmethod
     def size(self, now: float) -> int:
         """Routers that are taken to run at `now`; at least one."""
+
+    @abstractmethod
+    def peers(self) -> tuple[str, ...]:
+        """Addresses at which the other routers hear of load."""
--- /dev/null
+++ b/src/pollenloom/catalogue/load_exchange.py
@@ -0,0 +1,116 @@
+"""Tells other routers of the own load by datagrams, several times a second."""
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping
+from typing import ClassVar, Final, cast
+
+import cbor2
+import msgspec
+from absl import logging
+
+from pollenloom.catalogue.fleet_census import FleetCensus
+from pollenloom.core.ids import ServerId, VmId
+from pollenloom.kernel.kernel import Kernel
+from pollenloom.kernel.kernel_service import KernelService
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.routing.load_table import LoadReport, LoadTable
+from pollenloom.settings.node_settings import NodeSettings
+
+TELL_SECONDS: Final = 0.1
+# A router tells this many others at a time, whatever the size of the fleet.
+FAN_OUT: Final = 8
+LARGEST_DATAGRAM: Final = 16_384
+
+OwnLoad = Callable[[], Mapping[ServerId, float]]
+
+
+class LoadMessage(msgspec.Struct, frozen=True):
+    """One datagram.
+
+    Attributes:
+        router: Who sends it.
+        unread: Prompt tokens by server; servers with none are left out.
+    """
+
+    router: VmId
+    unread: dict[ServerId, float]
+
+
+class LoadExchange(KernelService, asyncio.DatagramProtocol):
+    """Sends and takes load reports.
+
+    A lost datagram is replaced by the next one, so nothing is confirmed and
+    a silent router holds nothing up.
+    """
+
+    name: ClassVar[KernelServiceName] = KernelServiceName.LOAD_EXCHANGE
+
+    def __init__(self, kernel: Kernel, settings: NodeSettings) -> None:
+        self.kernel = kernel
+        self.vm = settings.vm
+        self.address = settings.listen.peers
+        self.table = LoadTable()
+        self.own_load: OwnLoad = dict
+        self.choose = random.Random(settings.vm)
+        self.transport: asyncio.DatagramTransport | None = None
+
+    async def start(self) -> None:
+        """Listen and start to tell."""
+        self.census = self.kernel.find(
+            KernelServiceName.FLEET_CENSUS,
+            FleetCensus,
+        )
+        host, _, port = self.address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self,
+            local_addr=(host, int(port)),
+        )
+        self.kernel.spawn('load-exchange', self.tell())
+
+    async def stop(self) -> None:
+        """Close the socket."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Note the socket."""
+        self.transport = cast('asyncio.DatagramTransport', transport)
+
+    def datagram_received(self, content: bytes, _sender: object) -> None:
+        """Take a report; what cannot be read is logged and dropped."""
+        try:
+            message = msgspec.convert(cbor2.loads(content), LoadMessage)
+        except (cbor2.CBORDecodeError, msgspec.ValidationError) as error:
+            logging.warning('load_report_rejected %r', error)
+            return
+        report = LoadReport(self.kernel.clock.monotonic(), message.unread)
+        self.table.hear(message.router, report)
+
+    def error_received(self, error: Exception) -> None:
+        """A router that is gone refuses; the census will tell."""
+        logging.debug('load_report_refused %r', error)
+
+    def fleet_unread(self, now: float) -> Mapping[ServerId, float]:
+        """Return what the other routers have at the servers."""
+        return self.table.unread(self.census.size(now), now)
+
+    async def tell(self) -> None:
+        """Send the own load again and again."""
+        while True:
+            await asyncio.sleep(TELL_SECONDS)
+            self.send(self.own_load())
+
+    def send(self, unread: Mapping[ServerId, float]) -> None:
+        """Send one report to some of the other routers."""
+        peers = self.census.peers()
+        if len(peers) > FAN_OUT:
+            peers = tuple(self.choose.sample(peers, FAN_OUT))
+        message = LoadMessage(self.vm, dict(unread))
+        content = cbor2.dumps(msgspec.to_builtins(message))
+        if self.transport is None or len(content) > LARGEST_DATAGRAM:
+            return
+        for peer in peers:
+            host, _, port = peer.rpartition(':')
+            self.transport.sendto(content, (host, int(port)))
--- a/src/pollenloom/catalogue/store_census.py
+++ b/src/pollenloom/catalogue/store_census.py
@@ -30,11 +30,11 @@
     """What a router writes about itself.
 
     Attributes:
-        callers: Address of its callers.
+        peers: Address at which it hears of the load of others.
         is_leaving: Whether it stops.
     """
 
-    callers: str
+    peers: str
     is_leaving: bool = False
 
 
@@ -45,6 +45,7 @@
         self.kernel = kernel
         self.settings = settings
         self.heard: dict[VmId, float] = {}
+        self.addresses: dict[VmId, str] = {}
         self.told_size = 0
 
     async def start(self) -> None:
@@ -73,7 +74,7 @@
 
     async def write(self, *, is_leaving: bool) -> bool:
         """Write the own record; return whether the store took it."""
-        record = NodeRecord(self.settings.listen.callers, is_leaving)
+        record = NodeRecord(self.settings.listen.peers, is_leaving)
         written = await self.store.put(
             StoreTopic.NODES,
             self.settings.vm,
@@ -103,11 +104,7 @@
         """Note routers by their records."""
         now = self.kernel.clock.monotonic()
         for record in listing.records:
-            vm = VmId(record.key)
-            if self.is_running(record.payload):
-                self.heard[vm] = now
-            else:
-                self.heard.pop(vm, None)
+            self.take_record(VmId(record.key), record.payload, now)
         if self.size(now) != self.told_size:
             self.told_size = self.size(now)
             self.events.record(
@@ -117,13 +114,27 @@
                 is_whole=is_whole,
             )
 
-    def is_running(self, payload: bytes) -> bool:
-        """Whether a record is of a router that runs."""
+    def take_record(self, vm: VmId, payload: bytes, now: float) -> None:
+        """Note one router, or forget it if it leaves or is not readable."""
         try:
             record = msgspec.json.decode(payload, type=NodeRecord)
-        except msgspec.DecodeError:
-            return False
-        return not record.is_leaving
+        except msgspec.DecodeError as error:
+            logging.warning('census_record_rejected %s: %s', vm, error)
+            record = NodeRecord('', is_leaving=True)
+        if record.is_leaving:
+            self.heard.pop(vm, None)
+            self.addresses.pop(vm, None)
+            return
+        self.heard[vm] = now
+        self.addresses[vm] = record.peers
+
+    def peers(self) -> tuple[str, ...]:
+        """Addresses of the other routers, also of such as may be gone."""
+        return tuple(
+            address
+            for vm, address in self.addresses.items()
+            if vm != self.settings.vm
+        )
 
     async def announce(self) -> None:
         """Write the own record again and again."""
--- a/src/pollenloom/console/node_process.py
+++ b/src/pollenloom/console/node_process.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 from pollenloom.admission.local_admission import LocalAdmission
+from pollenloom.catalogue.load_exchange import LoadExchange
 from pollenloom.catalogue.store_catalogue import StoreCatalogue
 from pollenloom.catalogue.store_census import StoreCensus
 from pollenloom.console.exit_code import ExitCode
@@ -45,6 +46,7 @@
         StoreClient.from_config(settings.store),
         StoreCensus(kernel, settings),
         StoreCatalogue(kernel),
+        LoadExchange(kernel, settings),
         ServerLinks(kernel, dialect),
         LocalAdmission(kernel),
         Relay(kernel, dialect),
--- a/src/pollenloom/gateway/relay.py
+++ b/src/pollenloom/gateway/relay.py
@@ -1,7 +1,7 @@
 """Answers one request: routes it, sends it, and sends it again."""
 
 import asyncio
-from typing import ClassVar, Final
+from typing import TYPE_CHECKING, ClassVar, Final
 
 import xxhash
 from expression import Error, Ok, Result
@@ -21,7 +21,6 @@
 from pollenloom.gateway.dialect import Dialect
 from pollenloom.gateway.event_splitter import EventSplitter
 from pollenloom.gateway.exchange import Exchange
-from pollenloom.gateway.headers import Header
 from pollenloom.gateway.pending_call import PendingCall
 from pollenloom.gateway.raw_request import RawRequest
 from pollenloom.gateway.request_journal import RequestJournal
@@ -35,6 +34,9 @@
 from pollenloom.routing.routing_configuration import RoutingConfiguration
 from pollenloom.settings.settings_holder import SettingsHolder
 
+if TYPE_CHECKING:
+    from pollenloom.gateway.headers import Header
+
 # Servers that a request may try to connect to; nothing is sent to most.
 MOST_TRIES: Final = 4
 # Part of the fleet's retry budget that routers use up; the rest is for
@@ -286,7 +288,7 @@
             writer.channel.abort()
             return False
         failure = end.failure or Failure(ErrorKind.INTERNAL, 'no reason')
-        if call.has_run and not failure.answer.run.value == 'unknown':
+        if call.has_run and failure.answer.run.value != 'unknown':
             failure = Failure(ErrorKind.BACKEND_FAILED, failure.detail)
         await self.refuse(writer, failure)
         return writer.keeps_alive
--- a/src/pollenloom/gateway/server_links.py
+++ b/src/pollenloom/gateway/server_links.py
@@ -3,20 +3,22 @@
 import asyncio
 import socket
 from collections import defaultdict, deque
-from typing import ClassVar, Final
+from typing import TYPE_CHECKING, ClassVar, Final
 
 from expression import Error, Ok, Result
 
 from pollenloom.core.backend_server import BackendServer
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
-from pollenloom.core.ids import ServerId
 from pollenloom.gateway.dialect import Dialect
 from pollenloom.gateway.server_channel import ServerChannel
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 
+if TYPE_CHECKING:
+    from pollenloom.core.ids import ServerId
+
 # A reachable server accepts within some milliseconds; a lost packet is sent
 # again after 200 ms.
 CONNECT_SECONDS: Final = 0.5
--- a/src/pollenloom/kernel/kernel_service_name.py
+++ b/src/pollenloom/kernel/kernel_service_name.py
@@ -17,6 +17,7 @@
     FRONTEND = 'frontend'
     GATEWAY = 'gateway'
     KEYED_STORE = 'keyed_store'
+    LOAD_EXCHANGE = 'load_exchange'
     LOG = 'log'
     MEMBERSHIP = 'membership'
     METRICS = 'metrics'
--- a/src/pollenloom/settings/node_settings.py
+++ b/src/pollenloom/settings/node_settings.py
@@ -29,11 +29,13 @@
         callers: Where callers send requests.
         readiness: Where the platform's balancer asks for readiness.
         metrics: Where metrics and status are served.
+        peers: Where other routers tell of their load, by datagrams.
     """
 
     callers: str = Field(pattern=ADDRESS_PATTERN)
     readiness: str = Field(pattern=ADDRESS_PATTERN)
     metrics: str = Field(pattern=ADDRESS_PATTERN)
+    peers: str = Field(pattern=ADDRESS_PATTERN)
 
 
 class BoundSettings(SettingsSection):
--- a/tests/platform/test_configuration_codec.py
+++ b/tests/platform/test_configuration_codec.py
@@ -60,8 +60,10 @@
     """Guards against a request that runs at the service of a shorter one."""
     longer = configuration.find_route('shop.example', '/a/b/c')
     shorter = configuration.find_route('shop.example', '/a/bc')
-    assert longer and longer.route == 'r-2'
-    assert shorter and shorter.route == 'r-1'
+    assert longer
+    assert longer.route == 'r-2'
+    assert shorter
+    assert shorter.route == 'r-1'
     assert configuration.find_route('other.example', '/a/') is None
 
 
--- a/tests/platform/test_record_frames.py
+++ b/tests/platform/test_record_frames.py
@@ -1,5 +1,7 @@
 """Binary records of the store."""
 
+from itertools import starmap
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -20,7 +22,7 @@
 def test_records_come_back(pairs: list[tuple[str, bytes]], start: int) -> None:
     """Guards against keys, values or offsets that shift."""
     body = PAGE_HEAD.pack(start + len(pairs), 0)
-    body += b''.join(encode_record(key, value) for key, value in pairs)
+    body += b''.join(starmap(encode_record, pairs))
     listing = decode_page(body, Offset(start)).ok
     found = [(record.key, record.payload) for record in listing.records]
     assert found == pairs
@@ -34,7 +36,7 @@
 ) -> None:
     """Guards against half a record that is taken for a whole one."""
     body = PAGE_HEAD.pack(len(pairs), 0)
-    body += b''.join(encode_record(key, value) for key, value in pairs)
+    body += b''.join(starmap(encode_record, pairs))
     read = decode_page(body[:-cut], Offset(0))
     if read.is_ok():
         found = [(record.key, record.payload) for record in read.ok.records]
--- a/tests/platform/test_server_entry_codec.py
+++ b/tests/platform/test_server_entry_codec.py
@@ -1,6 +1,7 @@
 """Entries of backend servers, also such as other writers leave."""
 
 import msgspec
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -24,7 +25,7 @@
 def test_entry_is_read() -> None:
     """Guards against units that are mixed up."""
     entry = decode_server_entry(SERVER, msgspec.json.encode(ENTRY)).ok
-    assert entry.cold_seconds == 1.5
+    assert entry.cold_seconds == pytest.approx(1.5)
     assert entry.started_at == 1_700_000_000
     assert not entry.is_leaving
 
