Share model servers by usage over the fleet

Change: usage decays over four seconds and is told in the load reports, with the least usage that waits; a router holds accounts that are ahead of it. A server's queue is limited over the fleet, and long shared prompts wait for one of two servers.

--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -20,16 +20,17 @@
 from pollenloom.core.backend_server import BackendServer
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
-from pollenloom.core.ids import GrantId, PoolId, ServerId, ServiceId
+from pollenloom.core.ids import GrantId, PoolId, ServiceId
 from pollenloom.core.states import Outcome
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.routing.load_table import ServiceLoad
 
 GRANT_SECONDS: Final = 0.5
 # Cold servers and idle windows free up with time, without an event.
 RECHECK_SECONDS: Final = 0.05
 # A request that was let in waits this many objectives at the most.
-LONGEST_WAIT_OBJECTIVES: Final = 1.5
+LONGEST_WAIT_OBJECTIVES: Final = 0.8
 LONGEST_WAIT_SECONDS: Final = 2.0
 SHORTEST_RETRY_SECONDS: Final = 0.3
 
@@ -67,7 +68,7 @@
             KernelServiceName.LOAD_EXCHANGE,
             LoadExchange,
         )
-        self.exchange.own_load = self.own_load
+        self.exchange.own_loads = self.own_loads
         self.catalogue.watch(self.pump_all)
         self.kernel.spawn('admission-recheck', self.recheck())
 
@@ -85,7 +86,7 @@
         waiting = WaitingTicket(ticket, now)
         reply: Reply = asyncio.get_running_loop().create_future()
         self.replies[waiting] = reply
-        pool.backlog.put(waiting)
+        pool.put(waiting)
         try:
             self.pump(ticket.service)
             if reply.done():
@@ -131,18 +132,16 @@
             retry_after_seconds=max(SHORTEST_RETRY_SECONDS, wait),
         )
 
-    def own_load(self) -> dict[ServerId, float]:
-        """Return the prompt tokens that this router has at the servers."""
-        unread: dict[ServerId, float] = {}
-        for pool in self.pools.values():
-            unread |= pool.unread()
-        return unread
+    def own_loads(self) -> dict[ServiceId, ServiceLoad]:
+        """Return what other routers are told of this one."""
+        now = self.kernel.clock.monotonic()
+        return {service: pool.load(now) for service, pool in self.pools.items()}
 
     def pool(self, service: ServiceId) -> LocalPool:
         """Return the pool of a service."""
         pool = self.pools.get(service)
         if pool is None:
-            pool = LocalPool(PoolId(service))
+            pool = LocalPool()
             self.pools[service] = pool
         return pool
 
@@ -166,7 +165,7 @@
         conditions = Conditions(
             now,
             self.cold_rate(service, now),
-            self.exchange.fleet_unread(now),
+            self.exchange.elsewhere(service, now),
         )
         while pool.backlog.queues:
             found = pool.next_placement(servers, conditions)
@@ -222,9 +221,8 @@
             grant.server.server,
             now,
         )
-        objective = self.tickets[grant.grant_id].objective
-        if objective:
-            load.window.observe(seconds, objective, now)
+        objective = self.pool(grant.server.service).tightest_objective
+        load.window.observe(seconds, placement.cost, objective, now)
         load.window.released(placement.cost)
         load.health.observe_latency(seconds, now)
         self.pump(grant.server.service)
--- a/src/pollenloom/admission/local_backlog.py
+++ b/src/pollenloom/admission/local_backlog.py
@@ -4,9 +4,9 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from pollenloom.admission.service_totals import ServiceTotals
 from pollenloom.admission.ticket import Ticket
-from pollenloom.core.ids import AccountId, PoolId
+from pollenloom.core.ids import AccountId
+from pollenloom.routing.account_usage import AccountUsage
 
 
 @dataclass(eq=False, slots=True)
@@ -19,36 +19,21 @@
 
 @dataclass(slots=True)
 class LocalBacklog:
-    """Queues by account; the account with the least service is first.
+    """Queues by account; the account that got least lately is first.
 
-    Every account has the same share. The cost is charged when a request is
-    sent, by the router's own count.
+    Every account has the same share.
     """
 
-    pool: PoolId
-    totals: ServiceTotals = field(default_factory=lambda: ServiceTotals({}))
+    usage: AccountUsage = field(default_factory=AccountUsage)
     queues: dict[AccountId, deque[WaitingTicket]] = field(default_factory=dict)
 
-    @property
-    def waiting_cost(self) -> float:
-        """Cost of all that waits."""
-        return sum(
-            waiting.ticket.cost_hint
-            for queue in self.queues.values()
-            for waiting in queue
-        )
-
     def put(self, waiting: WaitingTicket) -> None:
         """Let a request wait."""
-        account = waiting.ticket.account
-        self.totals.shares.setdefault(account, 1)
-        if account not in self.queues:
-            self.queues[account] = deque()
-            self.totals.enter(account)
+        queue = self.queues.setdefault(waiting.ticket.account, deque())
         if waiting.ticket.retry:
-            self.queues[account].appendleft(waiting)
+            queue.appendleft(waiting)
         else:
-            self.queues[account].append(waiting)
+            queue.append(waiting)
 
     def remove(self, waiting: WaitingTicket) -> None:
         """Forget a request; it may have been removed before."""
@@ -59,26 +44,26 @@
         queue.remove(waiting)
         if not queue:
             self.queues.pop(account)
-            self.totals.leave(account)
 
     def heads(self) -> Iterator[WaitingTicket]:
         """First request of each account, the next account first."""
-        for account in sorted(self.queues, key=self.totals.time_of):
+        for account in sorted(self.queues, key=self.usage.total):
             yield self.queues[account][0]
 
-    def charge(self, ticket: Ticket) -> None:
-        """Count a request that is sent."""
-        self.totals.charge(self.pool, ticket.account, ticket.cost_hint)
+    def least_waiting(self) -> float | None:
+        """Usage of the least served account that waits; None if none does."""
+        return min(map(self.usage.total, self.queues), default=None)
 
     def cost_ahead(self, ticket: Ticket) -> float:
         """Cost that goes before a new request of the account.
 
-        Accounts take turns, so another account goes before it with at most
-        as much as waits of this account.
+        Accounts take turns, so of another account no more goes before it
+        than of its own, this request included.
         """
-        own = self.queue_cost(ticket.account) + ticket.cost_hint
+        own = self.queue_cost(ticket.account)
+        turn = own + ticket.cost_hint
         return own + sum(
-            min(own, self.queue_cost(account))
+            min(turn, self.queue_cost(account))
             for account in self.queues
             if account != ticket.account
         )
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -10,7 +10,8 @@
     Placement,
 )
 from pollenloom.admission.ticket import Ticket
-from pollenloom.core.ids import PoolId, ServerId
+from pollenloom.core.ids import AccountId
+from pollenloom.routing.load_table import ServiceLoad
 from pollenloom.routing.server_directory import KnownServer
 
 # Time over which the rate of sending is measured.
@@ -18,16 +19,28 @@
 # A request is refused at once if it would wait longer than this part of its
 # objective: the caller can come back while it still has time.
 HOPE_SHARE: Final = 0.6
+# An account may be this far ahead of one that waits at another router: reports
+# are late, and requests differ in size.
+LEAD_SHARE: Final = 0.2
+LEAD_COST: Final = 20_000.0
 
 
 class LocalPool:
     """Backlog and servers of one service."""
 
-    def __init__(self, pool: PoolId) -> None:
-        self.backlog = LocalBacklog(pool)
+    def __init__(self) -> None:
+        self.backlog = LocalBacklog()
         self.servers = LocalServers()
         self.sent: deque[tuple[float, float]] = deque()
         self.sent_cost: float = 0
+        self.tightest_objective = float('inf')
+
+    def put(self, waiting: WaitingTicket) -> None:
+        """Let a request wait."""
+        objective = waiting.ticket.objective
+        if objective:
+            self.tightest_objective = min(self.tightest_objective, objective)
+        self.backlog.put(waiting)
 
     def next_placement(
         self,
@@ -35,9 +48,14 @@
         conditions: Conditions,
     ) -> tuple[WaitingTicket, Placement] | None:
         """Return the next request that may be sent, with its server."""
+        usage = self.backlog.usage
+        usage.decay(conditions.now)
+        usage.elsewhere = conditions.elsewhere.usage
         for waiting in self.backlog.heads():
+            if self.is_ahead(waiting.ticket.account, conditions):
+                return None
             placement = self.servers.place(
-                waiting.ticket,
+                waiting,
                 servers,
                 conditions,
             )
@@ -53,7 +71,11 @@
     ) -> None:
         """Count a request that is sent."""
         self.backlog.remove(waiting)
-        self.backlog.charge(waiting.ticket)
+        self.backlog.usage.charge(
+            waiting.ticket.account,
+            waiting.ticket.cost_hint,
+            now,
+        )
         load = self.servers.load(placement.known.entry.server, now)
         load.in_flight += 1
         load.window.sent(placement.cost)
@@ -78,10 +100,22 @@
         limit = ticket.objective * HOPE_SHARE
         return self.expected_wait(ticket, now) > limit
 
-    def unread(self) -> dict[ServerId, float]:
-        """Prompt tokens that this router has at the servers."""
-        return {
-            server: load.window.outstanding
-            for server, load in self.servers.loads.items()
-            if load.window.outstanding
-        }
+    def is_ahead(self, account: AccountId, conditions: Conditions) -> bool:
+        """Whether an account waits for others that got less elsewhere."""
+        least = conditions.elsewhere.least_waiting
+        if least is None:
+            return False
+        allowed = least * (1 + LEAD_SHARE) + LEAD_COST
+        return self.backlog.usage.total(account) > allowed
+
+    def load(self, now: float) -> ServiceLoad:
+        """Return what other routers are told of this pool."""
+        return ServiceLoad(
+            unread={
+                server: load.window.outstanding
+                for server, load in self.servers.loads.items()
+                if load.window.outstanding
+            },
+            usage=self.backlog.usage.told(now),
+            least_waiting=self.backlog.least_waiting(),
+        )
--- a/src/pollenloom/admission/local_servers.py
+++ b/src/pollenloom/admission/local_servers.py
@@ -1,20 +1,18 @@
 """Choice of a backend server by what this router sees itself."""
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
+from pollenloom.admission.local_backlog import WaitingTicket
 from pollenloom.admission.ticket import Ticket
 from pollenloom.core.ids import ServerId
 from pollenloom.membership.rendezvous_ranking import weight
 from pollenloom.routing.cold_gate import ColdGate
-from pollenloom.routing.send_window import SendWindow
+from pollenloom.routing.load_table import ServiceLoad
+from pollenloom.routing.send_window import PREFILL_RATE, SendWindow
 from pollenloom.routing.server_directory import KnownServer
 from pollenloom.routing.server_health import ServerHealth
 
-# Rate at which an engine reads prompts, tokens a second; only the order of
-# magnitude matters, to weigh a prompt that must be read against a queue.
-PREFILL_RATE: Final = 100_000.0
 # Chance that the first, the second and a further server in the rank of a
 # prompt prefix does not keep it.
 MISS_CHANCES: Final = (0.1, 0.7)
@@ -22,6 +20,11 @@
 # Reading a shared part again takes engine time from all other requests, so it
 # counts this many times against a shorter queue.
 REREAD_WEIGHT: Final = 5.0
+# A prompt whose shared part is this long waits for one of the servers that
+# probably keep it, for a part of its objective.
+LONG_SHARED_TOKENS: Final = 1500
+KEPT_RANKS: Final = 2
+FAITHFUL_SHARE: Final = 0.4
 # Servers by which a service goes on when all of it looks bad.
 KEPT_SHARE: Final = 0.5
 # A server that answers badly is weighed as if its answers took longer.
@@ -46,12 +49,16 @@
         now: Monotonic seconds.
         cold_rate: What this router may send to a cold server, requests a
             second; 0 for no limit.
-        fleet_unread: Prompt tokens that other routers have at the servers.
+        elsewhere: What other routers have to do with the service.
     """
 
     now: float
     cold_rate: float
-    fleet_unread: Mapping[ServerId, float]
+    elsewhere: ServiceLoad
+
+    def unread_elsewhere(self, server: ServerId) -> float:
+        """Prompt tokens that other routers have at a server."""
+        return self.elsewhere.unread.get(server, 0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,7 +89,7 @@
 
     def place(
         self,
-        ticket: Ticket,
+        waiting: WaitingTicket,
         servers: list[KnownServer],
         conditions: Conditions,
     ) -> Placement | None:
@@ -92,13 +99,16 @@
         probably keeps the prompt's prefix is taken.
         """
         now = conditions.now
+        ticket = waiting.ticket
         best: Placement | None = None
         best_score = float('inf')
         ranking = self.ranked(ticket, self.sound(ticket, servers, now))
+        if is_faithful(waiting, now):
+            ranking = ranking[:KEPT_RANKS]
         for rank, known in enumerate(ranking):
             load = self.load(known.entry.server, now)
             cost = self.expected_cost(ticket, rank)
-            if not self.may_send(load, known, cost, conditions):
+            if not self.may_send(load, known, conditions):
                 continue
             reread = self.miss_chance(rank) * ticket.shared_tokens
             score = self.score(load, known, cost, conditions)
@@ -112,7 +122,6 @@
         self,
         load: ServerLoad,
         known: KnownServer,
-        cost: float,
         conditions: Conditions,
     ) -> bool:
         """Whether a server has room and, if it is cold, bears it."""
@@ -122,7 +131,8 @@
         if is_cold and not load.gate.may_send(rate, now):
             return False
         is_free = load.in_flight < known.entry.slots
-        return is_free and load.window.has_room(cost)
+        elsewhere = conditions.unread_elsewhere(known.entry.server)
+        return is_free and load.window.has_room(elsewhere)
 
     def sound(
         self,
@@ -197,5 +207,12 @@
         if cost <= 1:
             return health.latency * (1 + load.in_flight) + penalty
         unread = load.window.outstanding + cost
-        unread += conditions.fleet_unread.get(known.entry.server, 0)
+        unread += conditions.unread_elsewhere(known.entry.server)
         return unread / PREFILL_RATE + penalty
+
+
+def is_faithful(waiting: WaitingTicket, now: float) -> bool:
+    """Whether a request goes only to servers that may keep its prefix."""
+    ticket = waiting.ticket
+    is_long = ticket.shared_tokens >= LONG_SHARED_TOKENS
+    return is_long and (now - waiting.since < ticket.objective * FAITHFUL_SHARE)
--- a/src/pollenloom/catalogue/load_exchange.py
+++ b/src/pollenloom/catalogue/load_exchange.py
@@ -10,11 +10,11 @@
 from absl import logging
 
 from pollenloom.catalogue.fleet_census import FleetCensus
-from pollenloom.core.ids import ServerId, VmId
+from pollenloom.core.ids import ServiceId, VmId
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
-from pollenloom.routing.load_table import LoadReport, LoadTable
+from pollenloom.routing.load_table import LoadReport, LoadTable, ServiceLoad
 from pollenloom.settings.node_settings import NodeSettings
 
 TELL_SECONDS: Final = 0.1
@@ -22,7 +22,8 @@
 FAN_OUT: Final = 8
 LARGEST_DATAGRAM: Final = 16_384
 
-OwnLoad = Callable[[], Mapping[ServerId, float]]
+Loads = Mapping[ServiceId, ServiceLoad]
+OwnLoads = Callable[[], Loads]
 
 
 class LoadMessage(msgspec.Struct, frozen=True):
@@ -30,11 +31,11 @@
 
     Attributes:
         router: Who sends it.
-        unread: Prompt tokens by server; servers with none are left out.
+        loads: What it has to do with each service.
     """
 
     router: VmId
-    unread: dict[ServerId, float]
+    loads: dict[ServiceId, ServiceLoad]
 
 
 class LoadExchange(KernelService, asyncio.DatagramProtocol):
@@ -51,7 +52,7 @@
         self.vm = settings.vm
         self.address = settings.listen.peers
         self.table = LoadTable()
-        self.own_load: OwnLoad = dict
+        self.own_loads: OwnLoads = dict
         self.choose = random.Random(settings.vm)
         self.transport: asyncio.DatagramTransport | None = None
 
@@ -85,29 +86,29 @@
         except (cbor2.CBORDecodeError, msgspec.ValidationError) as error:
             logging.warning('load_report_rejected %r', error)
             return
-        report = LoadReport(self.kernel.clock.monotonic(), message.unread)
+        report = LoadReport(self.kernel.clock.monotonic(), message.loads)
         self.table.hear(message.router, report)
 
     def error_received(self, error: Exception) -> None:
         """A router that is gone refuses; the census will tell."""
         logging.debug('load_report_refused %r', error)
 
-    def fleet_unread(self, now: float) -> Mapping[ServerId, float]:
-        """Return what the other routers have at the servers."""
-        return self.table.unread(self.census.size(now), now)
+    def elsewhere(self, service: ServiceId, now: float) -> ServiceLoad:
+        """Return what all other routers have to do with a service."""
+        return self.table.elsewhere(service, self.census.size(now), now)
 
     async def tell(self) -> None:
         """Send the own load again and again."""
         while True:
             await asyncio.sleep(TELL_SECONDS)
-            self.send(self.own_load())
+            self.send(self.own_loads())
 
-    def send(self, unread: Mapping[ServerId, float]) -> None:
+    def send(self, loads: Loads) -> None:
         """Send one report to some of the other routers."""
         peers = self.census.peers()
         if len(peers) > FAN_OUT:
             peers = tuple(self.choose.sample(peers, FAN_OUT))
-        message = LoadMessage(self.vm, dict(unread))
+        message = LoadMessage(self.vm, dict(loads))
         content = cbor2.dumps(msgspec.to_builtins(message))
         if self.transport is None or len(content) > LARGEST_DATAGRAM:
             return
--- a/src/pollenloom/routing/load_table.py
+++ b/src/pollenloom/routing/load_table.py
@@ -1,26 +1,39 @@
-"""Work in progress at the servers, over the fleet, as routers tell it."""
+"""Work in progress and usage over the fleet, as routers tell it."""
 
-from collections.abc import Mapping
-from dataclasses import dataclass
-from typing import Final
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Final, TypeVar
 
-from pollenloom.core.ids import ServerId, VmId
+from pollenloom.core.ids import AccountId, ServerId, ServiceId, VmId
+
+KeyT = TypeVar('KeyT', bound=str)
 
 # A report this old tells nothing of servers whose queues last 0.2 s.
 REPORT_SECONDS: Final = 0.6
 
 
 @dataclass(frozen=True, slots=True)
-class LoadReport:
-    """What one router has at the servers.
+class ServiceLoad:
+    """What one router has to do with a service.
 
     Attributes:
-        heard_at: Monotonic seconds of this router.
         unread: Prompt tokens sent and not known to be read, by server.
+        usage: Cost served lately, by client account.
+        least_waiting: Fleet usage of the least served account that has a
+            request waiting; None if nothing waits.
     """
 
+    unread: Mapping[ServerId, float] = field(default_factory=dict)
+    usage: Mapping[AccountId, float] = field(default_factory=dict)
+    least_waiting: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Report of one router; `heard_at` in monotonic seconds of the hearer."""
+
     heard_at: float
-    unread: Mapping[ServerId, float]
+    loads: Mapping[ServiceId, ServiceLoad]
 
 
 class LoadTable:
@@ -37,19 +50,57 @@
         """Take a report."""
         self.reports[router] = report
 
-    def unread(self, routers: int, now: float) -> Mapping[ServerId, float]:
-        """Return the unread tokens of all other routers, by server.
+    def elsewhere(
+        self,
+        service: ServiceId,
+        routers: int,
+        now: float,
+    ) -> ServiceLoad:
+        """Return the sum over all other routers.
 
         `routers` is the size of the fleet with this router.
         """
         for router, report in tuple(self.reports.items()):
             if report.heard_at < now - REPORT_SECONDS:
                 self.reports.pop(router)
-        if not self.reports:
-            return {}
+        loads = [
+            report.loads[service]
+            for report in self.reports.values()
+            if service in report.loads
+        ]
+        if not loads:
+            return ServiceLoad()
         scale = max(1, (routers - 1) / len(self.reports))
-        totals: dict[ServerId, float] = {}
-        for report in self.reports.values():
-            for server, tokens in report.unread.items():
-                totals[server] = totals.get(server, 0) + tokens * scale
-        return totals
+        waiting = [
+            load.least_waiting
+            for load in loads
+            if load.least_waiting is not None
+        ]
+        return ServiceLoad(
+            unread=add_up(loads, unread_of, scale),
+            usage=add_up(loads, usage_of, scale),
+            least_waiting=min(waiting, default=None),
+        )
+
+
+def unread_of(load: ServiceLoad) -> Mapping[ServerId, float]:
+    """Return the unread tokens of a load."""
+    return load.unread
+
+
+def usage_of(load: ServiceLoad) -> Mapping[AccountId, float]:
+    """Return the usage of a load."""
+    return load.usage
+
+
+def add_up(
+    loads: list[ServiceLoad],
+    part: Callable[[ServiceLoad], Mapping[KeyT, float]],
+    scale: float,
+) -> dict[KeyT, float]:
+    """Add up one part of the loads, by key."""
+    totals: dict[KeyT, float] = {}
+    for load in loads:
+        for key, amount in part(load).items():
+            totals[key] = totals.get(key, 0) + amount * scale
+    return totals
--- a/src/pollenloom/routing/send_window.py
+++ b/src/pollenloom/routing/send_window.py
@@ -1,26 +1,33 @@
-"""How much unread prompt this router may have waiting at one server."""
+"""How much unread prompt may wait at one server before more is sent."""
 
 from typing import Final
 
-# Tokens; a server reads some 100 tokens in a millisecond.
-FIRST_WINDOW: Final = 40_000.0
-SMALLEST_WINDOW: Final = 8_000.0
-LARGEST_WINDOW: Final = 400_000.0
-# A first byte later than this part of the objective shows a queue at the
-# server that grows.
-LATE_SHARE: Final = 0.75
-DECREASE: Final = 0.75
-INCREASE: Final = 1.05
+# Tokens that a server reads in a second while it also generates.
+PREFILL_RATE: Final = 66_000.0
+# Tokens; the first is a queue of some 0.2 s.
+FIRST_WINDOW: Final = 25_000.0
+SMALLEST_WINDOW: Final = 10_000.0
+LARGEST_WINDOW: Final = 150_000.0
+# The queue at a server may take this part of the tightest objective; the rest
+# is for reading the prompt itself and for waiting at the router.
+QUEUE_SHARE: Final = 0.6
+DECREASE: Final = 0.85
+INCREASE: Final = 1.03
 # One queue delays many answers; it is one reason to send less.
-DECREASE_PAUSE_SECONDS: Final = 0.3
+DECREASE_PAUSE_SECONDS: Final = 0.25
 
 
 class SendWindow:
-    """Additive cost in flight before the first byte, adapted to latency.
+    """Limit on a server's queue, adapted to the time that it costs.
 
     Servers take requests in the order of their arrival, so what must wait
-    waits here, in fair order. All routers see the same latency and shrink
-    together, without exchanging counts.
+    waits at the routers, in fair order. All routers see the same queues and
+    adapt alike. The limit is on what is ahead of a request, not on its own
+    size, so that large prompts are sent as readily as small ones.
+
+    Attributes:
+        limit: Unread tokens at the server up to which more is sent.
+        outstanding: Unread tokens of this router.
     """
 
     def __init__(self) -> None:
@@ -28,9 +35,10 @@
         self.outstanding: float = 0
         self.decreased_at = float('-inf')
 
-    def has_room(self, cost: float) -> bool:
-        """Whether a request fits; one is always let through."""
-        return not self.outstanding or self.outstanding + cost <= self.limit
+    def has_room(self, unread_elsewhere: float) -> bool:
+        """Whether one more request may be sent."""
+        unread = self.outstanding + unread_elsewhere
+        return not unread or unread < self.limit
 
     def sent(self, cost: float) -> None:
         """Count a request that is sent."""
@@ -40,11 +48,20 @@
         """Count a request whose first byte or end came."""
         self.outstanding = max(0, self.outstanding - cost)
 
-    def observe(self, seconds: float, objective: float, now: float) -> None:
-        """Adapt the limit to a time to the first byte."""
-        if seconds <= objective * LATE_SHARE:
-            used = self.outstanding > self.limit / 2
-            if used:
+    def observe(
+        self,
+        seconds: float,
+        cost: float,
+        objective: float,
+        now: float,
+    ) -> None:
+        """Adapt the limit to the time to a first byte.
+
+        `objective` is the tightest of the service, in seconds.
+        """
+        queued = seconds - cost / PREFILL_RATE
+        if queued <= objective * QUEUE_SHARE:
+            if self.outstanding > self.limit / 4:
                 self.limit = min(LARGEST_WINDOW, self.limit * INCREASE)
             return
         if now - self.decreased_at < DECREASE_PAUSE_SECONDS:
