--- /dev/null
+++ b/src/pollenloom_standins/keyed_store/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the store of the users' platform."""
--- /dev/null
+++ b/src/pollenloom_standins/keyed_store/keyed_topic.py
@@ -0,0 +1,41 @@
+"""One topic of records with keys."""
+
+from dataclasses import dataclass, field
+
+from pollenloom.catalogue.keyed_record import KeyedRecord
+from pollenloom.core.ids import Offset
+
+
+@dataclass(slots=True)
+class KeyedTopic:
+    """Records in order, the first kept offset, and the newest of each key."""
+
+    records: list[KeyedRecord] = field(default_factory=list)
+    first: int = 0
+    newest: dict[str, KeyedRecord] = field(default_factory=dict)
+
+    @property
+    def end(self) -> int:
+        """Offset of the next record."""
+        return self.first + len(self.records)
+
+    def append(self, key: str, payload: bytes) -> Offset:
+        """Append a record; an empty value removes the key."""
+        record = KeyedRecord(key, payload, Offset(self.end))
+        self.records.append(record)
+        if payload:
+            self.newest[key] = record
+        else:
+            self.newest.pop(key, None)
+        return record.offset
+
+    def read(self, start: int) -> list[KeyedRecord] | None:
+        """Return records from an offset on; None if they were dropped."""
+        if start < self.first:
+            return None
+        return self.records[start - self.first :]
+
+    def drop_history(self) -> None:
+        """Drop all records; the newest of each key is kept."""
+        self.first = self.end
+        self.records.clear()
--- /dev/null
+++ b/tests/gateway/conftest.py
@@ -0,0 +1,289 @@
+"""A router with its store and servers, in this process."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from pollenloom.console.node_process import make_services
+from pollenloom.core.ids import DataCentreId, VmId
+from pollenloom.gateway.gateway_server import GatewayServer
+from pollenloom.kernel.kernel import Kernel
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.settings.node_settings import (
+    BoundSettings,
+    ListenSettings,
+    NodeSettings,
+    StoreSettings,
+)
+from pollenloom_standins.keyed_store.keyed_store_service import (
+    KeyedStoreService,
+)
+from pollenloom_standins.serving.http_listener import HttpListener
+from pollenloom_standins.serving.listen_address import ListenAddress
+from pollenloom_standins.worker.scripted_worker import (
+    ReceivedRequest,
+    ScriptedWorker,
+)
+
+ANY_PORT = '127.0.0.1:0'
+HOST = 'shop.example'
+KEY = 'key-of-the-shop'
+READY_SECONDS = 10
+Script = Callable[[ReceivedRequest, asyncio.StreamWriter], Awaitable[None]]
+
+
+def make_route(kind: str, path: str, **changes: Any) -> dict[str, Any]:
+    """Return a route of the configuration."""
+    return {
+        'name': f'r-{kind}',
+        'host': HOST,
+        'path_prefix': path,
+        'route_type': kind,
+        'timeout_ms': 1500,
+        'target_latency_ms': 400,
+        'priority': 1,
+        'service': 'app',
+        'max_attempts': 2,
+        'public': False,
+        'resumable': False,
+        **changes,
+    }
+
+
+def make_configuration(version: int = 1) -> dict[str, Any]:
+    """Return a configuration with a route of each kind."""
+    return {
+        'version': version,
+        'routes': [
+            make_route('idempotent', '/read/'),
+            make_route('non_idempotent', '/order/'),
+            make_route('streaming', '/stream/'),
+            make_route('streaming', '/resume/', resumable=True, name='r-res'),
+        ],
+        'services': [{'name': 'app', 'max_connections': 100}],
+        'limits': {'max_body_bytes': 100_000, 'max_header_bytes': 8000},
+        'tenants': [{'name': 'shop', 'api_keys': [KEY]}],
+    }
+
+
+def make_entry(address: str, **changes: Any) -> dict[str, Any]:
+    """Return a server's entry."""
+    return {
+        'service': 'app',
+        'address': address,
+        'zone': 'enschede',
+        'version': 'v1',
+        'slots': 4,
+        'state': 'ready',
+        'cold_remaining_ms': 0,
+        'seq': 1,
+        **changes,
+    }
+
+
+@dataclass(slots=True)
+class Answer:
+    """What a caller got; `is_whole` tells whether it ended as framed."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+
+@dataclass(slots=True)
+class Site:
+    """A running router with its surroundings."""
+
+    kernel: Kernel
+    store: KeyedStoreService
+    stack: AsyncExitStack
+    workers: list[ScriptedWorker] = field(default_factory=list)
+
+    @property
+    def gateway(self) -> GatewayServer:
+        """The router's callers' address."""
+        return self.kernel.find(KernelServiceName.GATEWAY, GatewayServer)
+
+    async def configure(self, configuration: dict[str, Any]) -> None:
+        """Write a configuration."""
+        payload = msgspec.json.encode(configuration)
+        await self.store.write('keyed.op', 'config', payload)
+
+    async def add_worker(self, script: Script, **entry: Any) -> ScriptedWorker:
+        """Start a server and register it."""
+        worker = ScriptedWorker(script)
+        await worker.start()
+        self.stack.push_async_callback(worker.stop)
+        self.workers.append(worker)
+        await self.register(worker, **entry)
+        return worker
+
+    async def register(self, worker: ScriptedWorker, **entry: Any) -> None:
+        """Write a server's entry."""
+        server = f'i-{self.workers.index(worker)}'
+        payload = msgspec.json.encode(make_entry(worker.address, **entry))
+        await self.store.write('keyed.servers', server, payload)
+
+    async def wait_for(self, is_reached: Callable[[], bool]) -> None:
+        """Wait until a condition holds."""
+        async with asyncio.timeout(READY_SECONDS):
+            while not is_reached():
+                await asyncio.sleep(0.01)
+
+    async def ready(self, servers: int) -> None:
+        """Wait until the router is ready and knows so many servers."""
+        catalogue = self.gateway.catalogue
+        await self.wait_for(
+            lambda: (
+                self.gateway.is_ready
+                and len(catalogue.directory.servers) >= servers
+            ),
+        )
+
+    async def connect(self) -> 'Caller':
+        """Open a connection of a caller."""
+        host, _, port = self.gateway.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.stack.callback(writer.close)
+        return Caller(reader, writer)
+
+
+@dataclass(slots=True)
+class Caller:
+    """One connection of a caller."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    async def send(
+        self,
+        target: str,
+        request_id: str = 'a1',
+        body: bytes = b'',
+        method: str = 'POST',
+        **headers: str,
+    ) -> None:
+        """Write a request."""
+        lines = [
+            f'{method} {target} HTTP/1.1',
+            f'Host: {HOST}:8080',
+            f'X-Pollenloom-Attempt-Id: {request_id}',
+            f'Content-Length: {len(body)}',
+        ]
+        named = {'api-key': KEY, **headers}
+        lines.extend(
+            f'{name.replace("_", "-")}: {text}' for name, text in named.items()
+        )
+        self.writer.write('\r\n'.join((*lines, '', '')).encode() + body)
+        await self.writer.drain()
+
+    async def ask(self, target: str, **request: Any) -> Answer:
+        """Write a request and read its answer."""
+        await self.send(target, **request)
+        return await self.read()
+
+    async def read(self) -> Answer:
+        """Read one answer."""
+        head = (await self.reader.readuntil(b'\r\n\r\n')).decode('latin-1')
+        start_line, *lines = head.rstrip().split('\r\n')
+        headers = {
+            name.lower(): text.strip()
+            for name, _, text in (line.partition(':') for line in lines)
+        }
+        status = int(start_line.split()[1])
+        if headers.get('transfer-encoding') == 'chunked':
+            body, is_whole = await self.read_chunks()
+        else:
+            length = int(headers['content-length'])
+            body = await self.reader.readexactly(length)
+            is_whole = True
+        return Answer(status, headers, body, is_whole)
+
+    async def read_chunks(self) -> tuple[bytes, bool]:
+        """Read a body in chunks to its end or to that of the connection."""
+        body = b''
+        try:
+            while True:
+                size = int(await self.reader.readline() or b'x', 16)
+                chunk = await self.reader.readexactly(size + 2)
+                body += chunk[:-2]
+                if not size:
+                    return body, True
+        except (ValueError, asyncio.IncompleteReadError, ConnectionError):
+            return body, False
+
+
+@pytest.fixture
+async def site(tmp_path: Path) -> AsyncIterator[Site]:
+    """A router that has read a configuration and no servers."""
+    async with AsyncExitStack() as stack:
+        store = KeyedStoreService()
+        surroundings = Kernel()
+        surroundings.register(store)
+        listener = HttpListener(surroundings, ListenAddress('127.0.0.1', 0))
+        surroundings.register(listener)
+        await surroundings.start()
+        stack.push_async_callback(surroundings.stop)
+        settings = NodeSettings(
+            vm=VmId('edge-1'),
+            data_centre=DataCentreId('enschede'),
+            listen=ListenSettings(
+                callers=ANY_PORT,
+                readiness=ANY_PORT,
+                metrics=ANY_PORT,
+                peers=ANY_PORT,
+            ),
+            store=StoreSettings(address=listener.address),
+            bounds=BoundSettings(),
+        )
+        path = tmp_path / 'node.toml'
+        path.write_text('', encoding='utf-8')
+        kernel = Kernel()
+        for service in make_services(kernel, path, settings):
+            kernel.register(service)
+        await kernel.start()
+        stack.push_async_callback(kernel.stop)
+        running = Site(kernel, store, stack)
+        await running.configure(make_configuration())
+        yield running
+
+
+def whole(request: ReceivedRequest, body: bytes = b'done') -> bytes:
+    """Return a whole sealed answer to a request."""
+    request_id = request.headers['x-pollenloom-attempt-id']
+    head = (
+        'HTTP/1.1 200 OK\r\n'
+        f'X-Pollenloom-Attempt-Id: {request_id}\r\n'
+        'X-Pollenloom-Response-Seal: seal\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    )
+    return head.encode() + body
+
+
+def stream_head(request: ReceivedRequest) -> bytes:
+    """Return the head of a sealed stream in chunks."""
+    request_id = request.headers['x-pollenloom-attempt-id']
+    return (
+        'HTTP/1.1 200 OK\r\n'
+        f'X-Pollenloom-Attempt-Id: {request_id}\r\n'
+        'X-Pollenloom-Response-Seal: seal\r\n'
+        'Content-Type: text/event-stream\r\n'
+        'Transfer-Encoding: chunked\r\n\r\n'
+    ).encode()
+
+
+def chunk(part: bytes) -> bytes:
+    """Return one chunk of a body."""
+    return b'%x\r\n%b\r\n' % (len(part), part)
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return b'id: %d\ndata: word-%d\n\n' % (number, number)
