Let a request wait only as long as its answer can be prompt

Cause: a third of the served prompts were late: they waited up to 0.8 of the objective here and then stood in the server's queue. Change: the wait ends where objective, the server's queue and the reading of the prompt leave no time; a longer expected wait is refused at once.

--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -29,9 +29,6 @@
 GRANT_SECONDS: Final = 0.5
 # Cold servers and idle windows free up with time, without an event.
 RECHECK_SECONDS: Final = 0.05
-# A request that was let in waits this many objectives at the most.
-LONGEST_WAIT_OBJECTIVES: Final = 0.8
-LONGEST_WAIT_SECONDS: Final = 2.0
 SHORTEST_RETRY_SECONDS: Final = 0.3
 
 Reply = asyncio.Future[Grant]
@@ -106,8 +103,8 @@
     ) -> Result[Grant, Failure]:
         """Wait for a reply as long as the answer can still be of use."""
         self.has_waiting.set()
-        limit = ticket.objective * LONGEST_WAIT_OBJECTIVES
-        seconds = min(limit or LONGEST_WAIT_SECONDS, ticket.deadline - now)
+        limit = self.pool(ticket.service).longest_wait(ticket)
+        seconds = min(limit, ticket.deadline - now)
         try:
             await asyncio.wait((reply,), timeout=max(0, seconds))
         except asyncio.CancelledError:
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -12,13 +12,18 @@
 from pollenloom.admission.ticket import Ticket
 from pollenloom.core.ids import AccountId
 from pollenloom.routing.load_table import ServiceLoad
+from pollenloom.routing.send_window import PREFILL_RATE, QUEUE_SHARE
 from pollenloom.routing.server_directory import KnownServer
 
 # Time over which the rate of sending is measured.
 RATE_SECONDS: Final = 2.0
-# A request is refused at once if it would wait longer than this part of its
-# objective: the caller can come back while it still has time.
-HOPE_SHARE: Final = 0.6
+# For routes without an objective.
+LONGEST_WAIT_SECONDS: Final = 2.0
+# Part of the objective that is left for the network and for late reports.
+SPARE_SHARE: Final = 0.1
+# Prompts that take longer than this part of the objective to read are sent as
+# readily as those that take this long: sizes are served alike.
+LONGEST_READ_SHARE: Final = 0.4
 # An account may be this far ahead of one that waits at another router: reports
 # are late, and requests differ in size.
 LEAD_SHARE: Final = 0.2
@@ -95,11 +100,17 @@
 
     def is_hopeless(self, ticket: Ticket, now: float) -> bool:
         """Whether a request that must wait would be late anyway."""
-        if not ticket.objective:
-            return False
-        limit = ticket.objective * HOPE_SHARE
+        limit = self.longest_wait(ticket)
         return self.expected_wait(ticket, now) > limit
 
+    def longest_wait(self, ticket: Ticket) -> float:
+        """Seconds that a request may wait here and still be prompt."""
+        objective = ticket.objective or LONGEST_WAIT_SECONDS
+        unread = ticket.prompt_tokens - ticket.shared_tokens
+        read = min(objective * LONGEST_READ_SHARE, unread / PREFILL_RATE)
+        queue = min(objective, self.tightest_objective) * QUEUE_SHARE
+        return max(0, objective * (1 - SPARE_SHARE) - queue - read)
+
     def is_ahead(self, account: AccountId, conditions: Conditions) -> bool:
         """Whether an account waits for others that got less elsewhere."""
         least = conditions.elsewhere.least_waiting
