Wait longer for the servers that keep a long shared part

Cause: prompts spilt to servers that had to read the shared part again. Change: 0.7 instead of 0.4 of the objective.

--- a/src/pollenloom/admission/local_servers.py
+++ b/src/pollenloom/admission/local_servers.py
@@ -24,7 +24,7 @@
 # probably keep it, for a part of its objective.
 LONG_SHARED_TOKENS: Final = 1500
 KEPT_RANKS: Final = 2
-FAITHFUL_SHARE: Final = 0.4
+FAITHFUL_SHARE: Final = 0.7
 # Servers by which a service goes on when all of it looks bad.
 KEPT_SHARE: Final = 0.5
 # A server that answers badly is weighed as if its answers took longer.
