Tell a reset from the end of an answer without length

Ruled out: answers with a length or in chunks (they were refused rightly), a crash that closes in order. Change: eof_received asks the socket for a pending error.

--- a/src/pollenloom/gateway/server_channel.py
+++ b/src/pollenloom/gateway/server_channel.py
@@ -1,6 +1,7 @@
 """Connection to a backend server that carries one request at a time."""
 
 import asyncio
+import socket
 from collections import deque
 from http import HTTPStatus
 from typing import Final, cast
@@ -87,12 +88,24 @@
         """The end of an answer without a length, or a broken one."""
         self.is_reusable = False
         is_started = bool(self.headers)
-        if is_started and not self.is_framed and not self.is_skipping:
-            self.finish(ChannelEnd.COMPLETE)
-        else:
+        if not is_started or self.is_framed or self.is_skipping:
             self.finish(ChannelEnd.CLOSED)
+        elif self.was_reset():
+            self.finish(ChannelEnd.RESET)
+        else:
+            self.finish(ChannelEnd.COMPLETE)
         return False
 
+    def was_reset(self) -> bool:
+        """Whether the connection ended by a reset.
+
+        libuv reports a hang-up after a partial read as an end of file, also
+        where the other side sent a reset; the error is still pending then.
+        """
+        endpoint = self.transport.get_extra_info('socket')
+        pending = endpoint.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return bool(pending)
+
     def connection_lost(self, _error: Exception | None) -> None:
         """An answer that is not complete now never will be."""
         self.is_open = False
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -420,3 +420,34 @@
     )
     assert (await caller.read()).status == 400
     assert not worker.requests
+
+
+def unframed(request: ReceivedRequest, body: bytes) -> bytes:
+    """Return a sealed answer that ends with its connection."""
+    request_id = request.headers['x-pollenloom-attempt-id']
+    head = (
+        'HTTP/1.1 200 OK\r\n'
+        f'X-Pollenloom-Attempt-Id: {request_id}\r\n'
+        'X-Pollenloom-Response-Seal: seal\r\n'
+        'Connection: close\r\n\r\n'
+    )
+    return head.encode() + body
+
+
+async def test_answer_without_length_ends_with_its_connection(
+    site: Site,
+) -> None:
+    """Guards against refusing a whole answer that tells no length."""
+
+    async def answer(
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(unframed(request, b'whole'))
+        await writer.drain()
+        writer.close()
+
+    await site.add_worker(answer)
+    await site.ready(1)
+    answered = await (await site.connect()).ask('/order/')
+    assert (answered.status, answered.body) == (200, b'whole')
