--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -1,6 +1,8 @@
 """Admission by what this router sees, without asking others."""
 
 import asyncio
+from collections import defaultdict
+from contextlib import ExitStack
 from itertools import count
 from typing import Final
 
@@ -12,6 +14,7 @@
 from pollenloom.admission.local_backlog import WaitingTicket
 from pollenloom.admission.local_pool import LocalPool
 from pollenloom.admission.local_servers import Conditions, Placement
+from pollenloom.admission.server_judge import judge_server
 from pollenloom.admission.settlement import Settlement
 from pollenloom.admission.ticket import Ticket
 from pollenloom.catalogue.catalogue import Catalogue
@@ -43,7 +46,7 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self.kernel = kernel
-        self.pools: dict[ServiceId, LocalPool] = {}
+        self.pools: dict[ServiceId, LocalPool] = defaultdict(LocalPool)
         self.replies: dict[WaitingTicket, Reply] = {}
         self.placements: dict[GrantId, Placement] = {}
         self.tickets: dict[GrantId, Ticket] = {}
@@ -79,21 +82,24 @@
         now = self.kernel.clock.monotonic()
         if not self.catalogue.directory.usable(ticket.service, now):
             return Error(self.refuse(ticket, 'no server is registered'))
-        pool = self.pool(ticket.service)
+        pool = self.pools[ticket.service]
         waiting = WaitingTicket(ticket, now)
         reply: Reply = asyncio.get_running_loop().create_future()
         self.replies[waiting] = reply
         pool.put(waiting)
-        try:
+        with ExitStack() as stack:
+            stack.callback(self.withdraw, waiting)
             self.pump(ticket.service)
             if reply.done():
                 return Ok(reply.result())
             if pool.is_hopeless(ticket, now):
                 return Error(self.refuse(ticket, 'the queue is too long'))
             return await self.wait(ticket, reply, now)
-        finally:
-            self.replies.pop(waiting, None)
-            pool.backlog.remove(waiting)
+
+    def withdraw(self, waiting: WaitingTicket) -> None:
+        """Forget a request that waits no longer."""
+        self.replies.pop(waiting, None)
+        self.pools[waiting.ticket.service].backlog.remove(waiting)
 
     async def wait(
         self,
@@ -103,7 +109,7 @@
     ) -> Result[Grant, Failure]:
         """Wait for a reply as long as the answer can still be of use."""
         self.has_waiting.set()
-        limit = self.pool(ticket.service).longest_wait(ticket)
+        limit = self.pools[ticket.service].longest_wait(ticket)
         seconds = min(limit, ticket.deadline - now)
         try:
             await asyncio.wait((reply,), timeout=max(0, seconds))
@@ -122,7 +128,7 @@
     def refuse(self, ticket: Ticket, reason: str) -> Failure:
         """Return a refusal that says when to come back."""
         now = self.kernel.clock.monotonic()
-        wait = self.pool(ticket.service).expected_wait(ticket, now)
+        wait = self.pools[ticket.service].expected_wait(ticket, now)
         return Failure(
             ErrorKind.NO_CAPACITY,
             reason,
@@ -134,14 +140,6 @@
         now = self.kernel.clock.monotonic()
         return {service: pool.load(now) for service, pool in self.pools.items()}
 
-    def pool(self, service: ServiceId) -> LocalPool:
-        """Return the pool of a service."""
-        pool = self.pools.get(service)
-        if pool is None:
-            pool = LocalPool()
-            self.pools[service] = pool
-        return pool
-
     def cold_rate(self, service: ServiceId, now: float) -> float:
         """Return this router's part of what a cold server bears."""
         profile = self.catalogue.directory.profiles.get(service)
@@ -157,7 +155,7 @@
     def pump(self, service: ServiceId) -> None:
         """Answer waiting requests for which a server has room."""
         now = self.kernel.clock.monotonic()
-        pool = self.pool(service)
+        pool = self.pools[service]
         servers = self.catalogue.directory.usable(service, now)
         conditions = Conditions(
             now,
@@ -214,11 +212,11 @@
         self.first_bytes.add(grant.grant_id)
         now = self.kernel.clock.monotonic()
         placement = self.placements[grant.grant_id]
-        load = self.pool(grant.server.service).servers.load(
+        load = self.pools[grant.server.service].servers.load(
             grant.server.server,
             now,
         )
-        objective = self.pool(grant.server.service).tightest_objective
+        objective = self.pools[grant.server.service].tightest_objective
         load.window.observe(seconds, placement.cost, objective, now)
         load.window.released(placement.cost)
         load.health.observe_latency(seconds, now)
@@ -232,55 +230,16 @@
         if placement is None:
             return
         now = self.kernel.clock.monotonic()
-        pool = self.pool(grant.server.service)
+        pool = self.pools[grant.server.service]
         load = pool.servers.load(grant.server.server, now)
         load.in_flight -= 1
         if grant.grant_id not in self.first_bytes:
             load.window.released(placement.cost)
         self.first_bytes.discard(grant.grant_id)
-        self.judge(settlement, placement, now)
-        self.pump(grant.server.service)
-
-    def judge(
-        self,
-        settlement: Settlement,
-        placement: Placement,
-        now: float,
-    ) -> None:
-        """Note how the server answered."""
-        grant = settlement.grant
-        pool = self.pool(grant.server.service)
-        health = pool.servers.load(grant.server.server, now).health
         directory = self.catalogue.directory
         known = directory.servers.get(grant.server.server, placement.known)
-        outcome = settlement.outcome
-        if outcome is Outcome.SERVED:
-            if health.was_unreachable:
-                directory.mark_cold(known, now)
-            health.answered(now, is_good=True)
-        elif settlement.server_leaving:
-            # Another server has taken over the address.
-            health.unreachable(now)
-        elif outcome in {Outcome.FAILED, Outcome.REFUSED}:
-            self.judge_failure(settlement, now)
-        if settlement.server_cold:
-            directory.mark_cold(known, now)
-
-    def judge_failure(self, settlement: Settlement, now: float) -> None:
-        """Tell a server that answers badly from one that is not there."""
-        server = settlement.grant.server
-        health = (
-            self.pool(server.service)
-            .servers.load(
-                server.server,
-                now,
-            )
-            .health
-        )
-        if settlement.first_byte_seconds is None:
-            health.unreachable(now)
-        else:
-            health.answered(now, is_good=False)
+        judge_server(settlement, known, load.health, directory, now)
+        self.pump(grant.server.service)
 
     async def recheck(self) -> None:
         """Look again at what waits, since limits ease with time."""
--- a/src/pollenloom/catalogue/store_catalogue.py
+++ b/src/pollenloom/catalogue/store_catalogue.py
@@ -15,7 +15,7 @@
 )
 from pollenloom.catalogue.store_topic import StoreTopic
 from pollenloom.catalogue.topic_follower import TopicFollower
-from pollenloom.core.ids import ServerId
+from pollenloom.core.ids import DataCentreId, ServerId
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.observability.event_log import EventLog
@@ -54,7 +54,7 @@
             self.kernel,
             StoreTopic.SERVERS,
             self.take_server_listing,
-            on_regained=self.store_regained,
+            on_regained=self.directory.store_regained,
         )
         self.kernel.spawn('catalogue-operator', operator.run())
         self.kernel.spawn('catalogue-servers', servers.run())
@@ -78,21 +78,13 @@
         for listener in self.listeners:
             listener()
 
-    def store_regained(self, now: float) -> None:
-        """Keep servers whose entries may have lapsed in the outage."""
-        self.directory.store_regained(now)
-
     def take_operator_listing(self, listing: Listing, is_whole: bool) -> None:
         """Apply records of the operators."""
         now = self.kernel.clock.monotonic()
         if is_whole:
-            listed = {
-                order.data_centre
-                for order in map(self.data_centre_order, listing.records)
-                if order is not None and order.is_out
-            }
+            listed = self.data_centres_out(listing)
             for data_centre in tuple(self.directory.evacuated - listed):
-                self.take_back(
+                self.obey(
                     DataCentreOrder(data_centre, is_out=False),
                     now,
                 )
@@ -101,12 +93,15 @@
         self.read_topics.add(StoreTopic.OPERATOR)
         self.notify()
 
-    def data_centre_order(self, record: KeyedRecord) -> DataCentreOrder | None:
-        """Return the order of a record that concerns a data centre."""
-        change = self.store.read_operator_change(record)
-        if change.is_ok() and isinstance(change.ok, DataCentreOrder):
-            return change.ok
-        return None
+    def data_centres_out(self, listing: Listing) -> set[DataCentreId]:
+        """Return the data centres that a listing takes out of service."""
+        changes = map(self.store.read_operator_change, listing.records)
+        orders = [change.ok for change in changes if change.is_ok()]
+        return {
+            order.data_centre
+            for order in orders
+            if isinstance(order, DataCentreOrder) and order.is_out
+        }
 
     def take_operator_record(self, record: KeyedRecord, now: float) -> None:
         """Apply one record of the operators."""
@@ -118,9 +113,9 @@
         if isinstance(change, NewConfiguration):
             self.use(change.configuration, record)
         elif isinstance(change, DataCentreOrder):
-            self.take_back(change, now)
+            self.obey(change, now)
 
-    def take_back(self, order: DataCentreOrder, now: float) -> None:
+    def obey(self, order: DataCentreOrder, now: float) -> None:
         """Take a data centre out of service or back."""
         is_known = order.data_centre in self.directory.evacuated
         if order.is_out == is_known:
@@ -162,7 +157,7 @@
             self.take_server_record(record, now, is_first_read=is_first_read)
         if is_whole:
             self.directory.retain(
-                (ServerId(record.key) for record in listing.records),
+                (ServerId(listed.key) for listed in listing.records),
                 now,
             )
         self.read_topics.add(StoreTopic.SERVERS)
--- a/src/pollenloom/console/node_process.py
+++ b/src/pollenloom/console/node_process.py
@@ -35,10 +35,10 @@
     kernel: Kernel,
     path: Path,
     settings: NodeSettings,
-) -> tuple[KernelService, ...]:
+) -> list[KernelService]:
     """Return the services in the order of their start."""
     dialect = HeaderDialect()
-    return (
+    return [
         EventLog(kernel.clock, KEPT_EVENTS),
         Metrics(),
         SettingsHolder(kernel, path, settings),
@@ -51,7 +51,7 @@
         LocalAdmission(kernel),
         Relay(kernel, dialect),
         GatewayServer(kernel, settings.listen.callers),
-    )
+    ]
 
 
 def run_node(path: Path, settings: NodeSettings) -> ExitCode:
--- a/src/pollenloom/gateway/exchange.py
+++ b/src/pollenloom/gateway/exchange.py
@@ -1,5 +1,6 @@
 """One attempt: sends a request to a server and passes the answer on."""
 
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Final
@@ -53,8 +54,8 @@
 
     async def run(self, links: ServerLinks) -> AttemptEnd:
         """Run the attempt; the grant is settled whatever happens."""
-        channel: ServerChannel | None = None
-        try:
+        with ExitStack() as stack:
+            stack.callback(self.settle)
             taken = await links.take(
                 self.grant.server,
                 is_repeatable=self.call.route.is_repeatable,
@@ -62,18 +63,17 @@
             if taken.is_error():
                 self.outcome = Outcome.FAILED
                 return AttemptEnd(AttemptState.UNSENT, taken.error)
-            channel = taken.ok
+            stack.callback(self.give_back, taken.ok, links)
             # Unless an answer tells otherwise, the caller left in between.
             self.outcome = Outcome.CANCELLED
-            end = await self.converse(channel)
-            if end.state is AttemptState.ANSWERED or is_whole(end):
-                links.put_back(self.grant.server, channel)
-                channel = None
-            return end
-        finally:
-            if channel is not None:
-                channel.abort()
-            self.settle()
+            return await self.converse(taken.ok)
+
+    def give_back(self, channel: ServerChannel, links: ServerLinks) -> None:
+        """Keep a connection whose answer was read to its end."""
+        if channel.is_over and not channel.events:
+            links.put_back(self.grant.server, channel)
+        else:
+            channel.abort()
 
     async def converse(self, channel: ServerChannel) -> AttemptEnd:
         """Send the request and pass the answer on."""
@@ -228,8 +228,3 @@
                 server_leaving=self.is_misdirected,
             )
         )
-
-
-def is_whole(end: AttemptEnd) -> bool:
-    """Whether the server's answer was read to its end."""
-    return end.state is AttemptState.REJECTED
--- a/src/pollenloom/gateway/gateway_server.py
+++ b/src/pollenloom/gateway/gateway_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from contextlib import ExitStack
 from typing import ClassVar, Final
 
 from pollenloom.catalogue.catalogue import Catalogue
@@ -98,12 +99,11 @@
 
     async def serve(self, channel: CallerChannel) -> None:
         """Answer the requests of one connection."""
-        try:
+        with ExitStack() as stack:
+            stack.callback(channel.close)
+            stack.callback(self.idle.discard, channel)
             while await self.serve_next(channel):
                 """Go on with the next request."""
-        finally:
-            self.idle.discard(channel)
-            channel.close()
 
     async def serve_next(self, channel: CallerChannel) -> bool:
         """Answer one request; return whether another one may come."""
@@ -140,15 +140,13 @@
             self.relay.answer(channel, request, keeps_alive=keeps_alive),
         )
         leaving = asyncio.ensure_future(channel.left.wait())
-        try:
+        with ExitStack() as stack:
+            stack.callback(leaving.cancel)
+            stack.callback(answering.cancel)
             await asyncio.wait(
                 (answering, leaving),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-        finally:
-            leaving.cancel()
-            if not answering.done():
-                answering.cancel()
         if channel.left.is_set():
             await asyncio.wait((answering,))
             return False
--- a/src/pollenloom/gateway/probe_server.py
+++ b/src/pollenloom/gateway/probe_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from contextlib import closing
 from http import HTTPStatus
 from typing import ClassVar, Final
 
@@ -38,7 +39,7 @@
     async def start(self) -> None:
         """Listen on both addresses; readiness is told from the start."""
         self.metrics = self.kernel.find(KernelServiceName.METRICS, Metrics)
-        for address in {self.listen.readiness, self.listen.metrics}:
+        for address in (self.listen.readiness, self.listen.metrics):
             host, _, port = address.rpartition(':')
             listener = socket.create_server((host, int(port)), backlog=BACKLOG)
             server = await asyncio.get_running_loop().create_server(
@@ -63,7 +64,7 @@
 
     async def serve(self, channel: CallerChannel) -> None:
         """Answer the questions of one connection."""
-        try:
+        with closing(channel):
             while True:
                 request = await channel.next_request(IDLE_SECONDS)
                 if request is None:
@@ -73,8 +74,6 @@
                 await writer.write_whole(head, body)
                 if not request.keeps_alive:
                     return
-        finally:
-            channel.close()
 
     def answer(self, request: RawRequest) -> tuple[AnswerHead, bytes]:
         """Return the answer to a question."""
--- a/src/pollenloom/gateway/server_links.py
+++ b/src/pollenloom/gateway/server_links.py
@@ -3,22 +3,20 @@
 import asyncio
 import socket
 from collections import defaultdict, deque
-from typing import TYPE_CHECKING, ClassVar, Final
+from typing import ClassVar, Final
 
 from expression import Error, Ok, Result
 
 from pollenloom.core.backend_server import BackendServer
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
+from pollenloom.core.ids import ServerId
 from pollenloom.gateway.dialect import Dialect
 from pollenloom.gateway.server_channel import ServerChannel
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 
-if TYPE_CHECKING:
-    from pollenloom.core.ids import ServerId
-
 # A reachable server accepts within some milliseconds; a lost packet is sent
 # again after 200 ms.
 CONNECT_SECONDS: Final = 0.5
@@ -128,19 +126,19 @@
         while True:
             await asyncio.sleep(SWEEP_SECONDS)
             now = self.kernel.clock.monotonic()
-            for server, channels in tuple(self.idle.items()):
-                kept = deque(
-                    channel
-                    for channel in channels
-                    if self.is_usable(channel, now, is_repeatable=True)
-                )
-                for channel in channels:
-                    if channel not in kept:
-                        channel.abort()
-                if kept:
-                    self.idle[server] = kept
-                else:
-                    self.idle.pop(server)
+            for server in tuple(self.idle):
+                self.close_old(server, now)
+
+    def close_old(self, server: ServerId, now: float) -> None:
+        """Close the connections to a server that will not be used again."""
+        kept: deque[ServerChannel] = deque()
+        for channel in self.idle.pop(server):
+            if self.is_usable(channel, now, is_repeatable=True):
+                kept.append(channel)
+            else:
+                channel.abort()
+        if kept:
+            self.idle[server] = kept
 
 
 def close_unused(
--- a/src/pollenloom/routing/load_table.py
+++ b/src/pollenloom/routing/load_table.py
@@ -50,6 +50,16 @@
         """Take a report."""
         self.reports[router] = report
 
+    def forget_old(self, heard_before: float) -> None:
+        """Forget routers that have been silent."""
+        silent = [
+            router
+            for router, report in self.reports.items()
+            if report.heard_at < heard_before
+        ]
+        for router in silent:
+            self.reports.pop(router)
+
     def elsewhere(
         self,
         service: ServiceId,
@@ -60,9 +70,7 @@
 
         `routers` is the size of the fleet with this router.
         """
-        for router, report in tuple(self.reports.items()):
-            if report.heard_at < now - REPORT_SECONDS:
-                self.reports.pop(router)
+        self.forget_old(now - REPORT_SECONDS)
         loads = [
             report.loads[service]
             for report in self.reports.values()
--- a/src/pollenloom_standins/keyed_store/keyed_store_service.py
+++ b/src/pollenloom_standins/keyed_store/keyed_store_service.py
@@ -89,10 +89,12 @@
         records = topic.read(start)
         if records is None:
             return json_answer({'first': topic.first}, HTTPStatus.GONE)
-        body = record_frames.PAGE_HEAD.pack(topic.end, topic.first)
-        for record in records:
-            body += record_frames.encode_record(record.key, record.payload)
-        return web.Response(body=body)
+        parts = [record_frames.PAGE_HEAD.pack(topic.end, topic.first)]
+        parts.extend(
+            record_frames.encode_record(record.key, record.payload)
+            for record in records
+        )
+        return web.Response(body=b''.join(parts))
 
     async def newest(self, request: web.Request) -> web.Response:
         """Return the newest record of each key."""
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -181,7 +181,8 @@
         lines.extend(
             f'{name.replace("_", "-")}: {text}' for name, text in named.items()
         )
-        self.writer.write('\r\n'.join((*lines, '', '')).encode() + body)
+        head = '\r\n'.join((*lines, '', ''))
+        self.writer.write(head.encode() + body)
         await self.writer.drain()
 
     async def ask(self, target: str, **request: Any) -> Answer:
@@ -193,10 +194,8 @@
         """Read one answer."""
         head = (await self.reader.readuntil(b'\r\n\r\n')).decode('latin-1')
         start_line, *lines = head.rstrip().split('\r\n')
-        headers = {
-            name.lower(): text.strip()
-            for name, _, text in (line.partition(':') for line in lines)
-        }
+        split = [line.partition(':') for line in lines]
+        headers = {name.lower(): text.strip() for name, _, text in split}
         status = int(start_line.split()[1])
         if headers.get('transfer-encoding') == 'chunked':
             body, is_whole = await self.read_chunks()
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -280,7 +280,10 @@
 async def test_leaving_caller_stops_the_server(site: Site) -> None:
     """Guards against servers that work for callers who have left."""
 
-    async def never(_: ReceivedRequest, __: asyncio.StreamWriter) -> None:
+    async def never(
+        _request: ReceivedRequest,
+        _writer: asyncio.StreamWriter,
+    ) -> None:
         await asyncio.Event().wait()
 
     worker = await site.add_worker(never)
@@ -295,7 +298,10 @@
 async def test_route_timeout_is_answered(site: Site) -> None:
     """Guards against callers that wait for ever for a silent server."""
 
-    async def never(_: ReceivedRequest, __: asyncio.StreamWriter) -> None:
+    async def never(
+        _request: ReceivedRequest,
+        _writer: asyncio.StreamWriter,
+    ) -> None:
         await asyncio.Event().wait()
 
     configuration = make_configuration(2)
--- a/tests/gateway/test_server_channel.py
+++ b/tests/gateway/test_server_channel.py
@@ -1,6 +1,7 @@
 """Connection to a server, fed with bytes by the tests."""
 
 import errno
+import itertools
 from typing import Any, cast
 
 import pytest
@@ -90,7 +91,7 @@
     content = INTERIM + OTHER + FRAMED
     channel = open_channel()
     places = sorted({0, len(content), *(cut % len(content) for cut in cuts)})
-    for start, end in zip(places, places[1:], strict=False):
+    for start, end in itertools.pairwise(places):
         channel.data_received(content[start:end])
     events = list(channel.events)
     heads = [entry for entry in events if isinstance(entry, AnswerHead)]
--- a/tests/routing/test_cold_gate.py
+++ b/tests/routing/test_cold_gate.py
@@ -32,8 +32,8 @@
             gate.take()
             sent.append(time)
     for start in sent:
-        in_second = sum(start <= time < start + 1 for time in sent)
-        assert in_second <= rate + 1 + 1e-6
+        in_second = [other for other in sent if start <= other < start + 1]
+        assert len(in_second) <= rate + 1 + 1e-6
 
 
 def test_gate_opens_again() -> None:
