--- /dev/null
+++ b/tests/admission/test_local_pool.py
@@ -0,0 +1,177 @@
+"""Admission on one router, without I/O."""
+
+import pytest
+
+from pollenloom.admission.local_backlog import WaitingTicket
+from pollenloom.admission.local_pool import LEAD_COST, LocalPool
+from pollenloom.admission.local_servers import Conditions
+from pollenloom.admission.ticket import Ticket
+from pollenloom.core.ids import (
+    AccountId,
+    DataCentreId,
+    RequestId,
+    RouteId,
+    ServerId,
+    ServiceId,
+    VersionId,
+)
+from pollenloom.core.states import Resource
+from pollenloom.routing.load_table import ServiceLoad
+from pollenloom.routing.send_window import FIRST_WINDOW
+from pollenloom.routing.server_directory import KnownServer
+from pollenloom.routing.server_entry import ServerEntry
+
+NOW = 100.0
+SERVICE = ServiceId('answers')
+
+
+def make_server(name: str, cold_until: float = 0) -> KnownServer:
+    """Return a registered server."""
+    entry = ServerEntry(
+        server=ServerId(name),
+        service=SERVICE,
+        address='10.0.0.1:80',
+        data_centre=DataCentreId('enschede'),
+        version=VersionId('v1'),
+        slots=100,
+        is_leaving=False,
+        cold_seconds=0,
+        started_at=0,
+    )
+    return KnownServer(entry, 1, 0, cold_until)
+
+
+def make_ticket(
+    account: str,
+    prompt: int = 1000,
+    shared: int = 0,
+    session: int = 0,
+) -> Ticket:
+    """Return a request for a model server."""
+    return Ticket(
+        request_id=RequestId('a1'),
+        account=AccountId(account),
+        service=SERVICE,
+        route=RouteId('r'),
+        resource=Resource.MODEL,
+        cost_hint=prompt,
+        deadline=NOW + 10,
+        prefix_hashes=(session,) if shared else (),
+        objective=0.8,
+        prompt_tokens=prompt,
+        shared_tokens=shared,
+    )
+
+
+def conditions(
+    elsewhere: ServiceLoad | None = None,
+    cold_rate: float = 0,
+    now: float = NOW,
+) -> Conditions:
+    """Return what holds while a server is chosen."""
+    return Conditions(now, cold_rate, elsewhere or ServiceLoad())
+
+
+def send_all(
+    pool: LocalPool,
+    servers: list[KnownServer],
+    given: Conditions,
+) -> list[tuple[str, str]]:
+    """Send what may be sent; return accounts and servers in order."""
+    sent: list[tuple[str, str]] = []
+    while True:
+        found = pool.next_placement(servers, given)
+        if found is None:
+            return sent
+        waiting, placement = found
+        pool.sent_to(waiting, placement, given.now)
+        server = placement.known.entry.server
+        sent.append((waiting.ticket.account, server))
+
+
+@pytest.fixture
+def pool() -> LocalPool:
+    """An empty pool."""
+    return LocalPool()
+
+
+def test_accounts_take_turns(pool: LocalPool) -> None:
+    """Guards against an account that floods the router."""
+    for _ in range(20):
+        pool.put(WaitingTicket(make_ticket('flood', 10_000), NOW))
+    pool.put(WaitingTicket(make_ticket('small', 10_000), NOW))
+    pool.put(WaitingTicket(make_ticket('small', 10_000), NOW))
+    accounts = [
+        account
+        for account, _ in send_all(pool, [make_server('i-1')], conditions())
+    ]
+    assert accounts.count('small') >= accounts.count('flood') - 1
+
+
+def test_account_that_got_more_waits_for_others_elsewhere(
+    pool: LocalPool,
+) -> None:
+    """Guards against shares that depend on the router.
+
+    Found on scale-1 of carromwerk: FAIR broke, since quiet routers sent while
+    an account waited at a busy one.
+    """
+    pool.backlog.usage.charge(AccountId('ahead'), 3 * LEAD_COST, NOW)
+    pool.put(WaitingTicket(make_ticket('ahead'), NOW))
+    waits = conditions(ServiceLoad(least_waiting=0))
+    assert not send_all(pool, [make_server('i-1')], waits)
+    assert send_all(pool, [make_server('i-1')], conditions())
+
+
+def test_queue_of_other_routers_keeps_requests_back(pool: LocalPool) -> None:
+    """Guards against routers that fill one server together."""
+    pool.put(WaitingTicket(make_ticket('shop'), NOW))
+    full = conditions(ServiceLoad({ServerId('i-1'): 2 * FIRST_WINDOW}))
+    assert not send_all(pool, [make_server('i-1')], full)
+
+
+def test_session_stays_with_its_servers(pool: LocalPool) -> None:
+    """Guards against shared parts that every server reads again."""
+    servers = [make_server(f'i-{number}') for number in range(6)]
+    used = set()
+    for number in range(12):
+        ticket = make_ticket('shop', 6000, 5000, session=77)
+        pool.put(WaitingTicket(ticket, NOW + number))
+        given = conditions(now=NOW + number)
+        for _, server in send_all(pool, servers, given):
+            used.add(server)
+            load = pool.servers.load(ServerId(server), given.now)
+            load.window.released(10_000)
+    assert len(used) == 1
+
+
+def test_cold_servers_get_the_router_s_part(pool: LocalPool) -> None:
+    """Guards against a cold server that all routers fill."""
+    server = make_server('i-1', cold_until=NOW + 3)
+    sent = 0
+    for step in range(100):
+        pool.put(WaitingTicket(make_ticket('shop', 1), NOW))
+        given = conditions(cold_rate=2, now=NOW + step / 100)
+        sent += len(send_all(pool, [server], given))
+    assert 2 <= sent <= 3
+
+
+def test_hopeless_request_is_told_at_once(pool: LocalPool) -> None:
+    """Guards against requests that wait although they would be late."""
+    servers = [make_server('i-1')]
+    for _ in range(40):
+        pool.put(WaitingTicket(make_ticket('shop', 20_000), NOW))
+    send_all(pool, servers, conditions())
+    assert pool.is_hopeless(make_ticket('shop'), NOW)
+    assert not pool.is_hopeless(make_ticket('other', 100), NOW)
+
+
+def test_failing_servers_are_left_out_but_not_all(pool: LocalPool) -> None:
+    """Guards against leaving out all servers of a service at once."""
+    servers = [make_server(f'i-{number}') for number in range(4)]
+    for known in servers:
+        health = pool.servers.load(known.entry.server, NOW).health
+        for _ in range(8):
+            health.answered(NOW, is_good=False)
+    pool.put(WaitingTicket(make_ticket('shop'), NOW))
+    assert send_all(pool, servers, conditions())
