--- a/src/pollenloom/catalogue/store_census.py
+++ b/src/pollenloom/catalogue/store_census.py
@@ -24,6 +24,9 @@
 FIRST_RETRY_SECONDS: Final = 0.3
 # A late count of routers only makes shares too large or small for a while.
 READ_WAIT_SECONDS: Final = 8.0
+# In a large fleet some router writes its record all the time; reading each
+# of them made most of the calls at 71 routers.
+READ_PACE_SECONDS: Final = 6.0
 
 
 class NodeRecord(msgspec.Struct, frozen=True):
@@ -60,6 +63,7 @@
             StoreTopic.NODES,
             self.take,
             wait_seconds=READ_WAIT_SECONDS,
+            pace_seconds=READ_PACE_SECONDS,
         )
         self.kernel.spawn('census-announce', self.announce())
         self.kernel.spawn('census-read', follower.run())
--- a/src/pollenloom/catalogue/topic_follower.py
+++ b/src/pollenloom/catalogue/topic_follower.py
@@ -42,12 +42,14 @@
         take: Taker,
         on_regained: Callable[[float], None] | None = None,
         wait_seconds: float = WAIT_SECONDS,
+        pace_seconds: float = PACE_SECONDS,
     ) -> None:
         self.kernel = kernel
         self.topic = topic
         self.take = take
         self.on_regained = on_regained
         self.wait_seconds = wait_seconds
+        self.pace_seconds = pace_seconds
         self.events = kernel.find(KernelServiceName.EVENTS, EventLog)
         self.store = kernel.find(
             KernelServiceName.KEYED_STORE,
@@ -96,7 +98,7 @@
             offset = listing.next_offset
             if listing.records:
                 self.take(listing, False)
-                await asyncio.sleep(PACE_SECONDS)
+                await asyncio.sleep(self.pace_seconds)
 
     def failed(self, failure: Failure) -> None:
         """Note that the store did not answer."""
--- a/tests/test_platform_border.py
+++ b/tests/test_platform_border.py
@@ -46,8 +46,7 @@
 def wire_words() -> set[str]:
     """Return the headers, topics and calls that the adapter names."""
     words: set[str] = set()
-    for name in dir(wire_names):
-        value = getattr(wire_names, name)
+    for value in wire_names.__dict__.values():
         if isinstance(value, bytes) and value.startswith(b'x-pollenloom'):
             words.add(value.decode())
         if isinstance(value, str) and value.startswith('keyed.'):
@@ -89,12 +88,6 @@
 def test_adapter_decides_nothing() -> None:
     """Guards against policy in the adapter: it may not look at the time."""
     for path in ADAPTER.rglob('*.py'):
-        imported = imports_of(path)
-        assert not any(
-            name.startswith('pollenloom.kernel') for name in imported
-        )
-        assert not any(
-            name.startswith('pollenloom.admission') for name in imported
-        )
-        assert 'time' not in imported
-        assert 'random' not in imported
+        for name in imports_of(path):
+            assert name not in {'time', 'random'}
+            assert not name.startswith(DECIDING_MODULES)
