Tell the inputs of refusals in the log; drop fields that nothing reads

Cause: a line of a refused request gave no figures, failures had status 0 and the text of an enum; six decoded fields were not used.

--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -92,8 +92,11 @@
             self.pump(ticket.service)
             if reply.done():
                 return Ok(reply.result())
-            if pool.is_hopeless(ticket, now):
-                return Error(self.refuse(ticket, 'the queue is too long'))
+            expected = pool.expected_wait(ticket, now)
+            limit = pool.longest_wait(ticket)
+            if expected > limit:
+                reason = f'expected wait {expected:.2f} s, limit {limit:.2f} s'
+                return Error(self.refuse(ticket, reason))
             return await self.wait(ticket, reply, now)
 
     def withdraw(self, waiting: WaitingTicket) -> None:
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -98,11 +98,6 @@
         rate = max(self.sent_cost, 1) / RATE_SECONDS
         return self.backlog.cost_ahead(ticket) / rate
 
-    def is_hopeless(self, ticket: Ticket, now: float) -> bool:
-        """Whether a request that must wait would be late anyway."""
-        limit = self.longest_wait(ticket)
-        return self.expected_wait(ticket, now) > limit
-
     def longest_wait(self, ticket: Ticket) -> float:
         """Seconds that a request may wait here and still be prompt."""
         objective = ticket.objective or LONGEST_WAIT_SECONDS
--- a/src/pollenloom/gateway/exchange.py
+++ b/src/pollenloom/gateway/exchange.py
@@ -18,7 +18,11 @@
 from pollenloom.gateway.headers import CONTENT_LENGTH, Header, find, render
 from pollenloom.gateway.pending_call import PendingCall
 from pollenloom.gateway.server_channel import ServerChannel
-from pollenloom.gateway.server_event import AnswerHead, ChannelEnd
+from pollenloom.gateway.server_event import (
+    AnswerHead,
+    ChannelEnd,
+    ServerEvent,
+)
 from pollenloom.gateway.server_links import ServerLinks
 from pollenloom.kernel.clock import Clock
 
@@ -90,7 +94,7 @@
         channel.transport.write(self.request_bytes())
         event = await channel.next_event()
         if not isinstance(event, AnswerHead):
-            return self.failed(f'no answer, the connection was {event!r}')
+            return self.failed(f'no answer, the connection was {told(event)}')
         self.is_cold = self.dialect.cold_seconds(event) > 0
         if self.dialect.is_not_run(event):
             return await self.rejected(event, channel)
@@ -189,7 +193,7 @@
                 return AttemptEnd(AttemptState.ANSWERED, status=head.status)
             else:
                 self.splitter.drop_rest()
-                return self.failed(f'the stream was {event!r}')
+                return self.failed(f'the stream was {told(event)}')
 
     async def pass_events(self, head: AnswerHead, events: bytes) -> None:
         """Write whole events, and before the first of them the head."""
@@ -228,3 +232,10 @@
                 server_leaving=self.is_misdirected,
             )
         )
+
+
+def told(event: ServerEvent) -> str:
+    """Return how a connection ended, for a log line."""
+    if isinstance(event, ChannelEnd):
+        return event.value
+    return 'used for bytes that are no answer'
--- a/src/pollenloom/gateway/request_journal.py
+++ b/src/pollenloom/gateway/request_journal.py
@@ -72,13 +72,11 @@
                 first_byte,
                 seconds,
             )
-        outcome = kind.value if kind else end.state.value
-        self.record(
-            call,
-            outcome,
-            end.status,
-            end.failure.detail if end.failure else '',
-        )
+        if end.failure is None:
+            self.record(call, end.state.value, end.status, '')
+            return
+        status = end.status or end.failure.answer.status
+        self.record(call, end.failure.kind.value, status, end.failure.detail)
 
     def caller_left(self, call: PendingCall) -> None:
         """Tell that a caller did not wait for the answer."""
--- a/src/pollenloom/platform/configuration_codec.py
+++ b/src/pollenloom/platform/configuration_codec.py
@@ -35,7 +35,6 @@
     route_type: str
     timeout_ms: float
     target_latency_ms: float = 0
-    priority: int = 0
     service: str = ''
     weighted_services: tuple[WireWeight, ...] = ()
     max_attempts: int = 1
@@ -44,23 +43,20 @@
 
 
 class WireService(msgspec.Struct, frozen=True):
-    """One service; `engine` is present for model servers."""
+    """One service."""
 
     name: str
-    max_connections: int = 0
     cold_start_s: float = 0
     cold_per_s: float = 0
-    engine: dict[str, object] | None = None
 
 
 class WireLimits(msgspec.Struct, frozen=True):
-    """Limits on callers, and what the model servers make together."""
+    """Limits on callers."""
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
     header_timeout_ms: float = 3000
     idle_timeout_ms: float = 15_000
-    tokens_per_s: float = 0
 
 
 class WireTenant(msgspec.Struct, frozen=True):
@@ -108,7 +104,6 @@
                 for key in tenant.api_keys
             },
             limits=read_limits(wire.limits),
-            tokens_per_second=wire.limits.tokens_per_s,
         )
     )
 
@@ -135,7 +130,6 @@
         max_attempts=max(1, wire.max_attempts),
         is_public=wire.public,
         is_resumable=wire.resumable,
-        rank=wire.priority,
     )
 
 
@@ -152,10 +146,8 @@
     """Return the profile of a service."""
     return ServiceProfile(
         service=ServiceId(wire.name),
-        max_connections=wire.max_connections,
         cold_seconds=wire.cold_start_s,
         cold_rate=wire.cold_per_s,
-        is_model=wire.engine is not None,
     )
 
 
--- a/src/pollenloom/routing/route.py
+++ b/src/pollenloom/routing/route.py
@@ -25,7 +25,6 @@
         max_attempts: Backend servers that one request may be sent to.
         is_public: Whether requests carry no key.
         is_resumable: Whether a stream may go on at another backend server.
-        rank: Priority, 0 is the highest.
     """
 
     route: RouteId
@@ -38,7 +37,6 @@
     max_attempts: int
     is_public: bool
     is_resumable: bool
-    rank: int
 
     @property
     def is_repeatable(self) -> bool:
--- a/src/pollenloom/routing/routing_configuration.py
+++ b/src/pollenloom/routing/routing_configuration.py
@@ -17,8 +17,6 @@
         revision: Grows with each configuration.
         routes: By host; the longest prefix first.
         accounts: Client account of each key; empty if no keys are used.
-        tokens_per_second: What all model servers make together; 0 if not
-            said.
     """
 
     revision: Revision
@@ -26,7 +24,6 @@
     services: Mapping[ServiceId, ServiceProfile]
     accounts: Mapping[str, AccountId]
     limits: CallerLimits = field(default_factory=CallerLimits)
-    tokens_per_second: float = 0
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path."""
--- a/tests/admission/test_local_pool.py
+++ b/tests/admission/test_local_pool.py
@@ -162,8 +162,10 @@
     for _ in range(40):
         pool.put(WaitingTicket(make_ticket('shop', 20_000), NOW))
     send_all(pool, servers, conditions())
-    assert pool.is_hopeless(make_ticket('shop'), NOW)
-    assert not pool.is_hopeless(make_ticket('other', 100), NOW)
+    late = make_ticket('shop')
+    prompt = make_ticket('other', 100)
+    assert pool.expected_wait(late, NOW) > pool.longest_wait(late)
+    assert pool.expected_wait(prompt, NOW) < pool.longest_wait(prompt)
 
 
 def test_failing_servers_are_left_out_but_not_all(pool: LocalPool) -> None:
--- a/tests/routing/conftest.py
+++ b/tests/routing/conftest.py
@@ -31,6 +31,6 @@
     """A directory of a service whose servers are cold for three seconds."""
     directory = ServerDirectory()
     directory.configure(
-        {SERVICE: ServiceProfile(SERVICE, 100, 3, 14, is_model=True)},
+        {SERVICE: ServiceProfile(SERVICE, 3, 14)},
     )
     return directory
