--- a/scripts/generate_docs.py
+++ b/scripts/generate_docs.py
@@ -19,6 +19,7 @@
 from pollenloom.console.exit_code import ExitCode
 from pollenloom.core.error_answers import ERROR_ANSWERS
 from pollenloom.observability.event_name import EventName
+from pollenloom.settings.node_settings import NodeSettings
 from pollenloom.settings.router_settings import RouterSettings
 from pollenloom.validation.field_schema import (
     Schema,
@@ -41,10 +42,12 @@
 ATTRIBUTE = re.compile(r'^ {4}(\w+): (.*(?:\n {5,}.*)*)', re.MULTILINE)
 
 
-def router_models() -> Iterator[tuple[str, type[BaseModel]]]:
-    """Return the router settings and their sections."""
-    yield 'Top level', RouterSettings
-    for name, field in RouterSettings.model_fields.items():
+def settings_models(
+    settings: type[BaseModel],
+) -> Iterator[tuple[str, type[BaseModel]]]:
+    """Return the settings of a process and their sections."""
+    yield 'Top level', settings
+    for name, field in settings.model_fields.items():
         section = field.annotation
         if isinstance(section, type) and issubclass(section, BaseModel):
             yield f'`[{name}]`', section
@@ -127,7 +130,19 @@
             'start at the directory of the file.',
         )
     )
-    for title, model in router_models():
+    for title, model in settings_models(RouterSettings):
+        lines.extend(('', f'### {title}', '', *model_table(model)))
+    lines.extend(
+        (
+            '',
+            "## Settings of a node on the users' machines",
+            '',
+            'For `pollenloom node`. The platform fills in',
+            '`src/pollenloom/platform/node.template.toml`; the file is read',
+            'again after SIGHUP and when it changes.',
+        )
+    )
+    for title, model in settings_models(NodeSettings):
         lines.extend(('', f'### {title}', '', *model_table(model)))
     return '\n'.join(lines) + '\n'
 
--- a/src/pollenloom/settings/node_settings.py
+++ b/src/pollenloom/settings/node_settings.py
@@ -56,7 +56,15 @@
 
 
 class NodeSettings(SettingsSection):
-    """All settings of a router on the users' machines."""
+    """All settings of a router on the users' machines.
+
+    Attributes:
+        vm: Id of this router, unique in the fleet.
+        data_centre: Where it runs.
+        listen: Addresses of this router.
+        store: The platform's store.
+        bounds: Promises of the operators.
+    """
 
     vm: VmId
     data_centre: DataCentreId
