End a request that finds no room instead of asking again

Cause: a request that had run and then found no room was asked for again at once, each time taking from the retry budget, until the budget was empty; the new test saw 40 retries taken where one was sent. Found while one function was made of the three places that derive how an attempt ended. Ruled out: a loop of the admission; it answers each call. Change: no grant ends the request; a second connection that cannot be made no longer ends a request that may be repeated. Also one property for the prompt tokens of a request's own, one record a grant, one constant for milliseconds. Test that failed first: test_retry_without_room_takes_from_the_budget_once (40 retries before, 1 after). The test of configurations that never go back read a field of the stand-in before the router's first long read; the field now starts at 0 (seen once, KeyError).

--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -11,6 +11,7 @@
 from pollenloom.admission.admission import Admission
 from pollenloom.admission.admission_status import AdmissionStatus
 from pollenloom.admission.grant import Grant
+from pollenloom.admission.held_grant import HeldGrant
 from pollenloom.admission.local_backlog import WaitingTicket
 from pollenloom.admission.local_pool import LocalPool
 from pollenloom.admission.local_servers import Conditions, Placement
@@ -48,9 +49,7 @@
         self.kernel = kernel
         self.pools: dict[ServiceId, LocalPool] = defaultdict(LocalPool)
         self.replies: dict[WaitingTicket, Reply] = {}
-        self.placements: dict[GrantId, Placement] = {}
-        self.tickets: dict[GrantId, Ticket] = {}
-        self.first_bytes: set[GrantId] = set()
+        self.held: dict[GrantId, HeldGrant] = {}
         self.numbers = count(1)
         self.has_waiting = asyncio.Event()
 
@@ -205,43 +204,44 @@
             expires_at=now + GRANT_SECONDS,
             charged=ticket.cost_hint,
         )
-        self.placements[grant.grant_id] = placement
-        self.tickets[grant.grant_id] = ticket
+        self.held[grant.grant_id] = HeldGrant(placement)
         return grant
 
     def observe_first_byte(self, grant: Grant, seconds: float) -> None:
         """Free the window's room and adapt it."""
-        if grant.grant_id in self.first_bytes:
+        held = self.held.get(grant.grant_id)
+        if held is None or held.is_read:
             return
-        self.first_bytes.add(grant.grant_id)
+        held.is_read = True
         now = self.kernel.clock.monotonic()
-        placement = self.placements[grant.grant_id]
+        cost = held.placement.cost
         load = self.pools[grant.server.service].servers.load(
             grant.server.server,
             now,
         )
         objective = self.pools[grant.server.service].tightest_objective
-        load.window.observe(seconds, placement.cost, objective, now)
-        load.window.released(placement.cost)
+        load.window.observe(seconds, cost, objective, now)
+        load.window.released(cost)
         load.health.observe_latency(seconds, now)
         self.pump(grant.server.service)
 
     def settle(self, settlement: Settlement) -> None:
         """Free what the request held and judge the server."""
         grant = settlement.grant
-        placement = self.placements.pop(grant.grant_id, None)
-        self.tickets.pop(grant.grant_id, None)
-        if placement is None:
+        held = self.held.pop(grant.grant_id, None)
+        if held is None:
             return
         now = self.kernel.clock.monotonic()
         pool = self.pools[grant.server.service]
         load = pool.servers.load(grant.server.server, now)
         load.in_flight -= 1
-        if grant.grant_id not in self.first_bytes:
-            load.window.released(placement.cost)
-        self.first_bytes.discard(grant.grant_id)
+        if not held.is_read:
+            load.window.released(held.placement.cost)
         directory = self.catalogue.directory
-        known = directory.servers.get(grant.server.server, placement.known)
+        known = directory.servers.get(
+            grant.server.server,
+            held.placement.known,
+        )
         judge_server(settlement, known, load.health, directory, now)
         self.pump(grant.server.service)
 
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -101,8 +101,10 @@
     def longest_wait(self, ticket: Ticket) -> float:
         """Seconds that a request may wait here and still be prompt."""
         objective = ticket.objective or LONGEST_WAIT_SECONDS
-        unread = ticket.prompt_tokens - ticket.shared_tokens
-        read = min(objective * LONGEST_READ_SHARE, unread / PREFILL_RATE)
+        read = min(
+            objective * LONGEST_READ_SHARE,
+            ticket.own_tokens / PREFILL_RATE,
+        )
         queue = min(objective, self.tightest_objective) * QUEUE_SHARE
         return max(0, objective * (1 - SPARE_SHARE) - queue - read)
 
--- a/src/pollenloom/admission/local_servers.py
+++ b/src/pollenloom/admission/local_servers.py
@@ -190,8 +190,10 @@
         """Tokens that a server of that rank has to read."""
         if not ticket.prefix_hashes:
             return max(1, ticket.prompt_tokens)
-        own = max(1, ticket.prompt_tokens - ticket.shared_tokens)
-        return own + self.miss_chance(rank) * ticket.shared_tokens
+        return (
+            max(1, ticket.own_tokens)
+            + self.miss_chance(rank) * ticket.shared_tokens
+        )
 
     def miss_chance(self, rank: int) -> float:
         """Chance that a server of that rank does not keep the prefix."""
--- a/src/pollenloom/admission/ticket.py
+++ b/src/pollenloom/admission/ticket.py
@@ -47,3 +47,8 @@
     objective: float = 0
     prompt_tokens: int = 0
     shared_tokens: int = 0
+
+    @property
+    def own_tokens(self) -> int:
+        """Prompt tokens that every server has to read."""
+        return max(0, self.prompt_tokens - self.shared_tokens)
--- a/src/pollenloom/gateway/attempt_end.py
+++ b/src/pollenloom/gateway/attempt_end.py
@@ -29,3 +29,21 @@
     state: AttemptState
     failure: Failure | None = None
     status: int = 0
+
+
+def unanswered(
+    failure: Failure,
+    *,
+    has_run: bool,
+    is_begun: bool,
+) -> AttemptEnd:
+    """Return the end of an attempt without a whole answer.
+
+    `has_run` tells whether a server may have run the request, `is_begun`
+    whether a part of an answer was passed on.
+    """
+    if is_begun:
+        return AttemptEnd(AttemptState.BROKEN, failure)
+    if has_run:
+        return AttemptEnd(AttemptState.FAILED, failure)
+    return AttemptEnd(AttemptState.UNSENT, failure)
--- a/src/pollenloom/gateway/exchange.py
+++ b/src/pollenloom/gateway/exchange.py
@@ -12,7 +12,11 @@
 from pollenloom.core.failure import Failure
 from pollenloom.core.states import Outcome
 from pollenloom.gateway.answer_writer import AnswerWriter
-from pollenloom.gateway.attempt_end import AttemptEnd, AttemptState
+from pollenloom.gateway.attempt_end import (
+    AttemptEnd,
+    AttemptState,
+    unanswered,
+)
 from pollenloom.gateway.dialect import Dialect
 from pollenloom.gateway.event_splitter import EventSplitter
 from pollenloom.gateway.headers import CONTENT_LENGTH, Header, find, render
@@ -216,9 +220,11 @@
             ErrorKind.BACKEND_FAILED,
             f'{self.grant.server.server}: {detail}',
         )
-        if self.writer.is_begun:
-            return AttemptEnd(AttemptState.BROKEN, failure)
-        return AttemptEnd(AttemptState.FAILED, failure)
+        return unanswered(
+            failure,
+            has_run=True,
+            is_begun=self.writer.is_begun,
+        )
 
     def settle(self) -> None:
         """Give the grant back."""
--- a/src/pollenloom/gateway/relay.py
+++ b/src/pollenloom/gateway/relay.py
@@ -3,13 +3,20 @@
 import asyncio
 from typing import TYPE_CHECKING, ClassVar, Final
 
+from expression import Result
+
 from pollenloom.admission.admission import Admission
+from pollenloom.admission.grant import Grant
 from pollenloom.catalogue.catalogue import Catalogue
 from pollenloom.catalogue.fleet_census import FleetCensus
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
 from pollenloom.gateway.answer_writer import AnswerWriter
-from pollenloom.gateway.attempt_end import AttemptEnd, AttemptState
+from pollenloom.gateway.attempt_end import (
+    AttemptEnd,
+    AttemptState,
+    unanswered,
+)
 from pollenloom.gateway.call_desk import CallDesk, make_ticket
 from pollenloom.gateway.caller_channel import CallerChannel
 from pollenloom.gateway.dialect import Dialect
@@ -103,12 +110,11 @@
             kind = ErrorKind.DEADLINE_UNREACHABLE
             if call.has_run:
                 kind = ErrorKind.BACKEND_TIMEOUT
-            state = AttemptState.UNSENT
-            if writer.is_begun:
-                state = AttemptState.BROKEN
-            elif call.has_run:
-                state = AttemptState.FAILED
-            return AttemptEnd(state, Failure(kind, 'the time is over'))
+            return unanswered(
+                Failure(kind, 'the time is over'),
+                has_run=call.has_run,
+                is_begun=writer.is_begun,
+            )
 
     async def run_attempts(
         self,
@@ -118,27 +124,34 @@
         """Send the request until it is answered or must not be sent again."""
         splitter = EventSplitter(call.facts.last_event)
         while True:
-            end = await self.attempt(call, writer, splitter)
-            if end.state is AttemptState.ANSWERED:
-                return end
+            acquired = await self.acquire(call)
+            if acquired.is_error():
+                return unanswered(
+                    acquired.error,
+                    has_run=call.has_run,
+                    is_begun=writer.is_begun,
+                )
+            end = await self.attempt(call, acquired.ok, writer, splitter)
             if not self.may_go_on(call, end):
                 return end
             self.journal.sent_again(call, end)
 
+    async def acquire(self, call: PendingCall) -> Result[Grant, Failure]:
+        """Wait for a grant."""
+        clock = self.kernel.clock
+        began = clock.monotonic()
+        acquired = await self.admission.acquire(make_ticket(call))
+        call.waited += clock.monotonic() - began
+        return acquired
+
     async def attempt(
         self,
         call: PendingCall,
+        grant: Grant,
         writer: AnswerWriter,
         splitter: EventSplitter,
     ) -> AttemptEnd:
-        """Wait for a grant and use it."""
-        clock = self.kernel.clock
-        began = clock.monotonic()
-        acquired = await self.admission.acquire(make_ticket(call))
-        call.waited += clock.monotonic() - began
-        if acquired.is_error():
-            return self.not_granted(call, acquired.error, writer)
-        grant = acquired.ok
+        """Use a grant."""
         call.server = grant.server.server
         call.tries += 1
         exchange = Exchange(
@@ -146,7 +159,7 @@
             grant=grant,
             writer=writer,
             splitter=splitter,
-            clock=clock,
+            clock=self.kernel.clock,
             dialect=self.dialect,
             admission=self.admission,
         )
@@ -159,30 +172,18 @@
             call.first_byte = sent_after + exchange.first_byte
         return end
 
-    def not_granted(
-        self,
-        call: PendingCall,
-        failure: Failure,
-        writer: AnswerWriter,
-    ) -> AttemptEnd:
-        """Return the end of a request that no server may get now."""
-        if writer.is_begun:
-            return AttemptEnd(AttemptState.BROKEN, failure)
-        if call.has_run:
-            ran = Failure(ErrorKind.BACKEND_FAILED, failure.detail)
-            return AttemptEnd(AttemptState.FAILED, ran)
-        # Not to be tried again here: the backlog has already been full.
-        call.tries = MOST_TRIES
-        return AttemptEnd(AttemptState.UNSENT, failure)
-
     def may_go_on(self, call: PendingCall, end: AttemptEnd) -> bool:
         """Whether the request is sent once more; takes from the budget."""
-        if end.failure and end.failure.kind is ErrorKind.NO_CAPACITY:
-            return call.tries < MOST_TRIES and not call.has_run
+        is_repeatable = call.route.is_repeatable
+        if end.state is AttemptState.ANSWERED:
+            return False
+        if end.state is AttemptState.UNSENT:
+            # The budget was asked when the request was last sent.
+            is_allowed = is_repeatable or not call.has_run
+            return is_allowed and call.tries < MOST_TRIES
         if not call.has_sends_left():
             return False
-        is_rejected = end.state is AttemptState.REJECTED
-        if not is_rejected and not call.route.is_repeatable:
+        if end.state is not AttemptState.REJECTED and not is_repeatable:
             return False
         now = self.kernel.clock.monotonic()
         return self.desk.budget(call.service, now).take(now)
--- a/src/pollenloom/gateway/request_journal.py
+++ b/src/pollenloom/gateway/request_journal.py
@@ -5,6 +5,7 @@
 from pollenloom.admission.grant import Grant
 from pollenloom.catalogue.catalogue import Catalogue
 from pollenloom.core.failure import Failure
+from pollenloom.core.units import MILLISECONDS
 from pollenloom.gateway.attempt_end import AttemptEnd, AttemptState
 from pollenloom.gateway.pending_call import PendingCall
 from pollenloom.kernel.clock import Clock
@@ -15,8 +16,6 @@
 from pollenloom.observability.metrics import Metrics
 from pollenloom.routing.request_facts import RequestFacts
 
-MS = 1000
-
 
 class RequestJournal:
     """Tells what became of each request, one line for each decision."""
@@ -104,11 +103,11 @@
             attempts=call.sends,
             reason=reason,
             revision=call.revision,
-            waited_ms=round(call.waited * MS),
+            waited_ms=round(call.waited * MILLISECONDS),
             first_byte_ms=None
             if first_byte is None
-            else round(first_byte * MS),
-            total_ms=round(seconds * MS),
+            else round(first_byte * MILLISECONDS),
+            total_ms=round(seconds * MILLISECONDS),
         )
 
     def attempt_failed(
@@ -127,7 +126,9 @@
             reason=end.failure.detail if end.failure else '',
             run=end.state.value,
             entry_version=known.version if known else None,
-            entry_age_ms=round((now - known.read_at) * MS) if known else None,
+            entry_age_ms=round((now - known.read_at) * MILLISECONDS)
+            if known
+            else None,
         )
 
     def sent_again(self, call: PendingCall, end: AttemptEnd) -> None:
--- a/src/pollenloom/membership/gossip_membership.py
+++ b/src/pollenloom/membership/gossip_membership.py
@@ -7,6 +7,7 @@
 
 from pollenloom.core.ids import DataCentreId, VmId
 from pollenloom.core.states import MemberState
+from pollenloom.core.units import MILLISECONDS
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.membership.fleet_joiner import FleetJoiner
 from pollenloom.membership.fleet_view import FleetView
@@ -21,7 +22,6 @@
     from pollenloom.log_service.vm_entry import VmEntry
     from pollenloom.settings.router_settings import RouterSettings
 
-MILLISECONDS = 1000
 FLUSH_SECONDS = 0.5
 
 
--- a/src/pollenloom/orders/order_key.py
+++ b/src/pollenloom/orders/order_key.py
@@ -5,10 +5,10 @@
 import msgspec
 
 from pollenloom.core.ids import AccountId, ServiceId
+from pollenloom.core.units import MILLISECONDS
 
 UUID_VERSION = 7
 TIMESTAMP_SHIFT = 80
-MILLISECONDS = 1000
 
 
 class OrderKey(msgspec.Struct, frozen=True, array_like=True):
--- a/src/pollenloom/platform/configuration_codec.py
+++ b/src/pollenloom/platform/configuration_codec.py
@@ -1,7 +1,6 @@
 """Decodes the operator's configuration."""
 
 from collections import defaultdict
-from typing import Final
 
 import msgspec
 from expression import Error, Ok, Result
@@ -9,6 +8,7 @@
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
 from pollenloom.core.ids import AccountId, Revision, RouteId, ServiceId
+from pollenloom.core.units import MILLISECONDS
 from pollenloom.platform import wire_names
 from pollenloom.routing.caller_limits import CallerLimits
 from pollenloom.routing.route import Route, WeightedService
@@ -16,8 +16,6 @@
 from pollenloom.routing.routing_configuration import RoutingConfiguration
 from pollenloom.routing.service_profile import ServiceProfile
 
-MS: Final = 1000
-
 
 class WireWeight(msgspec.Struct, frozen=True):
     """One entry of a split."""
@@ -125,8 +123,8 @@
             WeightedService(ServiceId(entry.service), entry.weight)
             for entry in split
         ),
-        timeout=wire.timeout_ms / MS,
-        objective=(wire.target_latency_ms or wire.timeout_ms) / MS,
+        timeout=wire.timeout_ms / MILLISECONDS,
+        objective=(wire.target_latency_ms or wire.timeout_ms) / MILLISECONDS,
         max_attempts=max(1, wire.max_attempts),
         is_public=wire.public,
         is_resumable=wire.resumable,
@@ -156,6 +154,6 @@
     return CallerLimits(
         header_bytes=wire.max_header_bytes,
         body_bytes=wire.max_body_bytes,
-        header_seconds=wire.header_timeout_ms / MS,
-        idle_seconds=wire.idle_timeout_ms / MS,
+        header_seconds=wire.header_timeout_ms / MILLISECONDS,
+        idle_seconds=wire.idle_timeout_ms / MILLISECONDS,
     )
--- a/src/pollenloom/platform/header_dialect.py
+++ b/src/pollenloom/platform/header_dialect.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Iterable
 from http import HTTPStatus
-from typing import Final
 
 from absl import logging
 
 from pollenloom.core.ids import AccountId, ServerId
+from pollenloom.core.units import MILLISECONDS
 from pollenloom.gateway.dialect import Dialect
 from pollenloom.gateway.headers import Header, end_to_end, find
 from pollenloom.gateway.raw_request import RawRequest
@@ -14,8 +14,6 @@
 from pollenloom.platform import wire_names
 from pollenloom.routing.request_facts import PromptPart, RequestFacts
 
-MS: Final = 1000
-
 
 class HeaderDialect(Dialect):
     """Reads and writes the headers that `wire_names` lists."""
@@ -31,7 +29,7 @@
         return RequestFacts(
             request_id=text_of(headers, wire_names.ATTEMPT_ID),
             key=text_of(headers, wire_names.API_KEY),
-            patience=None if patience is None else patience / MS,
+            patience=None if patience is None else patience / MILLISECONDS,
             prompt_tokens=prompt,
             output_tokens=output if hint is None else int(hint),
             parts=read_parts(headers.get(wire_names.PROMPT_PREFIX)),
@@ -55,7 +53,7 @@
             for header in end_to_end(request.headers)
             if header[0] not in dropped
         ]
-        milliseconds = max(1, int(seconds * MS))
+        milliseconds = max(1, int(seconds * MILLISECONDS))
         headers.extend(
             (
                 (wire_names.DEADLINE_MS, b'%d' % milliseconds),
@@ -84,7 +82,7 @@
     def cold_seconds(self, head: AnswerHead) -> float:
         """How long the server stays cold; 0 if it does not say."""
         cold = read_number(find(head.headers, wire_names.COLD_MS))
-        return 0 if cold is None else cold / MS
+        return 0 if cold is None else cold / MILLISECONDS
 
     def refusal_headers(self, retry_after: float | None) -> Iterable[Header]:
         """Return the headers of an own refusal; the time is in seconds."""
--- a/src/pollenloom/platform/server_entry_codec.py
+++ b/src/pollenloom/platform/server_entry_codec.py
@@ -8,10 +8,10 @@
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
 from pollenloom.core.ids import DataCentreId, ServerId, ServiceId, VersionId
+from pollenloom.core.units import MILLISECONDS
 from pollenloom.platform import wire_names
 from pollenloom.routing.server_entry import ServerEntry
 
-MS: Final = 1000
 STATES: Final = frozenset((wire_names.STATE_READY, wire_names.STATE_DRAINING))
 ADDRESS: Final = r'^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$'
 
@@ -51,7 +51,7 @@
             version=VersionId(wire.version),
             slots=wire.slots,
             is_leaving=wire.state == wire_names.STATE_DRAINING,
-            cold_seconds=wire.cold_remaining_ms / MS,
-            started_at=wire.born / MS,
+            cold_seconds=wire.cold_remaining_ms / MILLISECONDS,
+            started_at=wire.born / MILLISECONDS,
         )
     )
--- a/src/pollenloom/platform/store_client.py
+++ b/src/pollenloom/platform/store_client.py
@@ -21,6 +21,7 @@
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
 from pollenloom.core.ids import DataCentreId, Offset, ServerId
+from pollenloom.core.units import MILLISECONDS
 from pollenloom.platform import record_frames, wire_names
 from pollenloom.platform.configuration_codec import decode_configuration
 from pollenloom.platform.server_entry_codec import decode_server_entry
@@ -41,7 +42,6 @@
 )
 # Topics with keys have this partition only.
 PARTITION: Final = 0
-MS: Final = 1000
 LARGEST_ANSWER_KB: Final = 1024
 # A connection to a reachable store takes a few milliseconds.
 CONNECT_SECONDS: Final = 0.5
@@ -148,7 +148,7 @@
                 'part': str(PARTITION),
                 'from': str(start),
                 'max_kb': str(LARGEST_ANSWER_KB),
-                'wait_ms': str(round(wait_seconds * MS)),
+                'wait_ms': str(round(wait_seconds * MILLISECONDS)),
             },
             wait_seconds,
         )
--- a/src/pollenloom/routing/request_facts.py
+++ b/src/pollenloom/routing/request_facts.py
@@ -38,13 +38,6 @@
         """Tokens, with a generated token counted twice; 1 if no model."""
         return max(1, self.prompt_tokens + 2 * self.output_tokens)
 
-    @property
-    def own_tokens(self) -> int:
-        """Prompt tokens that no other request shares."""
-        if not self.parts:
-            return self.prompt_tokens
-        return max(0, self.prompt_tokens - self.shared_tokens)
-
     @property
     def shared_tokens(self) -> int:
         """Prompt tokens in parts that other requests share."""
--- a/src/pollenloom_standins/capacity/configuration_slopes.py
+++ b/src/pollenloom_standins/capacity/configuration_slopes.py
@@ -15,6 +15,7 @@
 from pollenloom.configuration.log_entries import ConfigurationSnapshot
 from pollenloom.core.ids import Offset, PublishId, Revision, ServiceId
 from pollenloom.core.states import Resource
+from pollenloom.core.units import MILLISECONDS
 from pollenloom.membership.register_value import RegisterValue
 from pollenloom_standins.capacity.service_files import service_text
 from pollenloom_standins.capacity.slope_table import (
@@ -27,7 +28,6 @@
 SERVICES: Final = 5
 DATA_CENTRES: Final = ('dc-1', 'dc-2', 'dc-3', 'dc-4', 'dc-5')
 ACCOUNTS: Final = (160, 650, 2600)
-MILLISECONDS: Final = 1e3
 KIBIBYTE: Final = 1024
 # Before the shutdown dates of the files.
 PRESENT: Final = 1.8e9
--- a/src/pollenloom_standins/commands/application_command.py
+++ b/src/pollenloom_standins/commands/application_command.py
@@ -1,10 +1,11 @@
 """`pollenloom-standins application`."""
 
 from dataclasses import dataclass
-from typing import Annotated, Final
+from typing import Annotated
 
 import cappa
 
+from pollenloom.core.units import MILLISECONDS
 from pollenloom.kernel.kernel import Kernel
 from pollenloom_standins.application.application_service import (
     ApplicationService,
@@ -16,8 +17,6 @@
 from pollenloom_standins.serving.ready_line import ReadyLine
 from pollenloom_standins.serving.runner import run_until_terminated
 
-MILLISECONDS: Final = 1000
-
 
 @cappa.command(name='application')
 @dataclass
--- a/src/pollenloom_standins/commands/engine_command.py
+++ b/src/pollenloom_standins/commands/engine_command.py
@@ -1,10 +1,11 @@
 """`pollenloom-standins engine`."""
 
 from dataclasses import dataclass
-from typing import Annotated, Final
+from typing import Annotated
 
 import cappa
 
+from pollenloom.core.units import MILLISECONDS
 from pollenloom.kernel.kernel import Kernel
 from pollenloom_standins.backend.backend_control import BackendControl
 from pollenloom_standins.commands.backend_options import BackendOptions
@@ -15,8 +16,6 @@
 from pollenloom_standins.serving.ready_line import ReadyLine
 from pollenloom_standins.serving.runner import run_until_terminated
 
-MILLISECONDS: Final = 1000
-
 
 @cappa.command(name='engine')
 @dataclass
--- a/src/pollenloom_standins/experiment/experiment_plan.py
+++ b/src/pollenloom_standins/experiment/experiment_plan.py
@@ -6,6 +6,7 @@
 
 from pollenloom.core.ids import VmId
 from pollenloom.core.states import Resource
+from pollenloom.core.units import MILLISECONDS
 from pollenloom_standins.experiment.workload import (
     APPLICATION_SERVERS,
     COLD_SLOTS,
@@ -20,7 +21,6 @@
     RouterPlan,
 )
 
-MILLISECONDS: Final = 1000
 ENGINE_OPTIONS: Final = (
     '--token-ms',
     str(TOKEN_SECONDS * MILLISECONDS),
--- a/src/pollenloom_standins/experiment/tables.py
+++ b/src/pollenloom_standins/experiment/tables.py
@@ -4,6 +4,7 @@
 from types import MappingProxyType
 from typing import Final
 
+from pollenloom.core.units import MILLISECONDS
 from pollenloom_standins.experiment.results import RunResult
 from pollenloom_standins.experiment.table_column import (
     TableColumn,
@@ -12,7 +13,6 @@
     overload_gap,
 )
 
-MILLISECONDS: Final = 1000
 KILOBYTES: Final = 1000
 Columns = tuple[TableColumn, ...]
 
--- a/src/pollenloom_standins/keyed_store/keyed_store_service.py
+++ b/src/pollenloom_standins/keyed_store/keyed_store_service.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from pollenloom.core.ids import Offset
+from pollenloom.core.units import MILLISECONDS
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.platform import record_frames
 from pollenloom_standins.keyed_store.keyed_topic import KeyedTopic
@@ -18,7 +19,6 @@
 )
 from pollenloom_standins.serving.route_source import RouteSource
 
-MS: Final = 1000
 LENGTH_BYTES: Final = 4
 
 
@@ -28,7 +28,8 @@
     Attributes:
         is_down: Whether calls are refused with 503.
         calls: Calls answered or refused, by path.
-        last_read: Offset that the latest read started from, by topic.
+        last_read: Offset that the latest read started from, by topic; 0
+            before the first read.
     """
 
     name: ClassVar[KernelServiceName] = KernelServiceName.STANDIN_PLATFORM
@@ -37,7 +38,7 @@
         self.topics: dict[str, KeyedTopic] = defaultdict(KeyedTopic)
         self.is_down = False
         self.calls: dict[str, int] = defaultdict(int)
-        self.last_read: dict[str, int] = {}
+        self.last_read: dict[str, int] = defaultdict(int)
         self.changed = asyncio.Condition()
 
     async def start(self) -> None:
@@ -76,7 +77,7 @@
         topic = self.topics[request.query['topic']]
         start = read_query_number(request, 'from', 0)
         self.last_read[request.query['topic']] = start
-        wait = read_query_number(request, 'wait_ms', 0) / MS
+        wait = read_query_number(request, 'wait_ms', 0) / MILLISECONDS
         async with self.changed:
             try:
                 async with asyncio.timeout(wait):
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -138,6 +138,18 @@
         )
 
 
+async def test_retry_without_room_takes_from_the_budget_once(
+    site: Site,
+) -> None:
+    """Guards against a retry budget spent on requests that are not sent."""
+    await site.add_worker(fail)
+    await site.ready(1)
+    answer = await (await site.connect()).ask('/read/')
+    assert answer.status == 502
+    relay = site.gateway.relay
+    assert [budget.retries for budget in relay.desk.budgets.values()] == [1]
+
+
 async def test_failure_of_an_order_is_passed_on(site: Site) -> None:
     """Guards against a server's failure that reads as another status."""
     await site.add_worker(fail)
--- a/tests/platform/test_header_dialect.py
+++ b/tests/platform/test_header_dialect.py
@@ -74,7 +74,7 @@
     )
     assert facts.request_id == 'a1'
     assert facts.patience == pytest.approx(1.5)
-    assert (facts.shared_tokens, facts.own_tokens) == (1210, 250)
+    assert (facts.prompt_tokens, facts.shared_tokens) == (1460, 1210)
     assert facts.affinity_key == 'bb'
     assert facts.cost == 1620
 
