Answer a keyed order in an outage with an unknown outcome

A desk that cannot read the log does not know what other desks recorded after its last read; it told a repeat that its order was not run, while an earlier call with the key had run. Change: orders_unavailable says run: unknown, stays 503 and retryable; the verdict 'unsure' of desks without a read is not needed any more.

--- a/src/pollenloom/orders/order_desk.py
+++ b/src/pollenloom/orders/order_desk.py
@@ -73,17 +73,10 @@
         ClaimVerdict.EXPIRED: ErrorKind.IDEMPOTENCY_KEY_EXPIRED,
         ClaimVerdict.INVALID: ErrorKind.IDEMPOTENCY_KEY_INVALID,
         ClaimVerdict.UNAVAILABLE: ErrorKind.ORDERS_UNAVAILABLE,
-        ClaimVerdict.UNSURE: ErrorKind.ORDER_OUTCOME_UNKNOWN,
         ClaimVerdict.UNCLAIMED: ErrorKind.ORDERS_UNAVAILABLE,
     }
 )
 
-UNDECIDED: Final = frozenset(
-    (
-        ClaimVerdict.UNAVAILABLE,
-        ClaimVerdict.UNSURE,
-    )
-)
 OrderTask = asyncio.Task[Result[OrderAnswer, Failure]]
 
 
@@ -206,8 +199,8 @@
             return await self.run(request, claim)
         if answer.outcome is not None:
             return replay(answer.outcome)
-        if answer.verdict in UNDECIDED:
-            return await self.run_unclaimed(request, claim, answer.verdict)
+        if answer.verdict is ClaimVerdict.UNAVAILABLE:
+            return await self.run_unclaimed(request, claim)
         return fail(
             VERDICT_ERRORS[answer.verdict],
             f'key {claim.key.key}: {answer.verdict.value}',
@@ -224,7 +217,6 @@
             claim,
             wait_seconds=min(max(remaining, 0), OUTCOME_WAIT_SECONDS),
         )
-        undecided = ClaimVerdict.UNAVAILABLE
         for vm in self.tail.readers():
             answer = await self.peers.request(
                 vm,
@@ -234,10 +226,9 @@
             )
             if answer.is_error():
                 continue
-            if answer.ok.verdict not in UNDECIDED:
+            if answer.ok.verdict is not ClaimVerdict.UNAVAILABLE:
                 return answer.ok
-            undecided = answer.ok.verdict
-        return ClaimAnswer(undecided)
+        return ClaimAnswer(ClaimVerdict.UNAVAILABLE)
 
     async def run(
         self,
@@ -266,12 +257,11 @@
         self,
         request: 'CallerRequest',
         claim: OrderClaim,
-        verdict: ClaimVerdict,
     ) -> Result[OrderAnswer, Failure]:
         """Refuse, or leave the check to a server that deduplicates.
 
-        A desk that has just started cannot tell whether an earlier call with
-        the key was run, so a repeat must not be told that it was not.
+        Others may have claimed the key since the log was last read, so a
+        repeat must not be told that its order was not run.
         """
         services = self.configuration.current.services
         service = services.get(request.service)
@@ -280,8 +270,9 @@
             return dispatched.map(make_answer)
         self.release(claim)
         return fail(
-            VERDICT_ERRORS[verdict],
-            'the order could not be recorded; this call was not run',
+            ErrorKind.ORDERS_UNAVAILABLE,
+            'the order could not be recorded; this call was not run, '
+            'an earlier one with its key may have been',
         )
 
     async def record(self, outcome: OrderOutcome) -> None:
