Add load reports up at collectors in large fleets

Ruled out: telling all others, 5,000 datagrams a second at 71 routers. Change: routers tell two collectors of their data centre, the largest machines; the first adds up, tells the collectors of the other data centres and answers with the sum over the fleet, from which a router takes its own part. Up to nine routers still tell each other. Requests running elsewhere count against slots.

--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -28,7 +28,7 @@
 from pollenloom.core.states import Outcome
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
-from pollenloom.routing.load_table import ServiceLoad
+from pollenloom.routing.service_load import ServiceLoad
 
 GRANT_SECONDS: Final = 0.5
 # Cold servers and idle windows free up with time, without an event.
@@ -140,7 +140,10 @@
     def own_loads(self) -> dict[ServiceId, ServiceLoad]:
         """Return what other routers are told of this one."""
         now = self.kernel.clock.monotonic()
-        return {service: pool.load(now) for service, pool in self.pools.items()}
+        return {
+            service: pool.load(self.exchange.vm, now)
+            for service, pool in self.pools.items()
+        }
 
     def cold_rate(self, service: ServiceId, now: float) -> float:
         """Return this router's part of what a cold server bears."""
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -10,10 +10,10 @@
     Placement,
 )
 from pollenloom.admission.ticket import Ticket
-from pollenloom.core.ids import AccountId
-from pollenloom.routing.load_table import ServiceLoad
+from pollenloom.core.ids import AccountId, VmId
 from pollenloom.routing.send_window import PREFILL_RATE, QUEUE_SHARE
 from pollenloom.routing.server_directory import KnownServer
+from pollenloom.routing.service_load import ServiceLoad
 
 # Time over which the rate of sending is measured.
 RATE_SECONDS: Final = 2.0
@@ -116,14 +116,20 @@
         allowed = least * (1 + LEAD_SHARE) + LEAD_COST
         return self.backlog.usage.total(account) > allowed
 
-    def load(self, now: float) -> ServiceLoad:
-        """Return what other routers are told of this pool."""
+    def load(self, router: VmId, now: float) -> ServiceLoad:
+        """Return what other routers are told of this pool, by its router."""
+        least = self.backlog.least_waiting()
         return ServiceLoad(
             unread={
-                server: load.window.outstanding
+                server: round(load.window.outstanding)
                 for server, load in self.servers.loads.items()
                 if load.window.outstanding
             },
+            running={
+                server: load.in_flight
+                for server, load in self.servers.loads.items()
+                if load.in_flight
+            },
             usage=self.backlog.usage.told(now),
-            least_waiting=self.backlog.least_waiting(),
+            waiting={} if least is None else {router: round(least)},
         )
--- a/src/pollenloom/admission/local_servers.py
+++ b/src/pollenloom/admission/local_servers.py
@@ -7,12 +7,13 @@
 from pollenloom.admission.local_backlog import WaitingTicket
 from pollenloom.admission.ticket import Ticket
 from pollenloom.core.ids import ServerId
+from pollenloom.core.states import Resource
 from pollenloom.membership.rendezvous_ranking import weight
 from pollenloom.routing.cold_gate import ColdGate
-from pollenloom.routing.load_table import ServiceLoad
 from pollenloom.routing.send_window import PREFILL_RATE, SendWindow
 from pollenloom.routing.server_directory import KnownServer
 from pollenloom.routing.server_health import ServerHealth
+from pollenloom.routing.service_load import ServiceLoad
 
 # Chance that the first, the second and a further server in the rank of a
 # prompt prefix does not keep it.
@@ -61,6 +62,10 @@
         """Prompt tokens that other routers have at a server."""
         return self.elsewhere.unread.get(server, 0)
 
+    def running_elsewhere(self, server: ServerId) -> float:
+        """Requests that other routers have at a server."""
+        return self.elsewhere.running.get(server, 0)
+
 
 @dataclass(frozen=True, slots=True)
 class Placement:
@@ -115,7 +120,7 @@
         for rank, known in enumerate(ranking):
             load = self.load(known.entry.server, now)
             cost = self.expected_cost(ticket, rank)
-            if not self.may_send(load, known, conditions):
+            if not self.may_send(ticket, load, known, conditions):
                 continue
             reread = self.miss_chance(rank) * ticket.shared_tokens
             score = self.score(load, known, cost, conditions)
@@ -127,6 +132,7 @@
 
     def may_send(
         self,
+        ticket: Ticket,
         load: ServerLoad,
         known: KnownServer,
         conditions: Conditions,
@@ -137,8 +143,13 @@
         is_cold = rate > 0 and known.is_cold(now)
         if is_cold and not load.gate.may_send(rate, now):
             return False
-        is_free = load.in_flight < known.entry.slots
-        elsewhere = conditions.unread_elsewhere(known.entry.server)
+        server = known.entry.server
+        running: float = load.in_flight
+        if ticket.resource is Resource.MODEL:
+            # An answer takes seconds, so that counts of others are current.
+            running += conditions.running_elsewhere(server)
+        is_free = running < known.entry.slots
+        elsewhere = conditions.unread_elsewhere(server)
         return is_free and load.window.has_room(elsewhere)
 
     def sound(
--- a/src/pollenloom/catalogue/fleet_census.py
+++ b/src/pollenloom/catalogue/fleet_census.py
@@ -5,6 +5,7 @@
 
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.routing.fleet_router import FleetRouter
 
 
 class FleetCensus(KernelService):
@@ -17,5 +18,5 @@
         """Routers that are taken to run at `now`; at least one."""
 
     @abstractmethod
-    def peers(self) -> tuple[str, ...]:
-        """Addresses at which the other routers hear of load."""
+    def routers(self) -> tuple[FleetRouter, ...]:
+        """Routers by their records, this one among them; some may be gone."""
--- a/src/pollenloom/catalogue/load_exchange.py
+++ b/src/pollenloom/catalogue/load_exchange.py
@@ -1,50 +1,57 @@
-"""Tells other routers of the own load by datagrams, several times a second."""
+"""Tells other routers of the own load by datagrams, ten times a second."""
 
 import asyncio
-import random
-from collections.abc import Callable, Mapping
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
 from typing import ClassVar, Final, cast
 
-import cbor2
 import msgspec
 from absl import logging
 
 from pollenloom.catalogue.fleet_census import FleetCensus
-from pollenloom.core.ids import ServiceId, VmId
+from pollenloom.catalogue.load_message import (
+    LoadMessage,
+    LoadTold,
+    PartTold,
+    SumTold,
+    decode_message,
+    encode_message,
+)
+from pollenloom.core.ids import DataCentreId, ServiceId
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
-from pollenloom.routing.load_table import LoadReport, LoadTable, ServiceLoad
+from pollenloom.routing.collector_choice import CollectorChoice
+from pollenloom.routing.fleet_router import FleetRouter
+from pollenloom.routing.load_report import LoadReport
+from pollenloom.routing.load_table import REPORT_SECONDS, LoadTable
+from pollenloom.routing.service_load import ServiceLoad
 from pollenloom.settings.node_settings import NodeSettings
 
 TELL_SECONDS: Final = 0.1
-# A router tells this many others at a time, whatever the size of the fleet.
-FAN_OUT: Final = 8
-LARGEST_DATAGRAM: Final = 16_384
-# Adding up the reports of 48 routers takes 0.5 ms; reports come each 0.1 s.
-SUM_SECONDS: Final = 0.02
+# Up to this size each router tells all others; in larger fleets the
+# datagrams of all pairs would grow with the square of the size.
+LARGEST_DIRECT_FLEET: Final = 9
+# Own reports that a sum may still hold: sums are at most 1.5 s old.
+KEPT_REPORTS: Final = 20
+# Largest content of a UDP datagram, less some space for headers.
+LARGEST_DATAGRAM: Final = 60_000
+# Sums change each 0.1 s, and requests come far more often.
+SUM_KEPT_SECONDS: Final = 0.02
 
 Loads = Mapping[ServiceId, ServiceLoad]
 OwnLoads = Callable[[], Loads]
-
-
-class LoadMessage(msgspec.Struct, frozen=True):
-    """One datagram.
-
-    Attributes:
-        router: Who sends it.
-        loads: What it has to do with each service.
-    """
-
-    router: VmId
-    loads: dict[ServiceId, ServiceLoad]
+Address = tuple[str, int]
 
 
 class LoadExchange(KernelService, asyncio.DatagramProtocol):
     """Sends and takes load reports.
 
-    A lost datagram is replaced by the next one, so nothing is confirmed and
-    a silent router holds nothing up.
+    In a small fleet all routers tell each other. In a larger one they tell
+    the collectors of their data centre, which add up, tell the collectors
+    of the other data centres, and answer with the sum over the fleet. A lost
+    datagram is replaced by the next one, so nothing is confirmed and a silent
+    router holds nothing up.
     """
 
     name: ClassVar[KernelServiceName] = KernelServiceName.LOAD_EXCHANGE
@@ -52,11 +59,17 @@
     def __init__(self, kernel: Kernel, settings: NodeSettings) -> None:
         self.kernel = kernel
         self.vm = settings.vm
+        self.data_centre = settings.data_centre
         self.address = settings.listen.peers
-        self.table = LoadTable()
+        self.table = LoadTable(settings.vm)
+        self.choice = CollectorChoice()
         self.own_loads: OwnLoads = dict
+        self.is_first = False
+        self.own_reports: deque[LoadReport] = deque(maxlen=KEPT_REPORTS)
+        # Who wants the fleet's sum, and who tells of another data centre.
+        self.members: dict[Address, float] = {}
+        self.collectors: dict[Address, float] = {}
         self.sums: dict[ServiceId, tuple[float, ServiceLoad]] = {}
-        self.choose = random.Random(settings.vm)
         self.transport: asyncio.DatagramTransport | None = None
 
     async def start(self) -> None:
@@ -65,13 +78,12 @@
             KernelServiceName.FLEET_CENSUS,
             FleetCensus,
         )
-        host, _, port = self.address.rpartition(':')
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(
             lambda: self,
-            local_addr=(host, int(port)),
+            local_addr=split_address(self.address),
         )
-        self.kernel.spawn('load-exchange', self.tell())
+        self.kernel.spawn('load-exchange', self.run())
 
     async def stop(self) -> None:
         """Close the socket."""
@@ -82,15 +94,31 @@
         """Note the socket."""
         self.transport = cast('asyncio.DatagramTransport', transport)
 
-    def datagram_received(self, content: bytes, _sender: object) -> None:
-        """Take a report; what cannot be read is logged and dropped."""
-        try:
-            message = msgspec.convert(cbor2.loads(content), LoadMessage)
-        except (cbor2.CBORDecodeError, msgspec.ValidationError) as error:
-            logging.warning('load_report_rejected %r', error)
+    def datagram_received(self, content: bytes, sender: Address) -> None:
+        """Take a datagram; what cannot be read is logged and dropped."""
+        decoded = decode_message(content)
+        if decoded.is_error():
+            logging.warning('load_report_rejected %s', decoded.error.detail)
             return
-        report = LoadReport(self.kernel.clock.monotonic(), message.loads)
-        self.table.hear(message.router, report)
+        now = self.kernel.clock.monotonic()
+        message = decoded.ok
+        if isinstance(message, LoadTold):
+            report = LoadReport(message.number, now, message.loads)
+            self.table.hear(message.router, report)
+            if message.wants_sum:
+                self.members[sender] = now
+            return
+        self.choice.answered(message.router)
+        if isinstance(message, SumTold):
+            self.table.hear_sum(message.router, message.total, now)
+        else:
+            self.collectors[sender] = now
+            self.table.hear_part(
+                message.data_centre,
+                message.router,
+                message.part,
+                now,
+            )
 
     def error_received(self, error: Exception) -> None:
         """A router that is gone refuses; the census will tell."""
@@ -103,26 +131,118 @@
         reports.
         """
         added_at, load = self.sums.get(service, (float('-inf'), ServiceLoad()))
-        if now - added_at >= SUM_SECONDS:
-            load = self.table.elsewhere(service, self.census.size(now), now)
+        if now - added_at >= SUM_KEPT_SECONDS:
+            load = self.table.elsewhere(
+                service,
+                self.census.size(now),
+                now,
+                {report.number: report for report in self.own_reports},
+            )
             self.sums[service] = (now, load)
         return load
 
-    async def tell(self) -> None:
-        """Send the own load again and again."""
+    async def run(self) -> None:
+        """Tell of the load again and again."""
+        number = 0
         while True:
             await asyncio.sleep(TELL_SECONDS)
-            self.send(self.own_loads())
-
-    def send(self, loads: Loads) -> None:
-        """Send one report to some of the other routers."""
-        peers = self.census.peers()
-        if len(peers) > FAN_OUT:
-            peers = tuple(self.choose.sample(peers, FAN_OUT))
-        message = LoadMessage(self.vm, dict(loads))
-        content = cbor2.dumps(msgspec.to_builtins(message))
-        if self.transport is None or len(content) > LARGEST_DATAGRAM:
+            number += 1
+            now = self.kernel.clock.monotonic()
+            report = LoadReport(number, now, self.own_loads())
+            self.own_reports.append(report)
+            self.tell_report(report, now)
+            self.tell_sums(now)
+
+    def tell_report(self, report: LoadReport, now: float) -> None:
+        """Send one report to all others, or to the collectors."""
+        routers = self.census.routers()
+        told = LoadTold(self.vm, report.number, dict(report.loads))
+        if len(routers) <= LARGEST_DIRECT_FLEET:
+            self.is_first = False
+            self.send(told, map(address_of, self.others(routers)))
+            return
+        first, *rest = self.choice.choose(self.neighbours(routers), now)
+        self.send(told, map(address_of, self.others(rest)))
+        self.is_first = first.vm == self.vm
+        if self.is_first:
+            self.table.hear(self.vm, report)
             return
-        for peer in peers:
-            host, _, port = peer.rpartition(':')
-            self.transport.sendto(content, (host, int(port)))
+        self.choice.asked(first.vm, now)
+        asking = msgspec.structs.replace(told, wants_sum=True)
+        self.send(asking, (address_of(first),))
+
+    def tell_sums(self, now: float) -> None:
+        """Answer those who report here, if there are any."""
+        self.members = without_silent(self.members, now)
+        self.collectors = without_silent(self.collectors, now)
+        if not self.members and not self.is_first:
+            return
+        part = self.table.own_part(now)
+        self.send(
+            PartTold(self.vm, self.data_centre, part),
+            self.other_collectors(now) | self.collectors.keys(),
+        )
+        total = self.table.fleet_sum(part)
+        self.table.hear_sum(self.vm, total, now)
+        self.send(SumTold(self.vm, total), self.members)
+
+    def other_collectors(self, now: float) -> set[Address]:
+        """Return collectors of the other data centres."""
+        by_data_centre: dict[DataCentreId, list[FleetRouter]] = {}
+        for router in self.census.routers():
+            if router.data_centre != self.data_centre:
+                by_data_centre.setdefault(router.data_centre, []).append(router)
+        return {
+            address_of(collector)
+            for routers in by_data_centre.values()
+            for collector in self.choice.choose(routers, now)
+        }
+
+    def neighbours(
+        self,
+        routers: Iterable[FleetRouter],
+    ) -> list[FleetRouter]:
+        """Return the routers of the own data centre."""
+        return [
+            router
+            for router in routers
+            if router.data_centre == self.data_centre
+        ]
+
+    def others(self, routers: Iterable[FleetRouter]) -> list[FleetRouter]:
+        """Leave this router out."""
+        return [router for router in routers if router.vm != self.vm]
+
+    def send(self, message: LoadMessage, addresses: Iterable[Address]) -> None:
+        """Send one message to some routers."""
+        content = encode_message(message)
+        if len(content) > LARGEST_DATAGRAM:
+            logging.warning('load_report_too_large %d bytes', len(content))
+            return
+        if self.transport is None:
+            return
+        for address in addresses:
+            self.transport.sendto(content, address)
+
+
+def split_address(address: str) -> Address:
+    """Return host and port."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+def address_of(router: FleetRouter) -> Address:
+    """Return where a router hears of load."""
+    return split_address(router.address)
+
+
+def without_silent(
+    heard: dict[Address, float],
+    now: float,
+) -> dict[Address, float]:
+    """Leave out senders that have been silent."""
+    return {
+        address: heard_at
+        for address, heard_at in heard.items()
+        if heard_at >= now - REPORT_SECONDS
+    }
--- /dev/null
+++ b/src/pollenloom/catalogue/load_message.py
@@ -0,0 +1,55 @@
+"""Datagrams by which routers tell each other of load."""
+
+import cbor2
+import msgspec
+from expression import Error, Ok, Result
+
+from pollenloom.core.error_kind import ErrorKind
+from pollenloom.core.failure import Failure
+from pollenloom.core.ids import DataCentreId, ServiceId, VmId
+from pollenloom.routing.load_sum import LoadSum
+from pollenloom.routing.service_load import ServiceLoad
+
+
+class LoadTold(msgspec.Struct, frozen=True, tag='report'):
+    """Load of the sender.
+
+    Attributes:
+        wants_sum: Whether the receiver is to answer with the fleet's sum.
+    """
+
+    router: VmId
+    number: int
+    loads: dict[ServiceId, ServiceLoad]
+    wants_sum: bool = False
+
+
+class PartTold(msgspec.Struct, frozen=True, tag='part'):
+    """Sum over a data centre, from one of its collectors."""
+
+    router: VmId
+    data_centre: DataCentreId
+    part: LoadSum
+
+
+class SumTold(msgspec.Struct, frozen=True, tag='sum'):
+    """Sum over the fleet, from a collector to those who report to it."""
+
+    router: VmId
+    total: LoadSum
+
+
+LoadMessage = LoadTold | PartTold | SumTold
+
+
+def encode_message(message: LoadMessage) -> bytes:
+    """Return a datagram."""
+    return cbor2.dumps(msgspec.to_builtins(message))
+
+
+def decode_message(content: bytes) -> Result[LoadMessage, Failure]:
+    """Read a datagram; anyone can send one."""
+    try:
+        return Ok(msgspec.convert(cbor2.loads(content), LoadMessage))
+    except (cbor2.CBORDecodeError, msgspec.ValidationError) as error:
+        return Error(Failure(ErrorKind.PROTOCOL_ERROR, repr(error)))
--- a/src/pollenloom/catalogue/store_census.py
+++ b/src/pollenloom/catalogue/store_census.py
@@ -11,11 +11,12 @@
 from pollenloom.catalogue.keyed_store import KeyedStore
 from pollenloom.catalogue.store_topic import StoreTopic
 from pollenloom.catalogue.topic_follower import TopicFollower
-from pollenloom.core.ids import VmId
+from pollenloom.core.ids import DataCentreId, VmId
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.observability.event_log import EventLog
 from pollenloom.observability.event_name import EventName
+from pollenloom.routing.fleet_router import FleetRouter
 from pollenloom.settings.node_settings import NodeSettings
 
 # Writes cost money, and a router that is gone only makes shares too small.
@@ -34,10 +35,14 @@
 
     Attributes:
         peers: Address at which it hears of the load of others.
+        data_centre: Where it runs.
+        capacity: Processor power; see `FleetRouter.capacity`.
         is_leaving: Whether it stops.
     """
 
     peers: str
+    data_centre: DataCentreId
+    capacity: float
     is_leaving: bool = False
 
 
@@ -48,7 +53,7 @@
         self.kernel = kernel
         self.settings = settings
         self.heard: dict[VmId, float] = {}
-        self.addresses: dict[VmId, str] = {}
+        self.known: dict[VmId, FleetRouter] = {settings.vm: self.own_router}
         self.told_size = 0
 
     async def start(self) -> None:
@@ -78,7 +83,13 @@
 
     async def write(self, *, is_leaving: bool) -> bool:
         """Write the own record; return whether the store took it."""
-        record = NodeRecord(self.settings.listen.peers, is_leaving)
+        own = self.own_router
+        record = NodeRecord(
+            own.address,
+            own.data_centre,
+            own.capacity,
+            is_leaving,
+        )
         written = await self.store.put(
             StoreTopic.NODES,
             self.settings.vm,
@@ -124,20 +135,37 @@
             record = msgspec.json.decode(payload, type=NodeRecord)
         except msgspec.DecodeError as error:
             logging.warning('census_record_rejected %s: %s', vm, error)
-            record = NodeRecord('', is_leaving=True)
+            self.forget(vm)
+            return
         if record.is_leaving:
-            self.heard.pop(vm, None)
-            self.addresses.pop(vm, None)
+            self.forget(vm)
             return
         self.heard[vm] = now
-        self.addresses[vm] = record.peers
-
-    def peers(self) -> tuple[str, ...]:
-        """Addresses of the other routers, also of such as may be gone."""
-        return tuple(
-            address
-            for vm, address in self.addresses.items()
-            if vm != self.settings.vm
+        self.known[vm] = FleetRouter(
+            vm,
+            record.data_centre,
+            record.peers,
+            record.capacity,
+        )
+
+    def forget(self, vm: VmId) -> None:
+        """Take a router out; this one stays in its own list."""
+        self.heard.pop(vm, None)
+        if vm != self.settings.vm:
+            self.known.pop(vm, None)
+
+    def routers(self) -> tuple[FleetRouter, ...]:
+        """Return routers by their records; see `FleetCensus.routers`."""
+        return tuple(self.known.values())
+
+    @property
+    def own_router(self) -> FleetRouter:
+        """This router as it tells the others."""
+        return FleetRouter(
+            self.settings.vm,
+            self.settings.data_centre,
+            self.settings.listen.peers,
+            self.settings.machine.capacity,
         )
 
     async def announce(self) -> None:
--- a/src/pollenloom/routing/account_usage.py
+++ b/src/pollenloom/routing/account_usage.py
@@ -1,6 +1,7 @@
 """What client accounts were served lately, over the fleet."""
 
 import math
+from heapq import nlargest
 from typing import TYPE_CHECKING, Final
 
 from pollenloom.core.ids import AccountId
@@ -47,7 +48,5 @@
     def told(self, now: float) -> dict[AccountId, float]:
         """Return what other routers are told of this one's usage."""
         self.decay(now)
-        if len(self.own) <= MOST_TOLD:
-            return dict(self.own)
-        ranked = sorted(self.own, key=self.own.__getitem__, reverse=True)
-        return {account: self.own[account] for account in ranked[:MOST_TOLD]}
+        most_used = nlargest(MOST_TOLD, self.own, key=self.own.__getitem__)
+        return {account: round(self.own[account]) for account in most_used}
--- /dev/null
+++ b/src/pollenloom/routing/fleet_router.py
@@ -0,0 +1,21 @@
+"""A router of the fleet."""
+
+from dataclasses import dataclass
+
+from pollenloom.core.ids import DataCentreId, VmId
+
+
+@dataclass(frozen=True, slots=True)
+class FleetRouter:
+    """A router as its record in the store tells.
+
+    Attributes:
+        address: `host:port` at which it hears of the load of others.
+        capacity: Processor power, in cores of a common speed; more is asked
+            of larger machines.
+    """
+
+    vm: VmId
+    data_centre: DataCentreId
+    address: str
+    capacity: float
--- a/src/pollenloom/routing/load_table.py
+++ b/src/pollenloom/routing/load_table.py
@@ -1,76 +1,100 @@
 """Work in progress and usage over the fleet, as routers tell it."""
 
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
-from typing import Final, TypeVar
+from collections import defaultdict
+from typing import Final
 
-from pollenloom.core.ids import AccountId, ServerId, ServiceId, VmId
-
-KeyT = TypeVar('KeyT', bound=str)
+from pollenloom.core.ids import DataCentreId, ServiceId, VmId
+from pollenloom.routing.load_report import LoadReport
+from pollenloom.routing.load_sum import LoadSum, add_by_service, add_sums
+from pollenloom.routing.service_load import ServiceLoad, add_loads
 
 # A report this old tells nothing of servers whose queues last 0.2 s.
 REPORT_SECONDS: Final = 0.6
+# A sum is used until another collector takes over from a silent one: an old
+# sum is better than servers that look empty.
+SUM_SECONDS: Final = 1.5
 
-
-@dataclass(frozen=True, slots=True)
-class ServiceLoad:
-    """What one router has to do with a service.
-
-    Attributes:
-        unread: Prompt tokens sent and not known to be read, by server.
-        usage: Cost served lately, by client account.
-        least_waiting: Fleet usage of the least served account that has a
-            request waiting; None if nothing waits.
-    """
-
-    unread: Mapping[ServerId, float] = field(default_factory=dict)
-    usage: Mapping[AccountId, float] = field(default_factory=dict)
-    least_waiting: float | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class LoadReport:
-    """Report of one router; `heard_at` in monotonic seconds of the hearer."""
-
-    heard_at: float
-    loads: Mapping[ServiceId, ServiceLoad]
+HeardSums = dict[VmId, tuple[float, LoadSum]]
 
 
 class LoadTable:
-    """Newest report of each other router.
+    """Newest report of each other router, and sums that collectors made.
 
     Where a router hears only some of the others, what it hears stands for
     the rest in proportion.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, router: VmId) -> None:
+        self.router = router
         self.reports: dict[VmId, LoadReport] = {}
+        self.parts: dict[DataCentreId, HeardSums] = defaultdict(dict)
+        self.sums: HeardSums = {}
 
     def hear(self, router: VmId, report: LoadReport) -> None:
         """Take a report."""
         self.reports[router] = report
 
-    def forget_old(self, heard_before: float) -> None:
-        """Forget routers that have been silent."""
-        silent = [
-            router
+    def hear_part(
+        self,
+        data_centre: DataCentreId,
+        collector: VmId,
+        part: LoadSum,
+        now: float,
+    ) -> None:
+        """Take the sum of another data centre."""
+        self.parts[data_centre][collector] = (now, part)
+
+    def hear_sum(self, collector: VmId, total: LoadSum, now: float) -> None:
+        """Take a sum of the fleet."""
+        self.sums[collector] = (now, total)
+
+    def forget_old(self, now: float) -> None:
+        """Forget routers and collectors that have been silent."""
+        self.reports = {
+            router: report
             for router, report in self.reports.items()
-            if report.heard_at < heard_before
-        ]
-        for router in silent:
-            self.reports.pop(router)
+            if report.heard_at >= now - REPORT_SECONDS
+        }
+        self.sums = without_old(self.sums, now - SUM_SECONDS)
+        for data_centre, parts in tuple(self.parts.items()):
+            self.parts[data_centre] = without_old(parts, now - SUM_SECONDS)
+
+    def own_part(self, now: float) -> LoadSum:
+        """Return the sum of the reports that came here."""
+        self.forget_old(now)
+        return LoadSum(
+            routers=len(self.reports),
+            numbers={
+                router: report.number for router, report in self.reports.items()
+            },
+            loads=add_by_service(
+                report.loads for report in self.reports.values()
+            ),
+        )
+
+    def fleet_sum(self, own_part: LoadSum) -> LoadSum:
+        """Return the sum of the own part and of the other data centres."""
+        others = (widest(parts) for parts in self.parts.values() if parts)
+        return add_sums(own_part, others)
 
     def elsewhere(
         self,
         service: ServiceId,
         routers: int,
         now: float,
+        own_reports: dict[int, LoadReport],
     ) -> ServiceLoad:
         """Return the sum over all other routers.
 
-        `routers` is the size of the fleet with this router.
+        Args:
+            service: Service whose load is asked for.
+            routers: Size of the fleet with this router.
+            now: Monotonic seconds.
+            own_reports: Own reports by number, to leave them out of sums.
         """
-        self.forget_old(now - REPORT_SECONDS)
+        self.forget_old(now)
+        if self.sums:
+            return self.from_sum(widest(self.sums), service, own_reports)
         loads = [
             report.loads[service]
             for report in self.reports.values()
@@ -78,37 +102,39 @@
         ]
         if not loads:
             return ServiceLoad()
-        scale = max(1, (routers - 1) / len(self.reports))
-        waiting = [
-            load.least_waiting
-            for load in loads
-            if load.least_waiting is not None
-        ]
-        return ServiceLoad(
-            unread=add_up(loads, unread_of, scale),
-            usage=add_up(loads, usage_of, scale),
-            least_waiting=min(waiting, default=None),
-        )
-
-
-def unread_of(load: ServiceLoad) -> Mapping[ServerId, float]:
-    """Return the unread tokens of a load."""
-    return load.unread
-
-
-def usage_of(load: ServiceLoad) -> Mapping[AccountId, float]:
-    """Return the usage of a load."""
-    return load.usage
+        return add_loads(loads).scaled((routers - 1) / len(self.reports))
 
+    def from_sum(
+        self,
+        total: LoadSum,
+        service: ServiceId,
+        own_reports: dict[int, LoadReport],
+    ) -> ServiceLoad:
+        """Return a sum without the own part.
 
-def add_up(
-    loads: list[ServiceLoad],
-    part: Callable[[ServiceLoad], Mapping[KeyT, float]],
-    scale: float,
-) -> dict[KeyT, float]:
-    """Add up one part of the loads, by key."""
-    totals: dict[KeyT, float] = {}
-    for load in loads:
-        for key, amount in part(load).items():
-            totals[key] = totals.get(key, 0) + amount * scale
-    return totals
+        It covers all that run: routers that are lost stay in the census for
+        a while, so it is not scaled up to that.
+        """
+        load = total.loads.get(service, ServiceLoad())
+        own = own_reports.get(total.numbers.get(self.router, 0))
+        if own is None:
+            return load
+        own_load = own.loads.get(service, ServiceLoad())
+        return load.minus(own_load, self.router)
+
+
+def without_old(heard: HeardSums, heard_before: float) -> HeardSums:
+    """Leave out what was heard long ago."""
+    return {
+        router: entry
+        for router, entry in heard.items()
+        if entry[0] >= heard_before
+    }
+
+
+def widest(heard: HeardSums) -> LoadSum:
+    """Return the sum over most routers; of such, the newest."""
+    return max(
+        heard.values(),
+        key=lambda entry: (entry[1].routers, entry[0]),
+    )[1]
--- a/src/pollenloom/settings/node_settings.py
+++ b/src/pollenloom/settings/node_settings.py
@@ -55,6 +55,23 @@
     retry_window_seconds: int = Field(default=10, ge=1, le=600)
 
 
+class MachineSettings(SettingsSection):
+    """What the machine has; larger ones take more of the common duties.
+
+    Attributes:
+        processor_share: Part of a processor that this process may use.
+        processor_speed: Speed of that processor against a common one.
+    """
+
+    processor_share: float = Field(default=1, gt=0, le=1024)
+    processor_speed: float = Field(default=1, gt=0, le=1024)
+
+    @property
+    def capacity(self) -> float:
+        """Processor power in cores of a common speed."""
+        return self.processor_share * self.processor_speed
+
+
 class NodeSettings(SettingsSection):
     """All settings of a router on the users' machines.
 
@@ -64,6 +81,7 @@
         listen: Addresses of this router.
         store: The platform's store.
         bounds: Promises of the operators.
+        machine: What the machine has.
     """
 
     vm: VmId
@@ -71,3 +89,4 @@
     listen: ListenSettings
     store: StoreSettings
     bounds: BoundSettings
+    machine: MachineSettings = Field(default_factory=MachineSettings)
