Let one router of a data centre read the store for the others

Ruled out: reading less often (a drain must bind within two seconds). Change: a collector of load reports tells its members, ten times a second, up to where it has read, how old that is, and what changed. Who hears nothing fresher than 1.4 s reads itself, so nobody depends on a collector; news that go in a circle get old. News come from known routers only. Routers announce themselves less often in large fleets. A server that comes back after its entry had lapsed counts as changed.

--- a/src/pollenloom/catalogue/load_exchange.py
+++ b/src/pollenloom/catalogue/load_exchange.py
@@ -12,6 +12,7 @@
 from pollenloom.catalogue.load_message import (
     LoadMessage,
     LoadTold,
+    NewsTold,
     PartTold,
     SumTold,
     decode_message,
@@ -41,6 +42,7 @@
 
 Loads = Mapping[ServiceId, ServiceLoad]
 OwnLoads = Callable[[], Loads]
+OnNews = Callable[[NewsTold], None]
 Address = tuple[str, int]
 
 
@@ -65,6 +67,7 @@
         self.choice = CollectorChoice()
         self.own_loads: OwnLoads = dict
         self.is_first = False
+        self.on_news: OnNews = ignore_news
         self.own_reports: deque[LoadReport] = deque(maxlen=KEPT_REPORTS)
         # Who wants the fleet's sum, and who tells of another data centre.
         self.members: dict[Address, float] = {}
@@ -89,6 +92,7 @@
         """Close the socket."""
         if self.transport is not None:
             self.transport.close()
+            self.transport = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Note the socket."""
@@ -108,6 +112,9 @@
             if message.wants_sum:
                 self.members[sender] = now
             return
+        if isinstance(message, NewsTold):
+            self.take_news(message, sender)
+            return
         self.choice.answered(message.router)
         if isinstance(message, SumTold):
             self.table.hear_sum(message.router, message.total, now)
@@ -120,6 +127,13 @@
                 now,
             )
 
+    def take_news(self, message: NewsTold, sender: Address) -> None:
+        """Take records of the store, from known routers only."""
+        if sender in map(address_of, self.census.routers()):
+            self.on_news(message)
+            return
+        logging.warning('news_rejected, unknown sender %s', sender)
+
     def error_received(self, error: Exception) -> None:
         """A router that is gone refuses; the census will tell."""
         logging.debug('load_report_refused %r', error)
@@ -225,6 +239,10 @@
             self.transport.sendto(content, address)
 
 
+def ignore_news(_message: NewsTold) -> None:
+    """Do nothing until somebody wants to hear of the store."""
+
+
 def split_address(address: str) -> Address:
     """Return host and port."""
     host, _, port = address.rpartition(':')
--- a/src/pollenloom/catalogue/load_message.py
+++ b/src/pollenloom/catalogue/load_message.py
@@ -1,9 +1,13 @@
 """Datagrams by which routers tell each other of load."""
 
+from typing import Final
+
 import cbor2
 import msgspec
 from expression import Error, Ok, Result
 
+from pollenloom.catalogue.store_topic import StoreTopic
+from pollenloom.catalogue.topic_news import TopicTold
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
 from pollenloom.core.ids import DataCentreId, ServiceId, VmId
@@ -39,17 +43,32 @@
     total: LoadSum
 
 
-LoadMessage = LoadTold | PartTold | SumTold
+class NewsTold(msgspec.Struct, frozen=True, tag='news'):
+    """What the sender knows of topics of the store, for its members."""
+
+    router: VmId
+    topics: dict[StoreTopic, TopicTold]
+
+
+LoadMessage = LoadTold | PartTold | SumTold | NewsTold
+# CBOR has a type for bytes, unlike the JSON that msgspec is made for.
+OWN_TYPES: Final = (bytes,)
 
 
 def encode_message(message: LoadMessage) -> bytes:
     """Return a datagram."""
-    return cbor2.dumps(msgspec.to_builtins(message))
+    return cbor2.dumps(msgspec.to_builtins(message, builtin_types=OWN_TYPES))
 
 
 def decode_message(content: bytes) -> Result[LoadMessage, Failure]:
     """Read a datagram; anyone can send one."""
     try:
-        return Ok(msgspec.convert(cbor2.loads(content), LoadMessage))
+        return Ok(
+            msgspec.convert(
+                cbor2.loads(content),
+                LoadMessage,
+                builtin_types=OWN_TYPES,
+            )
+        )
     except (cbor2.CBORDecodeError, msgspec.ValidationError) as error:
         return Error(Failure(ErrorKind.PROTOCOL_ERROR, repr(error)))
--- a/src/pollenloom/catalogue/store_catalogue.py
+++ b/src/pollenloom/catalogue/store_catalogue.py
@@ -80,7 +80,11 @@
         for listener in self.listeners:
             listener()
 
-    def take_operator_listing(self, listing: Listing, is_whole: bool) -> None:
+    def take_operator_listing(
+        self,
+        listing: Listing,
+        is_whole: bool,
+    ) -> tuple[KeyedRecord, ...]:
         """Apply records of the operators."""
         now = self.kernel.clock.monotonic()
         if is_whole:
@@ -94,6 +98,7 @@
             self.take_operator_record(record, now)
         self.read_topics.add(StoreTopic.OPERATOR)
         self.notify()
+        return listing.records
 
     def data_centres_out(self, listing: Listing) -> set[DataCentreId]:
         """Return the data centres that a listing takes out of service."""
@@ -151,12 +156,23 @@
             publisher='operator',
         )
 
-    def take_server_listing(self, listing: Listing, is_whole: bool) -> None:
-        """Apply entries of backend servers."""
+    def take_server_listing(
+        self,
+        listing: Listing,
+        is_whole: bool,
+    ) -> tuple[KeyedRecord, ...]:
+        """Apply entries of backend servers; return those with news."""
         now = self.kernel.clock.monotonic()
         is_first_read = StoreTopic.SERVERS not in self.read_topics
-        for record in listing.records:
-            self.take_server_record(record, now, is_first_read=is_first_read)
+        changed = tuple(
+            record
+            for record in listing.records
+            if self.take_server_record(
+                record,
+                now,
+                is_first_read=is_first_read,
+            )
+        )
         if is_whole:
             self.directory.retain(
                 (ServerId(listed.key) for listed in listing.records),
@@ -164,7 +180,9 @@
             )
         self.read_topics.add(StoreTopic.SERVERS)
         self.drop_gone(now)
-        self.notify()
+        if changed or is_whole:
+            self.notify()
+        return changed
 
     def take_server_record(
         self,
@@ -172,17 +190,20 @@
         now: float,
         *,
         is_first_read: bool,
-    ) -> None:
-        """Apply one entry; an unreadable one changes nothing."""
+    ) -> bool:
+        """Apply one entry; return whether more than its age changed.
+
+        An unreadable one changes nothing.
+        """
         server = ServerId(record.key)
         if not record.payload:
             self.directory.remove(server, now)
             self.tell_server(server, 'removed', record)
-            return
+            return True
         read = self.store.read_server(record)
         if read.is_error():
             self.tell_unreadable(record, read.error.detail)
-            return
+            return False
         is_changed = self.directory.upsert(
             read.ok,
             record.offset,
@@ -193,6 +214,7 @@
         if is_changed:
             state = 'leaving' if read.ok.is_leaving else 'ready'
             self.tell_server(server, state, record)
+        return is_changed
 
     def tell_server(
         self,
--- a/src/pollenloom/catalogue/store_census.py
+++ b/src/pollenloom/catalogue/store_census.py
@@ -7,7 +7,7 @@
 from absl import logging
 
 from pollenloom.catalogue.fleet_census import FleetCensus
-from pollenloom.catalogue.keyed_record import Listing
+from pollenloom.catalogue.keyed_record import KeyedRecord, Listing
 from pollenloom.catalogue.keyed_store import KeyedStore
 from pollenloom.catalogue.store_topic import StoreTopic
 from pollenloom.catalogue.topic_follower import TopicFollower
@@ -21,13 +21,18 @@
 
 # Writes cost money, and a router that is gone only makes shares too small.
 ANNOUNCE_SECONDS: Final = 8.0
-EXPIRY_SECONDS: Final = 20.0
+# In a large fleet the records of all routers would be most of the calls, and
+# one router less or more changes little.
+ANNOUNCE_SECONDS_PER_ROUTER: Final = 0.2
+# Routers are missed after two records and a half.
+EXPIRY_PERIODS: Final = 2.5
 FIRST_RETRY_SECONDS: Final = 0.3
 # A late count of routers only makes shares too large or small for a while.
 READ_WAIT_SECONDS: Final = 8.0
 # In a large fleet some router writes its record all the time; reading each
 # of them made most of the calls at 71 routers.
 READ_PACE_SECONDS: Final = 6.0
+FRESH_SECONDS: Final = 20.0
 
 
 class NodeRecord(msgspec.Struct, frozen=True):
@@ -69,6 +74,7 @@
             self.take,
             wait_seconds=READ_WAIT_SECONDS,
             pace_seconds=READ_PACE_SECONDS,
+            fresh_seconds=FRESH_SECONDS,
         )
         self.kernel.spawn('census-announce', self.announce())
         self.kernel.spawn('census-read', follower.run())
@@ -102,20 +108,37 @@
     async def stop(self) -> None:
         """Nothing beside the kernel's tasks."""
 
+    @property
+    def announce_seconds(self) -> float:
+        """Time between the records of a router."""
+        return max(
+            ANNOUNCE_SECONDS,
+            len(self.heard) * ANNOUNCE_SECONDS_PER_ROUTER,
+        )
+
+    @property
+    def expiry_seconds(self) -> float:
+        """Time after which a router without a new record is taken as gone."""
+        return self.announce_seconds * EXPIRY_PERIODS
+
     def size(self, now: float) -> int:
         """Routers that are taken to run; those lately heard, or itself."""
-        expiry = now - EXPIRY_SECONDS
+        expiry = now - self.expiry_seconds
         live = sum(heard_at > expiry for heard_at in self.heard.values())
         return max(1, live, self.kept_size(now))
 
     def kept_size(self, now: float) -> int:
         """Routers known before the store went away."""
         newest = max(self.heard.values(), default=now)
-        if now - newest < EXPIRY_SECONDS / 2:
+        if now - newest < self.expiry_seconds / 2:
             return 1
         return len(self.heard)
 
-    def take(self, listing: Listing, is_whole: bool) -> None:
+    def take(
+        self,
+        listing: Listing,
+        is_whole: bool,
+    ) -> tuple[KeyedRecord, ...]:
         """Note routers by their records."""
         now = self.kernel.clock.monotonic()
         for record in listing.records:
@@ -128,6 +151,7 @@
                 routers=self.told_size,
                 is_whole=is_whole,
             )
+        return listing.records
 
     def take_record(self, vm: VmId, payload: bytes, now: float) -> None:
         """Note one router, or forget it if it leaves or is not readable."""
@@ -173,5 +197,5 @@
         while True:
             is_written = await self.write(is_leaving=False)
             await asyncio.sleep(
-                ANNOUNCE_SECONDS if is_written else FIRST_RETRY_SECONDS,
+                self.announce_seconds if is_written else FIRST_RETRY_SECONDS,
             )
--- a/src/pollenloom/catalogue/topic_follower.py
+++ b/src/pollenloom/catalogue/topic_follower.py
@@ -4,9 +4,11 @@
 from collections.abc import Callable
 from typing import Final
 
-from pollenloom.catalogue.keyed_record import Listing
+from pollenloom.catalogue.keyed_record import KeyedRecord, Listing
 from pollenloom.catalogue.keyed_store import KeyedStore
 from pollenloom.catalogue.store_topic import StoreTopic
+from pollenloom.catalogue.topic_news import TopicNews, TopicTold
+from pollenloom.catalogue.topic_relay import TopicRelay
 from pollenloom.core.failure import Failure
 from pollenloom.core.ids import Offset
 from pollenloom.kernel.kernel import Kernel
@@ -25,14 +27,23 @@
 # heartbeats.
 SHORT_OUTAGE_SECONDS: Final = 1.0
 
-Taker = Callable[[Listing, bool], None]
+# Routers that hear of the store from others ask it themselves when what they
+# hear is older. A collector asks at least each 0.9 s.
+FRESH_SECONDS: Final = 1.4
+# A collector's read waits this long, so that what it tells is fresh.
+RELAY_WAIT_SECONDS: Final = 0.4
+LOOK_SECONDS: Final = 0.1
+
+Records = tuple[KeyedRecord, ...]
+Taker = Callable[[Listing, bool], Records]
 
 
 class TopicFollower:
-    """One task that reads a topic.
+    """One task that reads a topic, unless others tell what is in it.
 
-    `take` gets each listing and whether it is a whole one; `on_regained` is
-    called with the time when the store answers again after an outage.
+    `take` gets each listing and whether it is a whole one, and returns the
+    records that are worth telling others; `on_regained` is called with the
+    time when the store answers again after an outage.
     """
 
     def __init__(
@@ -43,6 +54,7 @@
         on_regained: Callable[[float], None] | None = None,
         wait_seconds: float = WAIT_SECONDS,
         pace_seconds: float = PACE_SECONDS,
+        fresh_seconds: float = FRESH_SECONDS,
     ) -> None:
         self.kernel = kernel
         self.topic = topic
@@ -50,37 +62,46 @@
         self.on_regained = on_regained
         self.wait_seconds = wait_seconds
         self.pace_seconds = pace_seconds
+        self.news = TopicNews(fresh_seconds)
         self.events = kernel.find(KernelServiceName.EVENTS, EventLog)
         self.store = kernel.find(
             KernelServiceName.KEYED_STORE,
             KeyedStore,
         )
+        self.relay = kernel.find(KernelServiceName.TOPIC_RELAY, TopicRelay)
+        self.relay.follow(topic, self.news, self.hear)
         self.lost_at: float | None = None
 
     async def run(self) -> None:
         """Read the topic until the kernel ends the task."""
         while True:
-            offset = await self.read_whole()
-            await self.follow(offset)
+            await self.read_whole()
+            await self.follow()
 
-    async def read_whole(self) -> Offset:
-        """Read all keys; return where to read on."""
+    async def read_whole(self) -> None:
+        """Read all keys."""
         while True:
+            asked_at = self.kernel.clock.monotonic()
             listing = await self.store.newest(self.topic)
             if listing.is_ok():
                 self.answered()
                 self.take(listing.ok, True)
-                return listing.ok.next_offset
+                self.news.begin(listing.ok.next_offset, asked_at)
+                return
             self.failed(listing.error)
             await asyncio.sleep(RETRY_SECONDS)
 
-    async def follow(self, offset: Offset) -> None:
+    async def follow(self) -> None:
         """Read changes until some were dropped."""
         while True:
+            asked_at = self.kernel.clock.monotonic()
+            if self.news.is_heard(asked_at):
+                await asyncio.sleep(LOOK_SECONDS)
+                continue
             read = await self.store.changes(
                 self.topic,
-                offset,
-                self.wait_seconds,
+                self.news.position or Offset(0),
+                self.longest_wait(),
             )
             if read.is_error():
                 self.failed(read.error)
@@ -92,14 +113,38 @@
                 self.events.record(
                     EventName.LOG_RECORDS_MISSED,
                     self.topic.value,
-                    earliest=offset,
+                    earliest=self.news.position,
                 )
                 return
-            offset = listing.next_offset
+            self.news.read_at = asked_at
+            self.apply(listing.records, listing.next_offset)
             if listing.records:
-                self.take(listing, False)
                 await asyncio.sleep(self.pace_seconds)
 
+    def longest_wait(self) -> float:
+        """Seconds that a read may wait for a record."""
+        if self.relay.has_members:
+            return min(RELAY_WAIT_SECONDS, self.wait_seconds)
+        return self.wait_seconds
+
+    def hear(self, told: TopicTold) -> None:
+        """Take what another router has read."""
+        now = self.kernel.clock.monotonic()
+        records = self.news.hear(told, now)
+        if records is None:
+            return
+        self.answered()
+        self.apply(records, told.next_offset)
+
+    def apply(self, records: Records, next_offset: Offset) -> None:
+        """Use records that were not used before."""
+        unknown = self.news.unknown(records)
+        worth_telling: Records = ()
+        if unknown:
+            worth_telling = self.take(Listing(unknown, next_offset), False)
+        now = self.kernel.clock.monotonic()
+        self.news.advance(next_offset, worth_telling, now)
+
     def failed(self, failure: Failure) -> None:
         """Note that the store did not answer."""
         if self.lost_at is not None:
--- a/src/pollenloom/console/node_process.py
+++ b/src/pollenloom/console/node_process.py
@@ -7,6 +7,7 @@
 from pollenloom.catalogue.load_exchange import LoadExchange
 from pollenloom.catalogue.store_catalogue import StoreCatalogue
 from pollenloom.catalogue.store_census import StoreCensus
+from pollenloom.catalogue.topic_relay import TopicRelay
 from pollenloom.console.exit_code import ExitCode
 from pollenloom.console.router_process import RouterProcess, run_loop
 from pollenloom.gateway.gateway_server import GatewayServer
@@ -44,6 +45,7 @@
         SettingsHolder(kernel, path, settings),
         ProbeServer(kernel, settings.listen),
         StoreClient.from_config(settings.store),
+        TopicRelay(kernel, settings.vm),
         StoreCensus(kernel, settings),
         StoreCatalogue(kernel),
         LoadExchange(kernel, settings),
--- a/src/pollenloom/kernel/kernel_service_name.py
+++ b/src/pollenloom/kernel/kernel_service_name.py
@@ -30,6 +30,7 @@
     REGISTERS = 'registers'
     SERVER_LINKS = 'server_links'
     SETTINGS = 'settings'
+    TOPIC_RELAY = 'topic_relay'
     # Services of the stand-ins in `pollenloom_standins`.
     STANDIN_BACKEND = 'standin_backend'
     STANDIN_CONTROL = 'standin_control'
--- a/src/pollenloom/routing/server_directory.py
+++ b/src/pollenloom/routing/server_directory.py
@@ -85,7 +85,8 @@
         self.servers[entry.server] = KnownServer(
             entry, version, now, cold_until
         )
-        return known is None or known.entry != entry
+        is_back = known is not None and known.gone_at is not None
+        return known is None or is_back or known.entry != entry
 
     def remove(self, server: ServerId, now: float) -> None:
         """Take a removal; after an outage it takes effect later."""
