Start a node without the libraries of the command line

Ruled out: aiohttp (the store's client needs it). Change: the life of a process no longer imports the product's services, and `python3 -m pollenloom.node` runs a node without the command line; `pollenloom node` stays.

--- a/src/pollenloom/console/commands/node_command.py
+++ b/src/pollenloom/console/commands/node_command.py
@@ -9,9 +9,10 @@
 
 from pollenloom.console.command_end import command_end
 from pollenloom.console.exit_code import ExitCode
-from pollenloom.settings.settings_holder import load_node_settings
-
-SETTINGS_VARIABLE = 'POLLENLOOM_CONFIG'
+from pollenloom.settings.settings_holder import (
+    SETTINGS_VARIABLE,
+    load_node_settings,
+)
 
 
 @cappa.command(
--- a/src/pollenloom/console/commands/router_command.py
+++ b/src/pollenloom/console/commands/router_command.py
@@ -38,7 +38,7 @@
     def __call__(self) -> None:
         """Run until a signal."""
         # The other commands start faster without the router's libraries.
-        from pollenloom.console.router_process import run_router
+        from pollenloom.console.router_run import run_router
 
         code = run_router(read_settings(self.settings))
         if code is not ExitCode.OK:
--- a/src/pollenloom/console/node_process.py
+++ b/src/pollenloom/console/node_process.py
@@ -11,6 +11,7 @@
 from pollenloom.console.exit_code import ExitCode
 from pollenloom.console.router_process import RouterProcess, run_loop
 from pollenloom.gateway.gateway_server import GatewayServer
+from pollenloom.gateway.loop_monitor import LoopMonitor
 from pollenloom.gateway.probe_server import ProbeServer
 from pollenloom.gateway.relay import Relay
 from pollenloom.gateway.server_links import ServerLinks
@@ -44,6 +45,7 @@
         Metrics(),
         SettingsHolder(kernel, path, settings),
         ProbeServer(kernel, settings.listen),
+        LoopMonitor(kernel, settings.vm),
         StoreClient.from_config(settings.store),
         TopicRelay(kernel, settings.vm),
         StoreCensus(kernel, settings),
--- a/src/pollenloom/console/router_process.py
+++ b/src/pollenloom/console/router_process.py
@@ -1,10 +1,10 @@
-"""Runs one router until a signal ends it."""
+"""Life of a router's process: start, signals, shutdown."""
 
 import asyncio
 import os
 import signal
 import sys
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Coroutine, Mapping
 from types import MappingProxyType
 from typing import Any, Final
 
@@ -12,16 +12,10 @@
 from absl import logging
 
 from pollenloom.console.exit_code import ExitCode
-from pollenloom.console.service_catalogue import (
-    ServiceFactory,
-    service_factories,
-)
 from pollenloom.core.ids import VmId
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.kernel.listener import Listener
-from pollenloom.observability.json_log import configure_json_log
-from pollenloom.settings.router_settings import RouterSettings
 
 SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
 # Part of `shutdown_seconds` kept for closing connections after the drain.
@@ -138,18 +132,6 @@
         return service.address if isinstance(service, Listener) else configured
 
 
-def run_router(
-    settings: RouterSettings,
-    factories: Callable[
-        [RouterSettings],
-        tuple[ServiceFactory, ...],
-    ] = service_factories,
-) -> ExitCode:
-    """Run one router in this process until a signal ends it."""
-    configure_json_log()
-    return run_loop(run_services(settings, factories(settings)))
-
-
 def run_loop(main: Coroutine[Any, Any, ExitCode]) -> ExitCode:
     """Run the process's main coroutine on a loop of uvloop."""
     # uvloop reads this when a loop is made; io_uring is not allowed.
@@ -161,31 +143,6 @@
         return runner.run(main)
 
 
-async def run_services(
-    settings: RouterSettings,
-    factories: tuple[ServiceFactory, ...],
-) -> ExitCode:
-    """Make the services on the running loop and run them."""
-    kernel = Kernel()
-    try:
-        for factory in factories:
-            kernel.register(factory(kernel, settings))
-    except (OSError, ValueError, LookupError):
-        logging.exception('router_settings_rejected')
-        return ExitCode.START_FAILED
-    process = RouterProcess(
-        kernel,
-        settings.vm,
-        settings.limits.shutdown_seconds,
-        {
-            KernelServiceName.FRONTEND: settings.callers,
-            KernelServiceName.OPERATIONS: settings.operators,
-            KernelServiceName.PEERS: settings.peers.listen,
-        },
-    )
-    return await process.run()
-
-
 def write_line(content: dict[str, dict[str, str]]) -> None:
     """Write one JSON line to standard output."""
     sys.stdout.write(f'{msgspec.json.encode(content).decode()}\n')
--- a/src/pollenloom/settings/settings_holder.py
+++ b/src/pollenloom/settings/settings_holder.py
@@ -16,6 +16,8 @@
 from pollenloom.validation.text_file import read_text
 from pollenloom.validation.toml_file import CheckedFile, check_text
 
+# Where the users' platform tells the path of the settings.
+SETTINGS_VARIABLE: Final = 'POLLENLOOM_CONFIG'
 # The file may change without a signal.
 LOOK_SECONDS: Final = 2.0
 
--- a/tests/console/waiting_router.py
+++ b/tests/console/waiting_router.py
@@ -12,7 +12,7 @@
 
 from absl import logging
 
-from pollenloom.console.router_process import run_router
+from pollenloom.console.router_run import run_router
 from pollenloom.console.service_catalogue import ServiceFactory
 from pollenloom.core.ids import DataCentreId, VmId
 from pollenloom.kernel.kernel import Kernel
