--- a/src/pollenloom/observability/event_log.py
+++ b/src/pollenloom/observability/event_log.py
@@ -37,6 +37,12 @@
     subject: str
     fields: Mapping[str, EventValue]
 
+    def __str__(self) -> str:
+        """Return the event as one JSON object."""
+        return msgspec.json.encode(
+            {'event': self.name, 'subject': self.subject, **self.fields},
+        ).decode()
+
 
 class EventLog(KernelService):
     """Keeps recent event records and writes them to the log."""
@@ -67,24 +73,9 @@
             fields=MappingProxyType(fields),
         )
         self.events.append(event)
-        # The JSON formatter reads the record itself, not its text.
-        logging.info(
-            '%s',
-            render_event(event),
-            extra={'event_record': event},
-        )
+        # The JSON formatter reads the event itself, not its text.
+        logging.info('%s', event, extra={'event_record': event})
 
     def about(self, subject: str) -> tuple[Event, ...]:
         """Return the kept events of one subject, oldest first."""
         return tuple(event for event in self.events if event.subject == subject)
-
-
-def render_event(event: Event) -> str:
-    """Return an event as one JSON object."""
-    return msgspec.json.encode(
-        {
-            'event': event.name,
-            'subject': event.subject,
-            **event.fields,
-        }
-    ).decode()
--- a/src/pollenloom/observability/json_log.py
+++ b/src/pollenloom/observability/json_log.py
@@ -5,6 +5,7 @@
 import traceback
 from collections.abc import Mapping
 from datetime import UTC, datetime
+from functools import cache
 from typing import Any, Final
 
 import msgspec
@@ -102,13 +103,24 @@
 
 def redact_value(key: str, entry: object) -> object:
     """Return the value that may be logged under a key."""
-    if SECRET_NAMES.search(key):
+    if is_secret_name(key):
         return REDACTED
-    if isinstance(entry, str):
+    if isinstance(entry, str) and may_hold_secret(entry):
         return SECRET_TEXT.sub(rf'\1{REDACTED}', entry)
     return entry
 
 
+@cache
+def is_secret_name(key: str) -> bool:
+    """Whether values of that name are secret; names come from the code."""
+    return SECRET_NAMES.search(key) is not None
+
+
+def may_hold_secret(text: str) -> bool:
+    """Whether a text has one of the marks between a name and a secret."""
+    return ' ' in text or '=' in text or ':' in text
+
+
 def format_time(seconds: float) -> str:
     """Return wall time in RFC 3339 form with milliseconds."""
     moment = datetime.fromtimestamp(seconds, tz=UTC)
