Soak the fleet on the users' machines with real processes

Cause: the soak ran the product's own fleet only; nothing but the users' bench played kills, freezes, cuts and reloads against `pollenloom.node`. One tool with two fleets.

--- a/src/pollenloom_standins/commands/soak_command.py
+++ b/src/pollenloom_standins/commands/soak_command.py
@@ -6,22 +6,30 @@
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from enum import Enum, unique
 from pathlib import Path
 from typing import Annotated, Final
 
 import cappa
-import msgspec
 
 from pollenloom_standins.fleet.managed_process import ProcessError
-from pollenloom_standins.history.promises import PROMISES
-from pollenloom_standins.soak.fault_schedule import draw_schedule
+from pollenloom_standins.node_soak.node_fleet import NodeFleet
+from pollenloom_standins.soak.product_fleet import ProductFleet
+from pollenloom_standins.soak.soak_fleet import SoakFleet, SoakVerdict
 from pollenloom_standins.soak.soak_plan import SECTIONS
-from pollenloom_standins.soak.soak_round import RoundResult, run_round
 
 SHOWN_VIOLATIONS: Final = 3
 MINUTE_SECONDS: Final = 60
 
 
+@unique
+class FleetKind(Enum):
+    """What a soak runs."""
+
+    PRODUCT = 'product'
+    NODE = 'node'
+
+
 @dataclass
 class SoakTotals:
     """Counts over all rounds."""
@@ -40,6 +48,8 @@
     Ends with code 1 if a promise was broken.
 
     Attributes:
+        fleet: What runs: the product's own fleet, or the one on the users'
+            machines.
         seed: Seed of the first round; each next round has the next seed.
         minutes: Start no round after this time.
         rounds: Start no more rounds than this; 0 for no bound.
@@ -50,6 +60,7 @@
             fail when its mechanism is off.
     """
 
+    fleet: Annotated[FleetKind, cappa.Arg(long=True)] = FleetKind.PRODUCT
     seed: Annotated[int, cappa.Arg(long=True)] = 1
     minutes: Annotated[float, cappa.Arg(long=True)] = 1
     rounds: Annotated[int, cappa.Arg(long=True)] = 0
@@ -60,19 +71,29 @@
 
     def __call__(self) -> None:
         """Run the rounds."""
-        totals = asyncio.run(self.run())
-        report(totals)
+        fleet = self.make_fleet()
+        totals = asyncio.run(self.run(fleet))
+        report(fleet, totals)
         if totals.broken or totals.failed_starts:
             raise cappa.Exit(code=1)
 
-    async def run(self) -> SoakTotals:
+    def make_fleet(self) -> SoakFleet:
+        """Return what is to run."""
+        if self.fleet is FleetKind.NODE:
+            return NodeFleet()
+        return ProductFleet(self.examples, self.router_sections())
+
+    async def run(self, fleet: SoakFleet) -> SoakTotals:
         """Run rounds until the time is up."""
         say(f'first seed {self.seed}')
         totals = SoakTotals()
         until = time.monotonic() + self.minutes * MINUTE_SECONDS
         seeds = iter(range(self.seed, sys.maxsize))
         await asyncio.gather(
-            *(self.work(seeds, until, totals) for _ in range(self.parallel)),
+            *(
+                self.work(fleet, seeds, until, totals)
+                for _ in range(self.parallel)
+            ),
         )
         return totals
 
@@ -84,6 +105,7 @@
 
     async def work(
         self,
+        fleet: SoakFleet,
         seeds: Iterator[int],
         until: float,
         totals: SoakTotals,
@@ -96,60 +118,46 @@
             seed = next(seeds)
             directory = self.output / f'seed-{seed}'
             try:
-                result = await run_round(
-                    seed,
-                    self.examples,
-                    directory,
-                    sections=self.router_sections(),
-                )
+                verdict = await fleet.run(seed, directory)
             except ProcessError as error:
                 totals.failed_starts += 1
                 say(f'seed {seed}: round not run: {error}')
                 continue
-            totals.checked.update(result.checked)
-            totals.broken.update(result.violations.keys())
-            tell(result)
-            keep(result, directory)
+            totals.checked.update(verdict.checked)
+            totals.broken.update(verdict.violations.keys())
+            tell(seed, verdict)
+            keep(verdict, directory)
 
 
-def tell(result: RoundResult) -> None:
+def tell(seed: int, verdict: SoakVerdict) -> None:
     """Print what a round showed."""
-    history = result.history
-    outcomes = Counter(call.outcome.value for call in history.calls)
-    counts = ', '.join(f'{count} {name}' for name, count in outcomes.items())
-    faults = ', '.join(
-        fault.kind.value for fault in draw_schedule(history.seed)
-    )
-    verdict = 'BROKEN' if result.violations else 'kept'
-    say(f'seed {history.seed}: {verdict}; {faults}; calls: {counts}')
-    for name, found in result.violations.items():
+    word = 'BROKEN' if verdict.violations else 'kept'
+    say(f'seed {seed}: {word}; {verdict.summary}')
+    for name, found in verdict.violations.items():
         for line in found[:SHOWN_VIOLATIONS]:
             say(f'  {name} ({len(found)}): {line}')
-    for trouble in result.troubles:
+    for trouble in verdict.troubles:
         say(f'  note: {trouble}')
 
 
-def keep(result: RoundResult, directory: Path) -> None:
+def keep(verdict: SoakVerdict, directory: Path) -> None:
     """Keep history and logs if a promise was broken, else remove them."""
-    if result.violations:
-        path = directory / 'history.json'
-        path.write_bytes(msgspec.json.encode(result.history))
-        say(f'  history: {path}')
+    if verdict.violations:
+        say(f'  history and logs: {directory}')
         return
     for path in directory.iterdir():
         path.unlink()
     directory.rmdir()
 
 
-def report(totals: SoakTotals) -> None:
+def report(fleet: SoakFleet, totals: SoakTotals) -> None:
     """Print one line for each promise."""
     say(f'{totals.rounds} rounds, {totals.failed_starts} not run')
-    for checker in PROMISES:
-        name = checker.requirement
+    for name, promise in fleet.promises.items():
         broken = totals.broken[name]
         verdict = f'BROKEN in {broken} rounds' if broken else 'kept'
         say(
-            f'{name} {checker.promise}: {verdict} '
+            f'{name} {promise}: {verdict} '
             f'({totals.checked[name]} observations)',
         )
 
--- /dev/null
+++ b/src/pollenloom_standins/node_soak/node_caller.py
@@ -0,0 +1,126 @@
+"""A caller that uses its connection until the node closes it."""
+
+import asyncio
+import random
+import time
+import uuid
+from typing import TYPE_CHECKING, Final
+
+from pollenloom_standins.node_soak.node_history import NodeCall, NodeCallKind
+
+if TYPE_CHECKING:
+    from pollenloom_standins.node_soak.node_ground import NodeGround
+
+PATIENCE_SECONDS: Final = 4.0
+PAUSE_SECONDS: Final = 0.05
+# Part of the connections that are given up without a reason.
+CHANGE_SHARE: Final = 0.05
+HEAD_END: Final = b'\r\n\r\n'
+
+
+class NodeCaller:
+    """Sends one request after the other."""
+
+    def __init__(self, ground: 'NodeGround', number: int) -> None:
+        self.ground = ground
+        self.draw = random.Random(f'caller {ground.history.seed} {number}')
+        self.node = ''
+        self.boot = 0
+        self.streams: (
+            tuple[asyncio.StreamReader, asyncio.StreamWriter] | None
+        ) = None
+
+    async def run(self) -> None:
+        """Call until cancelled."""
+        while True:
+            await self.call_once()
+            await asyncio.sleep(self.draw.uniform(0, PAUSE_SECONDS))
+
+    async def call_once(self) -> None:
+        """Make one call and record it."""
+        if not await self.connected():
+            await asyncio.sleep(PAUSE_SECONDS)
+            return
+        kind = self.draw.choice(list(NodeCallKind))
+        call = NodeCall(
+            request_id=uuid.uuid4().hex,
+            kind=kind,
+            node=self.node,
+            boot=self.boot,
+            key=self.draw.choice(self.ground.keys),
+            started=time.time(),
+        )
+        self.ground.history.calls.append(call)
+        is_kept = False
+        try:
+            async with asyncio.timeout(PATIENCE_SECONDS):
+                is_kept = await self.exchange(call)
+        except (OSError, EOFError, ValueError) as error:
+            call.detail = repr(error)
+        call.ended = time.time()
+        if not is_kept or self.draw.random() < CHANGE_SHARE:
+            self.close()
+
+    async def connected(self) -> bool:
+        """Keep the connection, or make one to a node in rotation."""
+        if self.streams is not None:
+            return True
+        nodes = self.ground.in_rotation()
+        if not nodes:
+            return False
+        node = self.draw.choice(nodes)
+        self.node = node.vm
+        self.boot = node.boot
+        host, _, port = node.callers.rpartition(':')
+        try:
+            async with asyncio.timeout(1):
+                self.streams = await asyncio.open_connection(host, int(port))
+        except OSError:
+            return False
+        return True
+
+    def close(self) -> None:
+        """Give the connection up."""
+        if self.streams is not None:
+            self.streams[1].close()
+        self.streams = None
+
+    async def exchange(self, call: NodeCall) -> bool:
+        """Send a request and read the answer; return whether to go on."""
+        if self.streams is None:
+            return False
+        reader, writer = self.streams
+        body = f'body of {call.request_id}'.encode()
+        head = (
+            f'POST {call.kind.value}{call.request_id} HTTP/1.1\r\n'
+            'Host: shop.example\r\n'
+            f'X-Pollenloom-Attempt-Id: {call.request_id}\r\n'
+            f'X-Pollenloom-Deadline-Ms: {PATIENCE_SECONDS * 1000:.0f}\r\n'
+            f'Api-Key: {call.key}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'
+        )
+        writer.write(head.encode() + body)
+        lines = (await reader.readuntil(HEAD_END)).decode('latin-1')
+        start_line, *rest = lines.rstrip().split('\r\n')
+        call.status = int(start_line.split()[1])
+        split = [line.partition(':') for line in rest]
+        headers = {name.lower(): text.strip() for name, _, text in split}
+        if headers.get('transfer-encoding') == 'chunked':
+            await self.read_chunks(reader, call)
+        else:
+            length = int(headers['content-length'])
+            call.body = await reader.readexactly(length)
+        call.is_whole = True
+        return headers.get('connection') != 'close'
+
+    async def read_chunks(
+        self,
+        reader: asyncio.StreamReader,
+        call: NodeCall,
+    ) -> None:
+        """Read a body in chunks to its end."""
+        size = -1
+        while size:
+            size = int(await reader.readline(), 16)
+            part = await reader.readexactly(size + 2)
+            call.body += part[:-2]
--- /dev/null
+++ b/src/pollenloom_standins/node_soak/soak_node.py
@@ -0,0 +1,128 @@
+"""One machine: its settings, its process and the link to the store."""
+
+import asyncio
+import os
+import socket
+import sys
+import time
+from pathlib import Path
+from typing import Final
+
+from pollenloom_standins.fleet.managed_process import (
+    ManagedProcess,
+    ProcessError,
+)
+
+LOOK_SECONDS: Final = 0.05
+READY_SECONDS: Final = 30.0
+STOP_SECONDS: Final = 8
+SETTINGS: Final = """
+vm = "{vm}"
+data_centre = "{data_centre}"
+
+[listen]
+callers = "{callers}"
+readiness = "{readiness}"
+metrics = "{metrics}"
+peers = "{peers}"
+
+[store]
+address = "{store}"
+
+[bounds]
+stop_seconds = {stop_seconds}
+"""
+
+
+class SoakNode(ManagedProcess):
+    """A router's process with its log in a file.
+
+    Attributes:
+        vm: Id of the machine.
+        boot: Number of its start.
+        callers: Address for callers.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        data_centre: str,
+        store: str,
+        directory: Path,
+    ) -> None:
+        super().__init__(
+            vm,
+            (sys.executable, '-m', 'pollenloom.node'),
+            directory,
+        )
+        self.vm = vm
+        self.boot = 0
+        callers, readiness, metrics, peers = free_addresses(4)
+        self.callers = callers
+        self.readiness = readiness
+        self.settings = directory / f'{vm}.toml'
+        self.settings.write_text(
+            SETTINGS.format(
+                vm=vm,
+                data_centre=data_centre,
+                callers=self.callers,
+                readiness=self.readiness,
+                metrics=metrics,
+                peers=peers,
+                store=store,
+                stop_seconds=STOP_SECONDS,
+            ),
+            encoding='utf-8',
+        )
+
+    async def start(self) -> None:
+        """Start the process; it is ready later, see `wait_ready`."""
+        self.boot += 1
+        with self.log_path.open('ab') as log_file:
+            self.process = await asyncio.create_subprocess_exec(
+                *self.arguments,
+                stdout=log_file,
+                stderr=log_file,
+                env={
+                    **os.environ,
+                    'UV_USE_IO_URING': '0',
+                    'POLLENLOOM_CONFIG': str(self.settings),
+                },
+                start_new_session=True,
+            )
+
+    async def is_ready(self) -> bool:
+        """Ask as the users' balancer does."""
+        host, _, port = self.readiness.rpartition(':')
+        try:
+            async with asyncio.timeout(1):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(b'GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n')
+                line = await reader.readline()
+        except OSError:
+            return False
+        writer.close()
+        return b' 200 ' in line
+
+    async def wait_ready(self) -> None:
+        """Wait until the process is ready.
+
+        Raises:
+            ProcessError: If it ends before or takes too long.
+        """
+        until = time.monotonic() + READY_SECONDS
+        while not await self.is_ready():
+            if not self.is_running or time.monotonic() > until:
+                raise ProcessError(f'{self.vm}, see {self.log_path}')
+            await asyncio.sleep(LOOK_SECONDS)
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return addresses whose ports are free now."""
+    listeners = [socket.create_server(('127.0.0.1', 0)) for _ in range(count)]
+    addresses = [
+        f'127.0.0.1:{listener.getsockname()[1]}' for listener in listeners
+    ]
+    for listener in listeners:
+        listener.close()
+    return addresses
--- /dev/null
+++ b/src/pollenloom_standins/node_soak/soak_worker.py
@@ -0,0 +1,202 @@
+"""A backend server that records what arrives, with faults by order."""
+
+import asyncio
+import time
+from enum import Enum, unique
+from typing import Final
+
+import msgspec
+
+from pollenloom.platform import wire_names
+from pollenloom_standins.node_soak.node_history import NodeHistory, NodeRun
+from pollenloom_standins.worker.scripted_worker import (
+    ReceivedRequest,
+    ScriptedWorker,
+)
+
+EVENTS: Final = 8
+EVENT_SECONDS: Final = 0.02
+WORK_SECONDS: Final = 0.02
+
+
+@unique
+class WorkerFault(Enum):
+    """How a server answers."""
+
+    NONE = 'none'
+    CUT = 'cut'
+    FAIL = 'fail'
+    REJECT = 'reject'
+    EXTRA = 'extra'
+    SILENT = 'silent'
+
+
+class SoakWorker:
+    """One start of a server.
+
+    Attributes:
+        server: Id; a new one at each start.
+        fault: How it answers now.
+        listed_address: Address in its entry, that of the relay before it.
+    """
+
+    def __init__(
+        self,
+        server: str,
+        data_centre: str,
+        history: NodeHistory,
+    ) -> None:
+        self.server = server
+        self.data_centre = data_centre
+        self.history = history
+        self.fault = WorkerFault.NONE
+        self.listed_address = ''
+        self.worker = ScriptedWorker(self.serve)
+
+    async def start(self) -> None:
+        """Listen."""
+        await self.worker.start()
+        self.listed_address = self.worker.address
+
+    async def stop(self) -> None:
+        """Stop listening; open connections end with the round."""
+        await self.worker.stop()
+
+    def entry(self, *, is_leaving: bool) -> bytes:
+        """Return what the server writes to the store."""
+        state = wire_names.STATE_READY
+        if is_leaving:
+            state = wire_names.STATE_DRAINING
+        return msgspec.json.encode(
+            {
+                'service': 'app',
+                'address': self.listed_address,
+                'zone': self.data_centre,
+                'version': 'v1',
+                'slots': 40,
+                'state': state,
+                'cold_remaining_ms': 0,
+                'seq': time.time_ns(),
+            },
+        )
+
+    async def serve(
+        self,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Record a request and answer it."""
+        run = self.note(request)
+        if request.headers.get('x-pollenloom-expect-instance') != self.server:
+            run.is_run = False
+            await send(writer, answer_head(run, '421 Wrong', b''))
+            return
+        fault = self.fault
+        if fault is WorkerFault.REJECT:
+            run.is_run = False
+            extra = b'X-Pollenloom-Not-Executed: 1\r\n'
+            await send(writer, answer_head(run, '503 Full', b'', extra))
+        elif fault is WorkerFault.SILENT:
+            await asyncio.Event().wait()
+        elif request.start_line.split()[1].startswith(('/stream/', '/resume/')):
+            await self.stream(run, request, writer, fault)
+        else:
+            await self.answer(run, writer, fault)
+
+    def note(self, request: ReceivedRequest) -> NodeRun:
+        """Record a request."""
+        headers = request.headers
+        run = NodeRun(
+            request_id=headers.get('x-pollenloom-attempt-id', ''),
+            server=self.server,
+            at=time.time(),
+            start_line=request.start_line,
+            account=headers.get('x-pollenloom-tenant', ''),
+            has_key='api-key' in headers,
+            body=request.body,
+        )
+        self.history.runs.append(run)
+        return run
+
+    async def answer(
+        self,
+        run: NodeRun,
+        writer: asyncio.StreamWriter,
+        fault: WorkerFault,
+    ) -> None:
+        """Answer with one body."""
+        await asyncio.sleep(WORK_SECONDS)
+        body = f'{run.request_id} {self.server}'.encode()
+        if fault is WorkerFault.FAIL:
+            await send(writer, answer_head(run, '500 Error', b'failed'))
+            return
+        whole = answer_head(run, '200 OK', body)
+        if fault is WorkerFault.CUT:
+            await send(writer, whole[:-3])
+            writer.transport.abort()
+            return
+        if fault is WorkerFault.EXTRA:
+            whole += answer_head(run, '200 OK', b'not asked for')
+        await send(writer, whole)
+        run.is_sealed = True
+
+    async def stream(
+        self,
+        run: NodeRun,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+        fault: WorkerFault,
+    ) -> None:
+        """Answer with events, from the one after the caller's last."""
+        head = (
+            'HTTP/1.1 200 OK\r\n'
+            f'X-Pollenloom-Attempt-Id: {run.request_id}\r\n'
+            'X-Pollenloom-Response-Seal: seal\r\n'
+            'Content-Type: text/event-stream\r\n'
+            'Transfer-Encoding: chunked\r\n\r\n'
+        )
+        await send(writer, head.encode())
+        first = int(request.headers.get('last-event-id') or 0) + 1
+        for number in range(first, EVENTS + 1):
+            await asyncio.sleep(EVENT_SECONDS)
+            event = event_of(run.request_id, number)
+            if fault is WorkerFault.CUT and number > EVENTS // 2:
+                await send(writer, chunk(event)[:-6])
+                writer.transport.abort()
+                return
+            await send(writer, chunk(event))
+        await send(writer, b'0\r\n\r\n')
+        run.is_sealed = True
+
+
+def answer_head(
+    run: NodeRun,
+    status: str,
+    body: bytes,
+    extra: bytes = b'',
+) -> bytes:
+    """Return an answer with a length."""
+    head = (
+        f'HTTP/1.1 {status}\r\n'
+        f'X-Pollenloom-Attempt-Id: {run.request_id}\r\n'
+        'X-Pollenloom-Response-Seal: seal\r\n'
+        f'Content-Length: {len(body)}\r\n'
+    )
+    return b''.join((head.encode(), extra, b'\r\n', body))
+
+
+def event_of(request_id: str, number: int) -> bytes:
+    """Return one event; the last one says so."""
+    last = ' end' if number == EVENTS else ''
+    return f'id: {number}\ndata: {request_id} {number}{last}\n\n'.encode()
+
+
+def chunk(part: bytes) -> bytes:
+    """Return one chunk of a body."""
+    return b'%x\r\n%b\r\n' % (len(part), part)
+
+
+async def send(writer: asyncio.StreamWriter, content: bytes) -> None:
+    """Write and wait until it is sent."""
+    writer.write(content)
+    await writer.drain()
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -318,12 +318,14 @@
     """
     worker = await site.add_worker(answer_whole)
     await site.ready(1)
-    for _ in range(20):
-        caller = await site.connect()
-        await caller.send('/order/')
-        caller.writer.close()
-        # The loop reads request and end together, as after a delay.
-        time.sleep(0.01)
+    # Leaves an open connection to the server, on which nothing waits.
+    await (await site.connect()).ask('/read/')
+    worker.requests.clear()
+    caller = await site.connect()
+    await caller.send('/read/')
+    caller.writer.close()
+    # The loop reads request and end together, as after a delay.
+    time.sleep(0.05)
     await asyncio.sleep(0.3)
     assert not worker.requests
 
--- /dev/null
+++ b/tests/standins/node_soak/test_node_checkers.py
@@ -0,0 +1,207 @@
+"""Each promise of the node soak fails on a history that breaks it."""
+
+from collections.abc import Callable
+
+import pytest
+
+from pollenloom_standins.node_soak.node_checkers import CHECKERS
+from pollenloom_standins.node_soak.node_history import (
+    Announcement,
+    NodeCall,
+    NodeCallKind,
+    NodeFault,
+    NodeHistory,
+    NodeRun,
+)
+from pollenloom_standins.node_soak.soak_worker import EVENTS, event_of
+
+START = 1000.0
+
+
+def make_call(
+    request_id: str = 'a1',
+    kind: NodeCallKind = NodeCallKind.ORDER,
+    at: float = START,
+) -> NodeCall:
+    """Return a call that was served."""
+    body = f'{request_id} i-1'.encode()
+    if kind.is_stream:
+        numbers = range(1, EVENTS + 1)
+        body = b''.join(event_of(request_id, number) for number in numbers)
+    return NodeCall(
+        request_id=request_id,
+        kind=kind,
+        node='edge-0',
+        boot=1,
+        key='key-1',
+        started=at,
+        ended=at + 0.1,
+        status=200,
+        is_whole=True,
+        body=body,
+    )
+
+
+def make_run(call: NodeCall, at: float | None = None) -> NodeRun:
+    """Return the run of a call."""
+    return NodeRun(
+        request_id=call.request_id,
+        server='i-1',
+        at=call.started if at is None else at,
+        start_line=f'POST {call.kind.value}{call.request_id} HTTP/1.1',
+        account=f'account of {call.key}',
+        has_key=False,
+        body=f'body of {call.request_id}'.encode(),
+        is_sealed=True,
+    )
+
+
+@pytest.fixture
+def history() -> NodeHistory:
+    """A history of four calls that all went well."""
+    calls = [
+        make_call(f'a{number}', kind)
+        for number, kind in enumerate(NodeCallKind)
+    ]
+    return NodeHistory(
+        seed=1,
+        calls=calls,
+        runs=[make_run(call) for call in calls],
+    )
+
+
+def broken(history: NodeHistory) -> set[str]:
+    """Return the names of the promises that are broken."""
+    return {
+        checker.name
+        for checker in CHECKERS
+        if list(checker.violations(history))
+    }
+
+
+def test_good_history_keeps_all(history: NodeHistory) -> None:
+    """Guards against checks that fail without a reason."""
+    assert not broken(history)
+
+
+def run_twice(history: NodeHistory) -> None:
+    """Let an order run again."""
+    order = history.calls[1]
+    history.runs.append(make_run(order))
+
+
+def run_unasked(history: NodeHistory) -> None:
+    """Let a request run that nobody sent."""
+    history.runs.append(make_run(make_call('a9')))
+
+
+def refuse_after_run(history: NodeHistory) -> None:
+    """Tell that an order was not run."""
+    history.calls[1].status = 503
+
+
+def lose_an_event(history: NodeHistory) -> None:
+    """Leave one event out of a stream."""
+    stream = history.calls[2]
+    stream.body = stream.body.replace(event_of('a2', 3), b'')
+
+
+def answer_of_another(history: NodeHistory) -> None:
+    """Give one call the body of another."""
+    history.calls[0].body = history.calls[1].body
+
+
+def pass_the_key(history: NodeHistory) -> None:
+    """Pass a key to a server."""
+    history.runs[0].has_key = True
+
+
+def change_the_account(history: NodeHistory) -> None:
+    """Tell a server another account."""
+    history.runs[0].account = 'account of key-2'
+
+
+def use_a_leaving_server(history: NodeHistory) -> None:
+    """Send a request long after its server has said that it leaves."""
+    leaving = Announcement(subject='i-1', at=START - 5)
+    history.leaving.append(leaving)
+
+
+def serve_a_revoked_key(history: NodeHistory) -> None:
+    """Serve a key long after it was revoked."""
+    history.revoked.append(Announcement(subject='key-1', at=START - 5))
+
+
+def cut_at_a_stop(history: NodeHistory) -> None:
+    """Cut an answer while the node stops."""
+    history.calls[2].is_whole = False
+    history.faults.append(make_stop())
+
+
+def end_badly(history: NodeHistory) -> None:
+    """Let a stopped node end with a failure."""
+    stop = make_stop()
+    stop.exit_code = 1
+    stop.target = 'edge-1'
+    history.faults.append(stop)
+
+
+def serve_nobody(history: NodeHistory) -> None:
+    """Refuse all calls after the last fault."""
+    for number in range(20):
+        call = make_call(f'b{number}', at=START + 60)
+        call.status = 502
+        history.calls.append(call)
+
+
+def make_stop() -> NodeFault:
+    """Return a graceful stop of the node."""
+    return NodeFault(
+        kind='node-stop',
+        target='edge-0',
+        started=START - 0.5,
+        ended=START + 3,
+        recovered=START + 4,
+    )
+
+
+@pytest.mark.parametrize(
+    ('harm', 'name'),
+    [
+        (run_twice, 'once'),
+        (run_unasked, 'once'),
+        (refuse_after_run, 'refusal'),
+        (lose_an_event, 'whole'),
+        (answer_of_another, 'whole'),
+        (pass_the_key, 'request'),
+        (change_the_account, 'request'),
+        (use_a_leaving_server, 'drain'),
+        (serve_a_revoked_key, 'revoked'),
+        (cut_at_a_stop, 'stop'),
+        (end_badly, 'stop'),
+        (serve_nobody, 'served'),
+    ],
+)
+def test_broken_promise_is_found(
+    history: NodeHistory,
+    harm: Callable[[NodeHistory], None],
+    name: str,
+) -> None:
+    """Guards against a soak that cannot fail."""
+    harm(history)
+    assert name in broken(history)
+
+
+def test_cut_off_node_may_be_late(history: NodeHistory) -> None:
+    """Guards against blaming a node for what it could not know."""
+    use_a_leaving_server(history)
+    serve_a_revoked_key(history)
+    cut = NodeFault(
+        kind='store-cut',
+        target='edge-0',
+        started=START - 6,
+        ended=START + 1,
+        recovered=START + 2,
+    )
+    history.faults.append(cut)
+    assert not broken(history) & {'drain', 'revoked'}
