--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -11,6 +11,7 @@
 from pollenloom.admission.server_survey import ServerSurvey
 from pollenloom.admission.ticket import Ticket
 from pollenloom.core.ids import AccountId, VmId
+from pollenloom.core.states import Resource
 from pollenloom.routing.send_window import PREFILL_RATE, QUEUE_SHARE
 from pollenloom.routing.server_directory import KnownServer
 from pollenloom.routing.service_load import ServiceLoad
@@ -45,7 +46,7 @@
         objective = waiting.ticket.objective
         if objective:
             self.tightest_objective = min(self.tightest_objective, objective)
-        self.servers.expect(waiting.ticket)
+        self.servers.is_model = waiting.ticket.resource is Resource.MODEL
         self.backlog.put(waiting)
 
     def send(
@@ -94,6 +95,8 @@
             waiting.ticket.cost_hint,
             now,
         )
+        ticket = waiting.ticket
+        self.servers.mix.charge(ticket.prompt_size, ticket.engine_cost, now)
         load = self.servers.load(placement.known.entry.server, now)
         load.in_flight += 1
         load.window.sent(placement.cost)
@@ -144,5 +147,6 @@
                 if load.in_flight
             },
             usage=self.backlog.usage.told(now),
+            mix=self.servers.mix.told(now),
             waiting={} if least is None else {router: round(least)},
         )
