Let routers take turns at cold servers

Each router had an even part of the rate, but a first request at once; with 74 routers that is more than the bound. Ruled out: late arrivals (sent and arrived in the same second); a fleet size that was too small for long (all routers were counted). A router that has not read who else is there sends nothing to cold servers.

--- a/src/pollenloom/admission/conditions.py
+++ b/src/pollenloom/admission/conditions.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from pollenloom.core.ids import ServerId
+from pollenloom.routing.cold_turn import ColdTurn
 from pollenloom.routing.service_load import ServiceLoad
 
 
@@ -12,13 +13,13 @@
 
     Attributes:
         now: Monotonic seconds.
-        cold_rate: What this router may send to a cold server, requests a
-            second; 0 for no limit.
+        cold_turn: When this router may send to cold servers; None for no
+            limit.
         elsewhere: What other routers have to do with the service.
     """
 
     now: float
-    cold_rate: float
+    cold_turn: ColdTurn | None
     elsewhere: ServiceLoad
 
     def unread_elsewhere(self, server: ServerId) -> float:
--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -29,6 +29,7 @@
 from pollenloom.core.states import Outcome
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.routing.cold_turn import CLOSED, ColdTurn, cold_turn
 from pollenloom.routing.service_load import ServiceLoad
 
 GRANT_SECONDS: Final = 0.5
@@ -146,12 +147,16 @@
             for service, pool in self.pools.items()
         }
 
-    def cold_rate(self, service: ServiceId, now: float) -> float:
-        """Return this router's part of what a cold server bears."""
+    def cold_turn(self, service: ServiceId) -> ColdTurn | None:
+        """Return when this router may send to cold servers."""
         profile = self.catalogue.directory.profiles.get(service)
-        if profile is None:
-            return 0
-        return profile.cold_rate / self.census.size(now)
+        if profile is None or profile.cold_rate <= 0:
+            return None
+        place = self.census.place()
+        if place is None:
+            return CLOSED
+        wall = self.kernel.clock.wall()
+        return cold_turn(profile.cold_rate, place.rank, place.routers, wall)
 
     def pump_all(self) -> None:
         """Send what may be sent, after a change of the catalogue."""
@@ -168,7 +173,7 @@
         servers = self.catalogue.directory.usable(service, now)
         conditions = Conditions(
             now,
-            self.cold_rate(service, now),
+            self.cold_turn(service),
             self.exchange.elsewhere(service, now),
         )
         for waiting, placement in pool.send(servers, conditions):
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -65,7 +65,7 @@
             found = self.next_placement(survey)
             if found is None:
                 return
-            self.sent_to(*found, conditions.now)
+            self.sent_to(*found, conditions)
             survey.look_again(found[1].known)
             yield found
 
@@ -86,9 +86,10 @@
         self,
         waiting: WaitingTicket,
         placement: Placement,
-        now: float,
+        conditions: Conditions,
     ) -> None:
         """Count a request that is sent."""
+        now = conditions.now
         self.backlog.remove(waiting)
         self.backlog.usage.charge(
             waiting.ticket.account,
@@ -100,8 +101,8 @@
         load = self.servers.load(placement.known.entry.server, now)
         load.in_flight += 1
         load.window.sent(placement.cost)
-        if placement.known.is_cold(now):
-            load.gate.take()
+        if conditions.cold_turn and placement.known.is_cold(now):
+            load.gate.take(conditions.cold_turn)
         self.sent.append((now, waiting.ticket.cost_hint))
         self.sent_cost += waiting.ticket.cost_hint
 
--- a/src/pollenloom/admission/local_servers.py
+++ b/src/pollenloom/admission/local_servers.py
@@ -11,7 +11,6 @@
 from pollenloom.admission.server_survey import OpenServer, ServerSurvey
 from pollenloom.admission.ticket import Ticket
 from pollenloom.core.ids import ServerId
-from pollenloom.routing.cold_gate import ColdGate
 from pollenloom.routing.prompt_mix import PromptMix
 from pollenloom.routing.send_window import PREFILL_RATE
 from pollenloom.routing.server_directory import KnownServer
@@ -49,7 +48,7 @@
         """Return the load of a server; a new one is empty."""
         load = self.loads.get(server)
         if load is None:
-            load = ServerLoad(ServerHealth(now), ColdGate(now))
+            load = ServerLoad(ServerHealth(now))
             self.loads[server] = load
         return load
 
--- a/src/pollenloom/admission/server_load.py
+++ b/src/pollenloom/admission/server_load.py
@@ -12,7 +12,7 @@
     """What this router has at one server, and how the server answers."""
 
     health: ServerHealth
-    gate: ColdGate
+    gate: ColdGate = field(default_factory=ColdGate)
     window: SendWindow = field(default_factory=SendWindow)
     in_flight: int = 0
 
--- a/src/pollenloom/admission/server_survey.py
+++ b/src/pollenloom/admission/server_survey.py
@@ -128,9 +128,9 @@
         """Whether a server has room and, if it is cold, bears it."""
         conditions = self.conditions
         server = known.entry.server
-        rate = conditions.cold_rate
-        is_cold = rate > 0 and known.is_cold(conditions.now)
-        if is_cold and not load.gate.may_send(rate, conditions.now):
+        turn = conditions.cold_turn
+        is_cold = known.is_cold(conditions.now)
+        if turn is not None and is_cold and not load.gate.may_send(turn):
             return False
         running: float = load.in_flight
         if self.is_model:
--- a/src/pollenloom/catalogue/fleet_census.py
+++ b/src/pollenloom/catalogue/fleet_census.py
@@ -5,6 +5,7 @@
 
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.routing.fleet_place import FleetPlace
 from pollenloom.routing.fleet_router import FleetRouter
 
 
@@ -17,6 +18,10 @@
     def size(self, now: float) -> int:
         """Routers that are taken to run at `now`; at least one."""
 
+    @abstractmethod
+    def place(self) -> FleetPlace | None:
+        """Place of this router; None before the records were read."""
+
     @abstractmethod
     def routers(self) -> tuple[FleetRouter, ...]:
         """Routers by their records, this one among them; some may be gone."""
--- a/src/pollenloom/catalogue/store_census.py
+++ b/src/pollenloom/catalogue/store_census.py
@@ -16,6 +16,7 @@
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.observability.event_log import EventLog
 from pollenloom.observability.event_name import EventName
+from pollenloom.routing.fleet_place import FleetPlace
 from pollenloom.routing.fleet_router import FleetRouter
 from pollenloom.settings.node_settings import NodeSettings
 
@@ -60,6 +61,7 @@
         self.heard: dict[VmId, float] = {}
         self.known: dict[VmId, FleetRouter] = {settings.vm: self.own_router}
         self.told_size = 0
+        self.is_read = False
 
     async def start(self) -> None:
         """Announce this router and read the others."""
@@ -141,6 +143,7 @@
     ) -> tuple[KeyedRecord, ...]:
         """Note routers by their records."""
         now = self.kernel.clock.monotonic()
+        self.is_read = True
         for record in listing.records:
             self.take_record(VmId(record.key), record.payload, now)
         if self.size(now) != self.told_size:
@@ -178,6 +181,13 @@
         if vm != self.settings.vm:
             self.known.pop(vm, None)
 
+    def place(self) -> FleetPlace | None:
+        """Return the place by id; see `FleetCensus.place`."""
+        if not self.is_read:
+            return None
+        rank = sum(vm < self.settings.vm for vm in self.known)
+        return FleetPlace(rank, len(self.known))
+
     def routers(self) -> tuple[FleetRouter, ...]:
         """Return routers by their records; see `FleetCensus.routers`."""
         return tuple(self.known.values())
--- a/src/pollenloom/routing/cold_gate.py
+++ b/src/pollenloom/routing/cold_gate.py
@@ -1,29 +1,18 @@
 """Limit on the requests that a cold server gets from this router."""
 
-from typing import Final
-
-# A second request in the same instant would double the burst of the fleet.
-BURST: Final = 1.0
+from pollenloom.routing.cold_turn import ColdTurn
 
 
 class ColdGate:
-    """Token bucket of one cold server.
-
-    The rate is this router's even part of what the server bears, so that the
-    sum over the fleet holds although routers do not hear of each other.
-    """
+    """Turns that were used for one server."""
 
-    def __init__(self, now: float) -> None:
-        self.tokens = BURST
-        self.counted_at = now
+    def __init__(self) -> None:
+        self.used: int | None = None
 
-    def may_send(self, rate: float, now: float) -> bool:
-        """Whether a request may be sent at `now`; `rate` is per second."""
-        passed = max(0, now - self.counted_at)
-        self.counted_at = now
-        self.tokens = min(BURST, self.tokens + passed * rate)
-        return self.tokens >= 1
+    def may_send(self, turn: ColdTurn) -> bool:
+        """Whether a request may be sent in a turn."""
+        return turn.is_open and turn.number != self.used
 
-    def take(self) -> None:
+    def take(self, turn: ColdTurn) -> None:
         """Count a request that is sent."""
-        self.tokens -= 1
+        self.used = turn.number
--- /dev/null
+++ b/src/pollenloom/routing/fleet_place.py
@@ -0,0 +1,11 @@
+"""Place of a router in the fleet."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class FleetPlace:
+    """Rank of a router, from 0, and size of the fleet."""
+
+    rank: int
+    routers: int
--- a/tests/admission/test_local_pool.py
+++ b/tests/admission/test_local_pool.py
@@ -19,6 +19,7 @@
     VmId,
 )
 from pollenloom.core.states import Resource
+from pollenloom.routing.cold_turn import ColdTurn
 from pollenloom.routing.send_window import FIRST_WINDOW
 from pollenloom.routing.server_directory import KnownServer
 from pollenloom.routing.server_entry import ServerEntry
@@ -68,11 +69,11 @@
 
 def conditions(
     elsewhere: ServiceLoad | None = None,
-    cold_rate: float = 0,
+    turn: ColdTurn | None = None,
     now: float = NOW,
 ) -> Conditions:
     """Return what holds while a server is chosen."""
-    return Conditions(now, cold_rate, elsewhere or ServiceLoad())
+    return Conditions(now, turn, elsewhere or ServiceLoad())
 
 
 def send_all(
@@ -164,9 +165,10 @@
     sent = 0
     for step in range(100):
         pool.put(WaitingTicket(make_ticket('shop', 1), NOW))
-        given = conditions(cold_rate=2, now=NOW + step / 100)
+        turn = ColdTurn(step // 50, is_open=step % 50 < 20)
+        given = conditions(turn=turn, now=NOW + step / 100)
         sent += len(send_all(pool, [server], given))
-    assert 2 <= sent <= 3
+    assert sent == 2
 
 
 def test_short_prompts_keep_away_from_long_ones(pool: LocalPool) -> None:
--- a/tests/catalogue/conftest.py
+++ b/tests/catalogue/conftest.py
@@ -16,6 +16,7 @@
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.observability.event_log import EventLog
 from pollenloom.platform.store_client import StoreClient
+from pollenloom.routing.fleet_place import FleetPlace
 from pollenloom.routing.fleet_router import FleetRouter
 from pollenloom.routing.service_load import ServiceLoad
 from pollenloom.settings.node_settings import (
@@ -54,6 +55,10 @@
         """Return the length of the list."""
         return len(self.listed)
 
+    def place(self) -> FleetPlace:
+        """Return a place; nothing is cold here."""
+        return FleetPlace(0, len(self.listed))
+
     def routers(self) -> tuple[FleetRouter, ...]:
         """Return the list."""
         return tuple(self.listed)
--- a/tests/routing/test_cold_gate.py
+++ b/tests/routing/test_cold_gate.py
@@ -4,42 +4,63 @@
 from hypothesis import strategies as st
 
 from pollenloom.routing.cold_gate import ColdGate
+from pollenloom.routing.cold_turn import CLOSED, cold_turn
 
-COLD_RATE = 14.0
 OVERAGE = 1.5
 SLACK = 5
+STEP = 0.05
+
+
+def sent_times(
+    routers: int,
+    rate: float,
+    times: list[float],
+) -> list[float]:
+    """Return when requests are sent if all routers always have some."""
+    gates = [ColdGate() for _ in range(routers)]
+    sent: list[float] = []
+    for time in times:
+        for rank, gate in enumerate(gates):
+            turn = cold_turn(rate, rank, routers, time)
+            if gate.may_send(turn):
+                gate.take(turn)
+                sent.append(time)
+    return sent
 
 
 @given(
-    routers=st.integers(1, 80),
-    times=st.lists(st.floats(0, 3), min_size=1, max_size=120),
+    routers=st.integers(1, 330),
+    rate=st.floats(2, 40),
+    start=st.floats(1e9, 2e9),
+    silent=st.floats(0, 5),
 )
 def test_sum_over_the_fleet_stays_within_the_bound(
     routers: int,
-    times: list[float],
+    rate: float,
+    start: float,
+    silent: float,
 ) -> None:
     """Guards against routers that together overload a cold server.
 
-    All routers are offered requests at the same times and do not hear of
-    each other; the bound holds in each second for up to five routers more
-    than its slack by their first requests.
+    Found on scale-1 of xela-telar-grown: 74 routers each sent a first request
+    at once. They do not hear of each other, and all have requests at all
+    times, also after a time without any.
     """
-    rate = COLD_RATE / routers
-    gate = ColdGate(0)
-    sent: list[float] = []
-    for time in sorted(times):
-        if gate.may_send(rate, time):
-            gate.take()
-            sent.append(time)
-    for start in sent:
-        in_second = [other for other in sent if start <= other < start + 1]
-        assert len(in_second) <= rate + 1 + 1e-6
-
-
-def test_gate_opens_again() -> None:
-    """Guards against a cold server that gets nothing at all."""
-    gate = ColdGate(0)
-    assert gate.may_send(2, 0)
-    gate.take()
-    assert not gate.may_send(2, 0.4)
-    assert gate.may_send(2, 0.5)
+    steps = range(30)
+    times = [start + step * STEP for step in steps]
+    times += [times[-1] + silent + step * STEP for step in steps]
+    sent = sent_times(routers, rate, times)
+    bound = rate * OVERAGE + SLACK
+    for first in set(sent):
+        assert sum(first <= time < first + 1 for time in sent) <= bound
+
+
+def test_whole_rate_is_used() -> None:
+    """Guards against cold servers that get nearly nothing."""
+    times = [step * STEP for step in range(200)]
+    assert len(sent_times(70, 14, times)) >= 0.8 * 14 * 10
+
+
+def test_router_that_knows_no_other_sends_nothing() -> None:
+    """Guards against routers that each take the whole rate at their start."""
+    assert not ColdGate().may_send(CLOSED)
