--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -11,7 +11,6 @@
 from pollenloom.admission.server_survey import ServerSurvey
 from pollenloom.admission.ticket import Ticket
 from pollenloom.core.ids import AccountId, VmId
-from pollenloom.core.states import Resource
 from pollenloom.routing.send_window import PREFILL_RATE, QUEUE_SHARE
 from pollenloom.routing.server_directory import KnownServer
 from pollenloom.routing.service_load import ServiceLoad
@@ -46,7 +45,7 @@
         objective = waiting.ticket.objective
         if objective:
             self.tightest_objective = min(self.tightest_objective, objective)
-        self.servers.is_model = waiting.ticket.resource is Resource.MODEL
+        self.servers.expect(waiting.ticket)
         self.backlog.put(waiting)
 
     def send(
@@ -96,8 +95,6 @@
             waiting.ticket.cost_hint,
             now,
         )
-        ticket = waiting.ticket
-        self.servers.mix.charge(ticket.prompt_size, ticket.engine_cost, now)
         load = self.servers.load(placement.known.entry.server, now)
         load.in_flight += 1
         load.window.sent(placement.cost)
@@ -148,6 +145,5 @@
                 if load.in_flight
             },
             usage=self.backlog.usage.told(now),
-            mix=self.servers.mix.told(now),
             waiting={} if least is None else {router: round(least)},
         )
--- a/src/pollenloom/admission/local_servers.py
+++ b/src/pollenloom/admission/local_servers.py
@@ -11,7 +11,7 @@
 from pollenloom.admission.server_survey import OpenServer, ServerSurvey
 from pollenloom.admission.ticket import Ticket
 from pollenloom.core.ids import ServerId
-from pollenloom.routing.prompt_mix import PromptMix
+from pollenloom.core.states import Resource
 from pollenloom.routing.send_window import PREFILL_RATE
 from pollenloom.routing.server_directory import KnownServer
 from pollenloom.routing.server_health import ServerHealth
@@ -34,14 +34,12 @@
     """Loads of the servers that this router sends to.
 
     Attributes:
-        mix: What the requests of this router take of the servers' time.
         is_model: Whether the servers read prompts.
     """
 
     def __init__(self) -> None:
         self.loads: dict[ServerId, ServerLoad] = {}
         self.ranking = PrefixRanking(())
-        self.mix = PromptMix()
         self.is_model = False
 
     def load(self, server: ServerId, now: float) -> ServerLoad:
@@ -62,6 +60,10 @@
         for server in gone:
             self.loads.pop(server)
 
+    def expect(self, ticket: Ticket) -> None:
+        """Note what kind of requests the servers get."""
+        self.is_model = ticket.resource is Resource.MODEL
+
     def survey(
         self,
         servers: list[KnownServer],
@@ -71,14 +73,10 @@
         names = tuple(known.entry.server for known in servers)
         if names != self.ranking.servers:
             self.ranking = PrefixRanking(names)
-        share: float = 0
-        if self.is_model:
-            share = self.mix.short_share(conditions.elsewhere.mix)
         return ServerSurvey(
             servers,
             self.load,
             conditions,
-            short_share=share,
             is_model=self.is_model,
         )
 
@@ -117,7 +115,7 @@
         return self.ranking.first(
             ticket.prefix_hashes[-1],
             KEPT_RANKS,
-            survey.sound_for(ticket),
+            survey.sound,
             ticket.excluded,
         )
 
@@ -131,13 +129,14 @@
 
         Of those that do not keep it, the soonest is enough.
         """
+        excluded = waiting.ticket.excluded
         for rank, server in enumerate(keepers):
             keeper = survey.open.get(server)
             if keeper is not None:
                 yield rank, keeper
         if is_faithful(waiting, survey.conditions.now):
             return
-        for other in survey.ranked_for(waiting.ticket):
+        for other in survey.ranked_for(excluded):
             if other.known.entry.server not in keepers:
                 yield KEPT_RANKS, other
                 return
--- a/src/pollenloom/admission/server_survey.py
+++ b/src/pollenloom/admission/server_survey.py
@@ -1,13 +1,11 @@
 """Which servers of a service have room, looked at once for many requests."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass
 from typing import Final
 
 from pollenloom.admission.conditions import Conditions
-from pollenloom.admission.server_groups import split_servers
 from pollenloom.admission.server_load import ServerLoad
-from pollenloom.admission.ticket import Ticket
 from pollenloom.core.ids import ServerId
 from pollenloom.routing.send_window import PREFILL_RATE
 from pollenloom.routing.server_directory import KnownServer
@@ -16,9 +14,6 @@
 KEPT_SHARE: Final = 0.5
 # A server that answers badly is weighed as if its answers took longer.
 PENALTY_SECONDS: Final = 2.0
-# A server of the other group is used when those of the own one are this much
-# later.
-FOREIGN_SECONDS: Final = 0.1
 
 LoadOf = Callable[[ServerId, float], ServerLoad]
 
@@ -41,8 +36,7 @@
         sound: Servers that answer well, or those that can be reached if too
             few of them do.
         reachable: Servers that were not lost just now.
-        groups: Those that prompts of a size go to first.
-        ranked: Servers of `sound` with room by size, the soonest first.
+        ranked: Servers of `sound` with room, the soonest first.
     """
 
     def __init__(
@@ -51,7 +45,6 @@
         load_of: LoadOf,
         conditions: Conditions,
         *,
-        short_share: float,
         is_model: bool,
     ) -> None:
         self.load_of = load_of
@@ -71,7 +64,6 @@
         if len(self.sound) < len(servers) * KEPT_SHARE:
             everything = {known.entry.server: known for known in servers}
             self.sound = self.reachable or everything
-        self.groups = split_servers(self.sound, short_share)
         self.open: dict[ServerId, OpenServer] = {}
         for known in self.sound.values():
             self.look(known)
@@ -91,36 +83,25 @@
         self.rank()
 
     def rank(self) -> None:
-        """Sort the servers with room, those of the other group as later."""
-        self.ranked = {
-            size: self.ranked_in(group) for size, group in self.groups.items()
-        }
-
-    def ranked_in(self, group: frozenset[ServerId]) -> list[OpenServer]:
-        """Sort the servers with room for prompts of one group."""
-        return sorted(
+        """Sort the servers with room."""
+        self.ranked = sorted(
             self.open.values(),
-            key=lambda server: (
-                server.seconds
-                + FOREIGN_SECONDS * (server.known.entry.server not in group)
-            ),
+            key=lambda server: server.seconds,
         )
 
-    def sound_for(self, ticket: Ticket) -> frozenset[ServerId]:
-        """Return the sound servers that a prompt of its size belongs to."""
-        return self.groups[ticket.prompt_size]
-
-    def ranked_for(self, ticket: Ticket) -> Iterator[OpenServer]:
+    def ranked_for(
+        self,
+        excluded: Collection[ServerId],
+    ) -> Iterator[OpenServer]:
         """Yield servers with room for a request, the soonest first.
 
         A request that all sound servers have failed goes to another one.
         """
-        excluded = ticket.excluded
         if excluded and not self.sound.keys() - excluded:
             for known in self.reachable.values():
                 self.look(known)
             self.rank()
-        for server in self.ranked[ticket.prompt_size]:
+        for server in self.ranked:
             if server.known.entry.server not in excluded:
                 yield server
 
--- a/src/pollenloom/admission/ticket.py
+++ b/src/pollenloom/admission/ticket.py
@@ -1,7 +1,6 @@
 """What admission needs to know of a request."""
 
 from dataclasses import dataclass
-from typing import Final
 
 from pollenloom.core.ids import (
     AccountId,
@@ -11,13 +10,6 @@
     ServiceId,
 )
 from pollenloom.core.states import Resource
-from pollenloom.routing.prompt_size import PromptSize
-
-# A prompt or shared part that takes longer than some 60 ms to read.
-LONG_TOKENS: Final = 4000
-# An engine generates a token of one request in the time in which it reads
-# about 20 of a prompt, when it runs a dozen requests.
-TOKENS_READ_PER_OUTPUT: Final = 20.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -56,22 +48,6 @@
     prompt_tokens: int = 0
     shared_tokens: int = 0
 
-    @property
-    def prompt_size(self) -> PromptSize:
-        """Whether it is served with long prompts.
-
-        A prompt with a long shared part is, whatever its own part, so that
-        the shared part is kept in one place.
-        """
-        is_long = max(self.own_tokens, self.shared_tokens) > LONG_TOKENS
-        return PromptSize.LONG if is_long else PromptSize.SHORT
-
-    @property
-    def engine_cost(self) -> float:
-        """Engine time that it takes, in tokens read."""
-        output = max(0, self.cost_hint - self.prompt_tokens) / 2
-        return self.own_tokens + output * TOKENS_READ_PER_OUTPUT
-
     @property
     def own_tokens(self) -> int:
         """Prompt tokens that every server has to read."""
--- a/src/pollenloom/routing/service_load.py
+++ b/src/pollenloom/routing/service_load.py
@@ -1,13 +1,12 @@
 """What routers have to do with one service."""
 
-from collections.abc import Callable, Hashable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import TypeVar
 
 from pollenloom.core.ids import AccountId, ServerId, VmId
-from pollenloom.routing.prompt_size import PromptSize
 
-KeyT = TypeVar('KeyT', bound=Hashable)
+KeyT = TypeVar('KeyT', bound=str)
 Amounts = Mapping[KeyT, float]
 
 # A router leaves itself out of what waits elsewhere, so one more than the
@@ -23,7 +22,6 @@
         unread: Prompt tokens sent and not known to be read, by server.
         running: Requests sent and not ended, by server.
         usage: Cost served lately, by client account.
-        mix: Engine time taken lately, by size of prompt.
         waiting: Fleet usage of the least served account that has a request
             waiting, by router; the least ones only.
     """
@@ -31,7 +29,6 @@
     unread: Mapping[ServerId, float] = field(default_factory=dict)
     running: Mapping[ServerId, float] = field(default_factory=dict)
     usage: Mapping[AccountId, float] = field(default_factory=dict)
-    mix: Mapping[PromptSize, float] = field(default_factory=dict)
     waiting: Mapping[VmId, float] = field(default_factory=dict)
 
     @property
@@ -45,7 +42,6 @@
             unread=subtract(self.unread, own.unread),
             running=subtract(self.running, own.running),
             usage=subtract(self.usage, own.usage),
-            mix=subtract(self.mix, own.mix),
             waiting={
                 waiting: usage
                 for waiting, usage in self.waiting.items()
@@ -61,7 +57,6 @@
             unread=multiply(self.unread, scale),
             running=multiply(self.running, scale),
             usage=multiply(self.usage, scale),
-            mix=multiply(self.mix, scale),
             waiting=self.waiting,
         )
 
@@ -77,7 +72,6 @@
         unread=add_up(parts, lambda load: load.unread),
         running=add_up(parts, lambda load: load.running),
         usage=add_up(parts, lambda load: load.usage),
-        mix=add_up(parts, lambda load: load.mix),
         waiting={router: waiting[router] for router in least},
     )
 
