--- a/src/pollenloom/gateway/gateway_server.py
+++ b/src/pollenloom/gateway/gateway_server.py
@@ -152,5 +152,5 @@
                 keeps_alive=keeps_alive,
             )
         writer = AnswerWriter(channel, keeps_alive=False)
-        await self.relay.turn_away(request, writer, failure)
+        await self.relay.turn_away(writer, failure)
         return False
--- a/src/pollenloom/gateway/relay.py
+++ b/src/pollenloom/gateway/relay.py
@@ -98,12 +98,11 @@
 
     async def turn_away(
         self,
-        request: RawRequest,
         writer: AnswerWriter,
         failure: Failure,
     ) -> None:
-        """Refuse a request without a look at its route."""
-        self.journal.refused(self.dialect.read_facts(request), failure)
+        """Refuse a request without a look at it."""
+        self.journal.turned_away(failure)
         await self.refuse(writer, failure)
 
     async def run_until_deadline(
--- a/src/pollenloom/gateway/request_journal.py
+++ b/src/pollenloom/gateway/request_journal.py
@@ -4,6 +4,7 @@
 
 from pollenloom.admission.grant import Grant
 from pollenloom.catalogue.catalogue import Catalogue
+from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
 from pollenloom.core.units import MILLISECONDS
 from pollenloom.gateway.attempt_end import AttemptEnd, AttemptState
@@ -13,6 +14,7 @@
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.observability.event_log import EventLog
 from pollenloom.observability.event_name import EventName
+from pollenloom.observability.line_budget import LineBudget
 from pollenloom.observability.metrics import Metrics
 from pollenloom.routing.request_facts import RequestFacts
 
@@ -31,6 +33,7 @@
         self.events = events
         self.metrics = metrics
         self.catalogue = catalogue
+        self.refusals = LineBudget()
 
     @classmethod
     def from_kernel(cls, kernel: Kernel) -> Self:
@@ -47,17 +50,43 @@
 
     def refused(self, facts: RequestFacts, failure: Failure) -> None:
         """Tell of a request that no service got."""
-        configuration = self.catalogue.configuration
         self.metrics.count_request(None, failure.kind)
+        self.refuse(facts.request_id, failure)
+
+    def turned_away(self, failure: Failure) -> None:
+        """Tell of a request that was not even looked at."""
+        self.metrics.count_request(None, failure.kind)
+        self.refuse('', failure)
+
+    def refuse(self, request_id: str, failure: Failure) -> None:
+        """Write the line of a request that no service got."""
+        if not self.may_tell(failure.kind):
+            return
+        configuration = self.catalogue.configuration
         self.events.record(
             EventName.REQUEST_ENDED,
-            facts.request_id,
+            request_id,
             outcome=failure.kind.value,
             status=failure.answer.status,
             reason=failure.detail,
             revision=configuration.revision if configuration else 0,
         )
 
+    def may_tell(self, kind: ErrorKind) -> bool:
+        """Whether a line may be written; refusals for load are bounded."""
+        if kind is not ErrorKind.NO_CAPACITY:
+            return True
+        if not self.refusals.may_write(self.clock.monotonic()):
+            return False
+        dropped = self.refusals.take_dropped()
+        if dropped:
+            self.events.record(
+                EventName.LINES_LEFT_OUT,
+                kind.value,
+                lines=dropped,
+            )
+        return True
+
     def ended(self, call: PendingCall, end: AttemptEnd) -> None:
         """Tell how a call ended."""
         kind = end.failure.kind if end.failure else None
@@ -74,6 +103,8 @@
         if end.failure is None:
             self.record(call, end.state.value, end.status, '')
             return
+        if not self.may_tell(end.failure.kind):
+            return
         status = end.status or end.failure.answer.status
         self.record(call, end.failure.kind.value, status, end.failure.detail)
 
--- a/src/pollenloom/observability/event_name.py
+++ b/src/pollenloom/observability/event_name.py
@@ -75,6 +75,8 @@
         ATTEMPT_FAILED: A backend server did not answer a request well.
             Subject request: server, reason, run, server_version,
             entry_age_ms, is_again.
+        LINES_LEFT_OUT: Lines of requests refused for load were not written,
+            so that the log stays bounded. Subject error kind: lines.
         PROCESS_STATE: The process starts, is ready, reads its settings again
             or stops. Subject router: state, detail.
         LOG_RECORDS_MISSED: The log dropped records before they were read.
@@ -111,5 +113,6 @@
     FLEET_SIZE = 'fleet_size'
     REQUEST_ENDED = 'request_ended'
     ATTEMPT_FAILED = 'attempt_failed'
+    LINES_LEFT_OUT = 'lines_left_out'
     PROCESS_STATE = 'process_state'
     LOG_RECORDS_MISSED = 'log_records_missed'
