--- a/src/pollenloom_standins/node_soak/node_ground.py
+++ b/src/pollenloom_standins/node_soak/node_ground.py
@@ -57,6 +57,7 @@
         self.version = 0
         self.busy: set[str] = set()
         self.troubles: list[str] = []
+        self.callers: list[asyncio.Task[None]] = []
         self.stack = AsyncExitStack()
 
     async def __aenter__(self) -> Self:
@@ -94,7 +95,15 @@
         self.kernel.spawn('probes', self.probe())
         for number in range(CALLERS):
             caller = NodeCaller(self, number)
-            self.kernel.spawn('caller', caller.run())
+            self.callers.append(self.kernel.spawn('caller', caller.run()))
+        # The end of the nodes must not look like a fault to callers.
+        self.stack.push_async_callback(self.stop_callers)
+
+    async def stop_callers(self) -> None:
+        """Cancel the callers; what they were waiting for stays open."""
+        for task in self.callers:
+            task.cancel()
+        await asyncio.wait(self.callers)
 
     async def add_node(self, number: int, store: ListenAddress) -> None:
         """Start a node behind a link to the store of its own."""
