--- a/src/pollenloom/core/error_answers.py
+++ b/src/pollenloom/core/error_answers.py
@@ -128,8 +128,6 @@
         ErrorKind.ORDERS_UNAVAILABLE: ErrorAnswer(
             HTTPStatus.SERVICE_UNAVAILABLE,
             'Orders cannot be recorded at present',
-            # This call was not run, but an earlier one with the key may have.
-            run=RunStatus.UNKNOWN,
             retryable=True,
         ),
         ErrorKind.PLATFORM_UNAVAILABLE: ErrorAnswer(
--- a/src/pollenloom/orders/claim_desk.py
+++ b/src/pollenloom/orders/claim_desk.py
@@ -105,7 +105,7 @@
         # What is known of a key stays true during an outage. That a key is
         # free, or too old, can only be told at the end of the log.
         if not self.tail.caught_up and decision.verdict in NEEDS_WHOLE_LOG:
-            return ClaimAnswer(ClaimVerdict.UNAVAILABLE)
+            return ClaimAnswer(self.doubt())
         if decision.verdict is ClaimVerdict.UNCLAIMED:
             await self.batcher.append(claim)
             decision = self.decide(claim)
@@ -113,6 +113,15 @@
             decision = await self.wait_for_outcome(claim, message.wait_seconds)
         return await self.make_answer(claim, decision)
 
+    def doubt(self) -> ClaimVerdict:
+        """Return why a key without a record cannot be claimed now.
+
+        A desk that has read nothing since its start knows no earlier call.
+        """
+        if self.tail.earliest_retained_at is None:
+            return ClaimVerdict.UNSURE
+        return ClaimVerdict.UNAVAILABLE
+
     async def answer_conclusion(
         self,
         sender: 'VmId',
--- a/src/pollenloom/orders/claim_verdict.py
+++ b/src/pollenloom/orders/claim_verdict.py
@@ -16,3 +16,5 @@
     EXPIRED = 'expired'
     INVALID = 'invalid'
     UNAVAILABLE = 'unavailable'
+    # The desk has not read all records yet that could name the key.
+    UNSURE = 'unsure'
--- a/src/pollenloom/orders/order_desk.py
+++ b/src/pollenloom/orders/order_desk.py
@@ -73,10 +73,17 @@
         ClaimVerdict.EXPIRED: ErrorKind.IDEMPOTENCY_KEY_EXPIRED,
         ClaimVerdict.INVALID: ErrorKind.IDEMPOTENCY_KEY_INVALID,
         ClaimVerdict.UNAVAILABLE: ErrorKind.ORDERS_UNAVAILABLE,
+        ClaimVerdict.UNSURE: ErrorKind.ORDER_OUTCOME_UNKNOWN,
         ClaimVerdict.UNCLAIMED: ErrorKind.ORDERS_UNAVAILABLE,
     }
 )
 
+UNDECIDED: Final = frozenset(
+    (
+        ClaimVerdict.UNAVAILABLE,
+        ClaimVerdict.UNSURE,
+    )
+)
 OrderTask = asyncio.Task[Result[OrderAnswer, Failure]]
 
 
@@ -199,8 +206,8 @@
             return await self.run(request, claim)
         if answer.outcome is not None:
             return replay(answer.outcome)
-        if answer.verdict is ClaimVerdict.UNAVAILABLE:
-            return await self.run_unclaimed(request, claim)
+        if answer.verdict in UNDECIDED:
+            return await self.run_unclaimed(request, claim, answer.verdict)
         return fail(
             VERDICT_ERRORS[answer.verdict],
             f'key {claim.key.key}: {answer.verdict.value}',
@@ -217,6 +224,7 @@
             claim,
             wait_seconds=min(max(remaining, 0), OUTCOME_WAIT_SECONDS),
         )
+        undecided = ClaimVerdict.UNAVAILABLE
         for vm in self.tail.readers():
             answer = await self.peers.request(
                 vm,
@@ -226,9 +234,10 @@
             )
             if answer.is_error():
                 continue
-            if answer.ok.verdict is not ClaimVerdict.UNAVAILABLE:
+            if answer.ok.verdict not in UNDECIDED:
                 return answer.ok
-        return ClaimAnswer(ClaimVerdict.UNAVAILABLE)
+            undecided = answer.ok.verdict
+        return ClaimAnswer(undecided)
 
     async def run(
         self,
@@ -257,11 +266,12 @@
         self,
         request: 'CallerRequest',
         claim: OrderClaim,
+        verdict: ClaimVerdict,
     ) -> Result[OrderAnswer, Failure]:
         """Refuse, or leave the check to a server that deduplicates.
 
-        Others may have claimed the key since the log was last read, so a
-        repeat must not be told that its order was not run.
+        A desk that has just started cannot tell whether an earlier call with
+        the key was run, so a repeat must not be told that it was not.
         """
         services = self.configuration.current.services
         service = services.get(request.service)
@@ -270,9 +280,8 @@
             return dispatched.map(make_answer)
         self.release(claim)
         return fail(
-            ErrorKind.ORDERS_UNAVAILABLE,
-            'the order could not be recorded; this call was not run, '
-            'an earlier one with its key may have been',
+            VERDICT_ERRORS[verdict],
+            'the order could not be recorded; this call was not run',
         )
 
     async def record(self, outcome: OrderOutcome) -> None:
