Keep the last resort of a retry out of other requests

A request that all sound servers had failed added the failing ones to the survey, so that requests after it went there as well; and where no sound server had room, it was not offered them at all, though other servers could be reached. Ruled out: placing without a survey, which treated each request by itself. Change: the last resort is looked up for that request alone; the survey holds sound servers only. Test that failed first: test_last_resort_of_one_request_is_not_used_by_others.

--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -60,7 +60,7 @@
         usage.decay(conditions.now)
         usage.elsewhere = conditions.elsewhere.usage
         survey = self.servers.survey(servers, conditions)
-        while self.backlog.queues and survey.open:
+        while self.backlog.queues:
             found = self.next_placement(survey)
             if found is None:
                 return
--- a/src/pollenloom/admission/local_servers.py
+++ b/src/pollenloom/admission/local_servers.py
@@ -91,6 +91,8 @@
         probably keeps the prompt's prefix is taken.
         """
         ticket = waiting.ticket
+        if survey.is_hopeless(ticket.excluded):
+            return None
         keepers = self.keepers(ticket, survey)
         best: Placement | None = None
         best_score = float('inf')
--- a/src/pollenloom/admission/server_survey.py
+++ b/src/pollenloom/admission/server_survey.py
@@ -1,6 +1,6 @@
 """Which servers of a service have room, looked at once for many requests."""
 
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from typing import Final
 
@@ -70,40 +70,51 @@
         self.rank()
 
     def look(self, known: KnownServer) -> None:
-        """Note whether a server has room, and how soon it would begin."""
+        """Note whether a sound server has room."""
         server = known.entry.server
-        load = self.load_of(server, self.conditions.now)
-        self.open.pop(server, None)
-        if self.may_send(load, known):
-            self.open[server] = OpenServer(known, self.seconds(load, server))
+        found = self.with_room(known)
+        if found is None:
+            self.open.pop(server, None)
+        else:
+            self.open[server] = found
 
     def look_again(self, known: KnownServer) -> None:
         """Look at a server to which a request was sent."""
-        self.look(known)
-        self.rank()
+        if known.entry.server in self.sound:
+            self.look(known)
+            self.rank()
+
+    def with_room(self, known: KnownServer) -> OpenServer | None:
+        """Return a server with when it would begin, if it has room."""
+        server = known.entry.server
+        load = self.load_of(server, self.conditions.now)
+        if not self.may_send(load, known):
+            return None
+        return OpenServer(known, self.seconds(load, server))
 
     def rank(self) -> None:
-        """Sort the servers with room."""
-        self.ranked = sorted(
-            self.open.values(),
-            key=lambda server: server.seconds,
-        )
+        """Sort the sound servers with room."""
+        self.ranked = sorted(self.open.values(), key=soonest)
 
-    def ranked_for(
-        self,
-        excluded: Collection[ServerId],
-    ) -> Iterator[OpenServer]:
-        """Yield servers with room for a request, the soonest first.
+    def is_hopeless(self, excluded: Collection[ServerId]) -> bool:
+        """Whether nothing has room for a request, told without a look."""
+        return not self.open and not excluded
+
+    def ranked_for(self, excluded: Collection[ServerId]) -> list[OpenServer]:
+        """Return servers with room for a request, the soonest first.
 
         A request that all sound servers have failed goes to another one.
         """
         if excluded and not self.sound.keys() - excluded:
-            for known in self.reachable.values():
-                self.look(known)
-            self.rank()
-        for server in self.ranked:
-            if server.known.entry.server not in excluded:
-                yield server
+            found = map(self.with_room, self.reachable.values())
+            ranked = sorted(filter(None, found), key=soonest)
+        else:
+            ranked = self.ranked
+        return [
+            server
+            for server in ranked
+            if server.known.entry.server not in excluded
+        ]
 
     def may_send(self, load: ServerLoad, known: KnownServer) -> bool:
         """Whether a server has room and, if it is cold, bears it."""
@@ -132,3 +143,8 @@
         unread = load.window.outstanding
         unread += self.conditions.unread_elsewhere(server)
         return unread / PREFILL_RATE + penalty
+
+
+def soonest(server: OpenServer) -> float:
+    """Sort key that puts servers first that would begin soon."""
+    return server.seconds
--- a/tests/admission/test_local_pool.py
+++ b/tests/admission/test_local_pool.py
@@ -210,6 +210,24 @@
     assert send_all(pool, servers, conditions()) == [('shop', 'i-2')]
 
 
+def test_last_resort_of_one_request_is_not_used_by_others(
+    pool: LocalPool,
+) -> None:
+    """Guards against requests that follow a retry to a failing server."""
+    servers = [make_server('i-1'), make_server('i-2')]
+    health = pool.servers.load(ServerId('i-2'), NOW).health
+    for _ in range(8):
+        health.answered(NOW, is_good=False)
+    pool.servers.load(ServerId('i-1'), NOW).window.sent(2 * FIRST_WINDOW)
+    again = replace(
+        make_ticket('again'),
+        excluded=frozenset((ServerId('i-1'),)),
+    )
+    pool.put(WaitingTicket(again, NOW))
+    pool.put(WaitingTicket(make_ticket('other'), NOW))
+    assert send_all(pool, servers, conditions()) == [('again', 'i-2')]
+
+
 def test_servers_that_are_gone_are_forgotten(pool: LocalPool) -> None:
     """Guards against memory that grows with each restart of a server."""
     pool.put(WaitingTicket(make_ticket('shop'), NOW))
