Shorten the ranks of prefixes and the mark of a caller who left

No change of behaviour: the ranks of a prefix are one filter and a slice, the chances of a miss one table for the three ranks that there are, and nothing waits for a caller to leave any more, so an event became a flag.

--- a/src/pollenloom/admission/local_servers.py
+++ b/src/pollenloom/admission/local_servers.py
@@ -18,8 +18,7 @@
 
 # Chance that the first, the second and a further server in the rank of a
 # prompt prefix does not keep it.
-MISS_CHANCES: Final = (0.1, 0.7)
-FURTHER_MISS_CHANCE: Final = 1.0
+MISS_CHANCES: Final = (0.1, 0.7, 1.0)
 # Reading a shared part again takes engine time from all other requests, so it
 # counts this many times against a shorter queue.
 REREAD_WEIGHT: Final = 5.0
@@ -97,7 +96,7 @@
         best: Placement | None = None
         best_score = float('inf')
         for rank, server in self.candidates(waiting, survey, keepers):
-            miss = miss_chance(rank)
+            miss = MISS_CHANCES[rank]
             reread = REREAD_WEIGHT * miss * ticket.shared_tokens
             cost = expected_cost(ticket, miss)
             score = server.seconds + (cost + reread) / PREFILL_RATE
@@ -151,13 +150,6 @@
     return max(1, ticket.own_tokens) + miss * ticket.shared_tokens
 
 
-def miss_chance(rank: int) -> float:
-    """Chance that a server of that rank does not keep the prefix."""
-    if rank < len(MISS_CHANCES):
-        return MISS_CHANCES[rank]
-    return FURTHER_MISS_CHANCE
-
-
 def is_faithful(waiting: WaitingTicket, now: float) -> bool:
     """Whether a request goes only to servers that may keep its prefix."""
     ticket = waiting.ticket
--- a/src/pollenloom/admission/prefix_ranking.py
+++ b/src/pollenloom/admission/prefix_ranking.py
@@ -1,7 +1,8 @@
 """Which servers a prompt prefix belongs to."""
 
-from collections.abc import Container, Iterator
+from collections.abc import Container, Iterable
 from heapq import nsmallest
+from itertools import islice
 from typing import Final
 
 from pollenloom.core.ids import ServerId
@@ -55,26 +56,15 @@
 
 
 def usable(
-    ranks: 'tuple[ServerId, ...] | list[ServerId]',
+    ranks: Iterable[ServerId],
     count: int,
     allowed: Container[ServerId],
     excluded: Container[ServerId],
 ) -> tuple[ServerId, ...]:
     """Return the first few that are allowed and not excluded."""
-    return tuple(first_few(ranks, count, allowed, excluded))
-
-
-def first_few(
-    ranks: 'tuple[ServerId, ...] | list[ServerId]',
-    count: int,
-    allowed: Container[ServerId],
-    excluded: Container[ServerId],
-) -> Iterator[ServerId]:
-    """Yield the first few that are allowed and not excluded."""
-    left = count
-    for server in ranks:
-        if server in allowed and server not in excluded:
-            yield server
-            left -= 1
-        if not left:
-            return
+    found = (
+        server
+        for server in ranks
+        if server in allowed and server not in excluded
+    )
+    return tuple(islice(found, count))
--- a/src/pollenloom/gateway/caller_channel.py
+++ b/src/pollenloom/gateway/caller_channel.py
@@ -20,7 +20,7 @@
     """Hands over requests and tells when the caller has left.
 
     Attributes:
-        left: Set when the connection is gone.
+        has_left: Whether the connection is gone, or its sending side closed.
     """
 
     def __init__(
@@ -32,7 +32,7 @@
         self.parser = RequestParser(clock, limits)
         self.on_open = on_open
         self.on_left: Callable[[], object] = do_nothing
-        self.left = asyncio.Event()
+        self.has_left = False
         self.has_news = asyncio.Event()
         self.may_write = asyncio.Event()
         self.may_write.set()
@@ -60,9 +60,9 @@
 
     def leave(self) -> None:
         """Tell once that the caller has left."""
-        if self.left.is_set():
+        if self.has_left:
             return
-        self.left.set()
+        self.has_left = True
         self.has_news.set()
         self.may_write.set()
         self.on_left()
@@ -91,7 +91,7 @@
         Ends when the caller left, sent what is no request, or was idle.
         """
         while not self.parser.requests:
-            if self.failure is not None or self.left.is_set():
+            if self.failure is not None or self.has_left:
                 return None
             self.has_news.clear()
             try:
@@ -104,12 +104,12 @@
 
     async def write(self, chunk: bytes) -> bool:
         """Write bytes; return whether the caller is still there."""
-        if self.left.is_set():
+        if self.has_left:
             return False
         self.transport.write(chunk)
         if not self.may_write.is_set():
             await self.may_write.wait()
-        return not self.left.is_set()
+        return not self.has_left
 
     def close(self) -> None:
         """Close after what was written."""
--- a/src/pollenloom/gateway/gateway_server.py
+++ b/src/pollenloom/gateway/gateway_server.py
@@ -129,7 +129,7 @@
 
     async def tell_failure(self, channel: CallerChannel) -> None:
         """Answer bytes that are no request."""
-        if channel.failure is not None and not channel.left.is_set():
+        if channel.failure is not None and not channel.has_left:
             writer = AnswerWriter(channel, keeps_alive=False)
             await self.relay.refuse(writer, channel.failure)
 
