Take addresses apart once, at the edge

Cause: five modules split host:port and two bound a listener in the same lines; the exchange of load reports split the address of each router for each datagram, and a record with an address that has no port ended its task. Change: core.host_port splits and joins, transport.listening opens a listener; the census keeps addresses as sockets take them and leaves records out that have none, with a log line, as it does with others that it cannot read. Test that failed first: test_unusable_record_is_left_out (two of its five records).

--- a/src/pollenloom/catalogue/load_exchange.py
+++ b/src/pollenloom/catalogue/load_exchange.py
@@ -18,6 +18,7 @@
     decode_message,
     encode_message,
 )
+from pollenloom.core.host_port import Address, split_address
 from pollenloom.core.ids import DataCentreId, ServiceId
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
@@ -43,7 +44,6 @@
 Loads = Mapping[ServiceId, ServiceLoad]
 OwnLoads = Callable[[], Loads]
 OnNews = Callable[[NewsTold], None]
-Address = tuple[str, int]
 
 
 class LoadExchange(KernelService, asyncio.DatagramProtocol):
@@ -129,7 +129,7 @@
 
     def take_news(self, message: NewsTold, sender: Address) -> None:
         """Take records of the store, from known routers only."""
-        if sender in map(address_of, self.census.routers()):
+        if sender in addresses_of(self.census.routers()):
             self.on_news(message)
             return
         logging.warning('news_rejected, unknown sender %s', sender)
@@ -173,17 +173,17 @@
         told = LoadTold(self.vm, report.number, dict(report.loads))
         if len(routers) <= LARGEST_DIRECT_FLEET:
             self.is_first = False
-            self.send(told, map(address_of, self.others(routers)))
+            self.send(told, addresses_of(self.others(routers)))
             return
         first, *rest = self.choice.choose(self.neighbours(routers), now)
-        self.send(told, map(address_of, self.others(rest)))
+        self.send(told, addresses_of(self.others(rest)))
         self.is_first = first.vm == self.vm
         if self.is_first:
             self.table.hear(self.vm, report)
             return
         self.choice.asked(first.vm, now)
         asking = msgspec.structs.replace(told, wants_sum=True)
-        self.send(asking, (address_of(first),))
+        self.send(asking, (first.address,))
 
     def tell_sums(self, now: float) -> None:
         """Answer those who report here, if there are any."""
@@ -207,7 +207,7 @@
             if router.data_centre != self.data_centre:
                 by_data_centre.setdefault(router.data_centre, []).append(router)
         return {
-            address_of(collector)
+            collector.address
             for routers in by_data_centre.values()
             for collector in self.choice.choose(routers, now)
         }
@@ -243,15 +243,9 @@
     """Do nothing until somebody wants to hear of the store."""
 
 
-def split_address(address: str) -> Address:
-    """Return host and port."""
-    host, _, port = address.rpartition(':')
-    return host, int(port)
-
-
-def address_of(router: FleetRouter) -> Address:
-    """Return where a router hears of load."""
-    return split_address(router.address)
+def addresses_of(routers: Iterable[FleetRouter]) -> list[Address]:
+    """Return where routers hear of load."""
+    return [router.address for router in routers]
 
 
 def without_silent(
--- a/src/pollenloom/catalogue/store_census.py
+++ b/src/pollenloom/catalogue/store_census.py
@@ -11,6 +11,7 @@
 from pollenloom.catalogue.keyed_store import KeyedStore
 from pollenloom.catalogue.store_topic import StoreTopic
 from pollenloom.catalogue.topic_follower import TopicFollower
+from pollenloom.core.host_port import split_address
 from pollenloom.core.ids import DataCentreId, VmId
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
@@ -93,7 +94,7 @@
         """Write the own record; return whether the store took it."""
         own = self.own_router
         record = NodeRecord(
-            own.address,
+            self.settings.listen.peers,
             own.data_centre,
             own.capacity,
             is_leaving,
@@ -160,7 +161,8 @@
         """Note one router, or forget it if it leaves or is not readable."""
         try:
             record = msgspec.json.decode(payload, type=NodeRecord)
-        except msgspec.DecodeError as error:
+            address = split_address(record.peers)
+        except (msgspec.DecodeError, ValueError) as error:
             logging.warning('census_record_rejected %s: %s', vm, error)
             self.forget(vm)
             return
@@ -171,7 +173,7 @@
         self.known[vm] = FleetRouter(
             vm,
             record.data_centre,
-            record.peers,
+            address,
             record.capacity,
         )
 
@@ -198,7 +200,7 @@
         return FleetRouter(
             self.settings.vm,
             self.settings.data_centre,
-            self.settings.listen.peers,
+            split_address(self.settings.listen.peers),
             self.settings.machine.capacity,
         )
 
--- a/src/pollenloom/frontend/caller_server.py
+++ b/src/pollenloom/frontend/caller_server.py
@@ -1,7 +1,6 @@
 """HTTP server for callers."""
 
 import asyncio
-import socket
 from contextlib import suppress
 from typing import ClassVar, Final
 
@@ -28,6 +27,7 @@
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.observability.metrics import Metrics
 from pollenloom.settings.router_settings import LimitSettings, RouterSettings
+from pollenloom.transport.listening import open_listener
 
 METHODS: Final = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE')
 BACKLOG: Final = 512
@@ -71,11 +71,9 @@
         self.app = make_app(self.limits)
         self.app.ctx.refuse_connection = refuse_connection
         self.add_routes()
-        host, _, port = self.address.rpartition(':')
         # Sanic takes port 0 for its default port, so it gets a socket.
-        listener = socket.create_server((host, int(port)), backlog=BACKLOG)
-        bound_host, bound_port = listener.getsockname()
-        self.address = f'{bound_host}:{bound_port}'
+        listener, address = open_listener(self.address, BACKLOG)
+        self.address = address
         server = await self.app.create_server(
             sock=listener,
             protocol=CallerProtocol,
--- a/src/pollenloom/gateway/gateway_server.py
+++ b/src/pollenloom/gateway/gateway_server.py
@@ -1,7 +1,6 @@
 """Listens for callers; one task for each connection."""
 
 import asyncio
-import socket
 from contextlib import ExitStack
 from typing import ClassVar, Final
 
@@ -18,6 +17,7 @@
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.routing.caller_limits import CallerLimits
+from pollenloom.transport.listening import open_listener
 
 BACKLOG: Final = 512
 # The balancer takes a router out after two questions, one a second.
@@ -50,10 +50,8 @@
         self.relay = self.kernel.find(KernelServiceName.DISPATCH, Relay)
         monitor = self.kernel.find(KernelServiceName.LOOP_MONITOR, LoopMonitor)
         self.guard = monitor.guard
-        host, _, port = self.address.rpartition(':')
-        listener = socket.create_server((host, int(port)), backlog=BACKLOG)
-        bound_host, bound_port = listener.getsockname()
-        self.address = f'{bound_host}:{bound_port}'
+        listener, address = open_listener(self.address, BACKLOG)
+        self.address = address
         self.server = await asyncio.get_running_loop().create_server(
             lambda: CallerChannel(
                 self.kernel.clock,
--- a/src/pollenloom/gateway/probe_server.py
+++ b/src/pollenloom/gateway/probe_server.py
@@ -1,7 +1,6 @@
 """Readiness for the balancer, and metrics."""
 
 import asyncio
-import socket
 from contextlib import closing
 from http import HTTPStatus
 from typing import ClassVar, Final
@@ -19,6 +18,7 @@
 from pollenloom.observability.metrics import Metrics
 from pollenloom.routing.caller_limits import CallerLimits
 from pollenloom.settings.node_settings import ListenSettings
+from pollenloom.transport.listening import open_listener
 
 READINESS_PATH: Final = '/readyz'
 METRICS_PATH: Final = '/metrics'
@@ -40,8 +40,7 @@
         """Listen on both addresses; readiness is told from the start."""
         self.metrics = self.kernel.find(KernelServiceName.METRICS, Metrics)
         for address in (self.listen.readiness, self.listen.metrics):
-            host, _, port = address.rpartition(':')
-            listener = socket.create_server((host, int(port)), backlog=BACKLOG)
+            listener, _ = open_listener(address, BACKLOG)
             server = await asyncio.get_running_loop().create_server(
                 self.make_channel,
                 sock=listener,
--- a/src/pollenloom/gateway/server_links.py
+++ b/src/pollenloom/gateway/server_links.py
@@ -10,6 +10,7 @@
 from pollenloom.core.backend_server import BackendServer
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
+from pollenloom.core.host_port import split_address
 from pollenloom.core.ids import ServerId
 from pollenloom.gateway.dialect import Dialect
 from pollenloom.gateway.server_channel import ServerChannel
@@ -73,13 +74,13 @@
 
     async def connect(self, address: str) -> Result[ServerChannel, Failure]:
         """Open a connection."""
-        host, _, port = address.rpartition(':')
+        host, port = split_address(address)
         loop = asyncio.get_running_loop()
         connecting = asyncio.ensure_future(
             loop.create_connection(
                 lambda: ServerChannel(self.dialect.id_header),
                 host,
-                int(port),
+                port,
             ),
         )
         # A cancelled attempt of uvloop 0.22.1 may close a foreign descriptor.
--- a/src/pollenloom/routing/fleet_router.py
+++ b/src/pollenloom/routing/fleet_router.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from pollenloom.core.host_port import Address
 from pollenloom.core.ids import DataCentreId, VmId
 
 
@@ -10,12 +11,12 @@
     """A router as its record in the store tells.
 
     Attributes:
-        address: `host:port` at which it hears of the load of others.
+        address: Where it hears of the load of others.
         capacity: Processor power, in cores of a common speed; more is asked
             of larger machines.
     """
 
     vm: VmId
     data_centre: DataCentreId
-    address: str
+    address: Address
     capacity: float
--- /dev/null
+++ b/src/pollenloom/transport/listening.py
@@ -0,0 +1,16 @@
+"""Sockets that servers listen on."""
+
+import socket
+
+from pollenloom.core.host_port import join_address, split_address
+
+
+def open_listener(address: str, backlog: int) -> tuple[socket.socket, str]:
+    """Return a listening socket and its address, with the port chosen for 0.
+
+    Raises:
+        OSError: If the address cannot be listened on.
+    """
+    listener = socket.create_server(split_address(address), backlog=backlog)
+    host, port = listener.getsockname()
+    return listener, join_address((host, port))
--- a/src/pollenloom_standins/node_soak/node_caller.py
+++ b/src/pollenloom_standins/node_soak/node_caller.py
@@ -6,6 +6,7 @@
 import uuid
 from typing import TYPE_CHECKING, Final
 
+from pollenloom.core.host_port import split_address
 from pollenloom_standins.node_soak.node_history import NodeCall, NodeCallKind
 
 if TYPE_CHECKING:
@@ -71,10 +72,10 @@
         node = self.draw.choice(nodes)
         self.node = node.vm
         self.boot = node.boot
-        host, _, port = node.callers.rpartition(':')
+        address = split_address(node.callers)
         try:
             async with asyncio.timeout(1):
-                self.streams = await asyncio.open_connection(host, int(port))
+                self.streams = await asyncio.open_connection(*address)
         except OSError:
             return False
         return True
--- a/src/pollenloom_standins/node_soak/node_ground.py
+++ b/src/pollenloom_standins/node_soak/node_ground.py
@@ -86,9 +86,8 @@
             await self.workers.start(data_centre)
         self.stack.push_async_callback(self.workers.stop_all)
         self.kernel.spawn('heartbeats', self.workers.beat())
-        host, _, port = listener.address.rpartition(':')
         for number in range(NODES):
-            await self.add_node(number, ListenAddress(host, int(port)))
+            await self.add_node(number, ListenAddress.parse(listener.address))
         await asyncio.gather(
             *(node.wait_ready() for node in self.nodes.values()),
         )
--- a/src/pollenloom_standins/node_soak/soak_node.py
+++ b/src/pollenloom_standins/node_soak/soak_node.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Final
 
+from pollenloom.core.host_port import split_address
 from pollenloom_standins.fleet.managed_process import (
     ManagedProcess,
     ProcessError,
@@ -93,10 +94,10 @@
 
     async def is_ready(self) -> bool:
         """Ask as the users' balancer does."""
-        host, _, port = self.readiness.rpartition(':')
+        address = split_address(self.readiness)
         try:
             async with asyncio.timeout(1):
-                reader, writer = await asyncio.open_connection(host, int(port))
+                reader, writer = await asyncio.open_connection(*address)
                 writer.write(b'GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n')
                 line = await reader.readline()
         except OSError:
--- a/tests/catalogue/conftest.py
+++ b/tests/catalogue/conftest.py
@@ -115,12 +115,12 @@
         load = ServiceLoad(unread={SERVER: 100}, running={SERVER: 1})
         exchange.own_loads = lambda: {SERVICE: load}
         assert exchange.transport is not None
-        host, port = exchange.transport.get_extra_info('sockname')
+        address = exchange.transport.get_extra_info('sockname')
         self.listed.append(
             FleetRouter(
                 settings.vm,
                 settings.data_centre,
-                f'{host}:{port}',
+                address,
                 capacity,
             ),
         )
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -11,6 +11,7 @@
 import pytest
 
 from pollenloom.console.node_process import make_services
+from pollenloom.core.host_port import split_address
 from pollenloom.core.ids import DataCentreId, VmId
 from pollenloom.gateway.gateway_server import GatewayServer
 from pollenloom.kernel.kernel import Kernel
@@ -149,8 +150,8 @@
 
     async def connect(self) -> 'Caller':
         """Open a connection of a caller."""
-        host, _, port = self.gateway.address.rpartition(':')
-        reader, writer = await asyncio.open_connection(host, int(port))
+        address = split_address(self.gateway.address)
+        reader, writer = await asyncio.open_connection(*address)
         self.stack.callback(writer.close)
         return Caller(reader, writer)
 
--- a/tests/routing/test_collector_choice.py
+++ b/tests/routing/test_collector_choice.py
@@ -21,7 +21,7 @@
         FleetRouter(
             VmId(f'vm-{number}'),
             DataCentreId('here'),
-            '10.0.0.1:80',
+            ('10.0.0.1', 80),
             2.0 if number in {2, 4} else 0.5,
         )
         for number in range(6)
