Read a node's settings in one place

pollenloom.node and the command pollenloom node each read the settings and wrote what is wrong with them; run_node does it for both, by the function that the other commands use. The lines of problems begin with 'error:' now, as they do elsewhere; before, one way had 'Error:' on the first line, the other none.

--- a/src/pollenloom/console/commands/node_command.py
+++ b/src/pollenloom/console/commands/node_command.py
@@ -1,6 +1,5 @@
 """`pollenloom node`."""
 
-import os
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
@@ -9,10 +8,7 @@
 
 from pollenloom.console.command_end import command_end
 from pollenloom.console.exit_code import ExitCode
-from pollenloom.settings.settings_holder import (
-    SETTINGS_VARIABLE,
-    load_node_settings,
-)
+from pollenloom.settings.settings_holder import SETTINGS_VARIABLE
 
 
 @cappa.command(
@@ -42,12 +38,9 @@
         # The other commands start faster without the router's libraries.
         from pollenloom.console.node_process import run_node
 
-        path = self.settings or Path(os.environ.get(SETTINGS_VARIABLE, ''))
-        checked = load_node_settings(path)
-        if checked.model is None:
-            told = '\n'.join(problem.render() for problem in checked.problems)
-            raise command_end(told, code=ExitCode.INVALID_FILE)
-        code = run_node(path, checked.model)
+        code = run_node(self.settings)
+        if code is ExitCode.INVALID_FILE:
+            raise cappa.Exit(code=code)
         if code is not ExitCode.OK:
             raise command_end(
                 f'The router ended with {code.name.lower()}; see its log.',
--- a/src/pollenloom/console/node_process.py
+++ b/src/pollenloom/console/node_process.py
@@ -1,5 +1,6 @@
 """Runs a router on the users' machines until a signal ends it."""
 
+import os
 import sys
 from pathlib import Path
 
@@ -9,6 +10,7 @@
 from pollenloom.catalogue.store_census import StoreCensus
 from pollenloom.catalogue.topic_relay import TopicRelay
 from pollenloom.console.exit_code import ExitCode
+from pollenloom.console.output import write_problems
 from pollenloom.console.router_process import RouterProcess, run_loop
 from pollenloom.gateway.gateway_server import GatewayServer
 from pollenloom.gateway.loop_monitor import LoopMonitor
@@ -25,7 +27,11 @@
 from pollenloom.platform.header_dialect import HeaderDialect
 from pollenloom.platform.store_client import StoreClient
 from pollenloom.settings.node_settings import NodeSettings
-from pollenloom.settings.settings_holder import SettingsHolder
+from pollenloom.settings.settings_holder import (
+    SETTINGS_VARIABLE,
+    SettingsHolder,
+    load_node_settings,
+)
 
 # Memory is dear on these machines, and `explain` reads their logs instead.
 KEPT_EVENTS = 0
@@ -58,10 +64,18 @@
     ]
 
 
-def run_node(path: Path, settings: NodeSettings) -> ExitCode:
-    """Run a router in this process."""
+def run_node(path: Path | None) -> ExitCode:
+    """Run a router in this process, or write what is wrong with its settings.
+
+    Without a path the platform's variable names the file.
+    """
+    found = path or Path(os.environ.get(SETTINGS_VARIABLE, ''))
+    checked = load_node_settings(found)
+    if checked.model is None:
+        write_problems(checked.problems)
+        return ExitCode.INVALID_FILE
     configure_json_log(stream=BoundedStream(sys.stdout.fileno()))
-    return run_loop(run_services(path, settings))
+    return run_loop(run_services(found, checked.model))
 
 
 async def run_services(path: Path, settings: NodeSettings) -> ExitCode:
