Let one soak and one kind of checker serve both fleets

Cause: the soak of nodes had its own base class of checkers, its own loop over them, its own record of a fault with the same fields, and its own search for free ports; its faults repeated choosing a target, and its modules held up to thirteen classes. A fault that finds nothing to act on is noted now.

--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -22,6 +22,7 @@
 from pollenloom_standins.history.caller import Caller
 from pollenloom_standins.history.drain_checker import DrainChecker
 from pollenloom_standins.history.fault_record import FaultKind, FaultRecord
+from pollenloom_standins.history.history import History
 from pollenloom_standins.history.load_generator import LoadGenerator
 from pollenloom_standins.history.promise_checker import PromiseChecker
 from pollenloom_standins.history.service_checker import ServiceChecker
@@ -124,7 +125,7 @@
     record.recovered = time.time()
 
 
-def expect_kept(context: Context, checker: PromiseChecker) -> None:
+def expect_kept(context: Context, checker: PromiseChecker[History]) -> None:
     """Check a promise that there were observations of."""
     history = context.ground.history
     assert checker.checked(history), 'nothing was observed'
--- a/src/pollenloom_standins/commands/soak_command.py
+++ b/src/pollenloom_standins/commands/soak_command.py
@@ -15,12 +15,14 @@
 from pollenloom_standins.fleet.managed_process import ProcessError
 from pollenloom_standins.node_soak.node_fleet import NodeFleet
 from pollenloom_standins.soak.product_fleet import ProductFleet
-from pollenloom_standins.soak.soak_fleet import SoakFleet, SoakVerdict
+from pollenloom_standins.soak.soak_fleet import SoakVerdict
 from pollenloom_standins.soak.soak_plan import SECTIONS
 
 SHOWN_VIOLATIONS: Final = 3
 MINUTE_SECONDS: Final = 60
 
+AnyFleet = ProductFleet | NodeFleet
+
 
 @unique
 class FleetKind(Enum):
@@ -77,13 +79,13 @@
         if totals.broken or totals.failed_starts:
             raise cappa.Exit(code=1)
 
-    def make_fleet(self) -> SoakFleet:
+    def make_fleet(self) -> AnyFleet:
         """Return what is to run."""
         if self.fleet is FleetKind.NODE:
             return NodeFleet()
         return ProductFleet(self.examples, self.router_sections())
 
-    async def run(self, fleet: SoakFleet) -> SoakTotals:
+    async def run(self, fleet: AnyFleet) -> SoakTotals:
         """Run rounds until the time is up."""
         say(f'first seed {self.seed}')
         totals = SoakTotals()
@@ -105,7 +107,7 @@
 
     async def work(
         self,
-        fleet: SoakFleet,
+        fleet: AnyFleet,
         seeds: Iterator[int],
         until: float,
         totals: SoakTotals,
@@ -150,14 +152,15 @@
     directory.rmdir()
 
 
-def report(fleet: SoakFleet, totals: SoakTotals) -> None:
+def report(fleet: AnyFleet, totals: SoakTotals) -> None:
     """Print one line for each promise."""
     say(f'{totals.rounds} rounds, {totals.failed_starts} not run')
-    for name, promise in fleet.promises.items():
+    for checker in fleet.checkers:
+        name = checker.requirement
         broken = totals.broken[name]
         verdict = f'BROKEN in {broken} rounds' if broken else 'kept'
         say(
-            f'{name} {promise}: {verdict} '
+            f'{name} {checker.promise}: {verdict} '
             f'({totals.checked[name]} observations)',
         )
 
--- a/src/pollenloom_standins/history/cold_checker.py
+++ b/src/pollenloom_standins/history/cold_checker.py
@@ -15,7 +15,7 @@
 NOTICE_SECONDS: Final = 1.5
 
 
-class ColdChecker(PromiseChecker):
+class ColdChecker(PromiseChecker[History]):
     """No server counts an overload while cold.
 
     Only overloads just after a warm server turned cold are let pass.
--- a/src/pollenloom_standins/history/configuration_checker.py
+++ b/src/pollenloom_standins/history/configuration_checker.py
@@ -19,7 +19,7 @@
 FORCE_SECONDS: Final = 3.0
 
 
-class ConfigurationChecker(PromiseChecker):
+class ConfigurationChecker(PromiseChecker[History]):
     """Revisions never go down, and each is everywhere after 3 s.
 
     The time is not checked for a router while links are cut, while the
--- a/src/pollenloom_standins/history/drain_checker.py
+++ b/src/pollenloom_standins/history/drain_checker.py
@@ -10,7 +10,7 @@
 DRAIN_SECONDS: Final = 3.0
 
 
-class DrainChecker(PromiseChecker):
+class DrainChecker(PromiseChecker[History]):
     """No run starts there from 3 s after the operator's order on."""
 
     requirement = 'R4'
--- a/src/pollenloom_standins/history/fault_record.py
+++ b/src/pollenloom_standins/history/fault_record.py
@@ -2,7 +2,7 @@
 
 from enum import Enum, unique
 
-import msgspec
+from pollenloom_standins.history.fault_span import FaultSpan
 
 
 @unique
@@ -34,28 +34,13 @@
     PUBLISH_RACE = 'publish-race'
 
 
-class FaultRecord(msgspec.Struct, kw_only=True):
-    """A fault from its start to its end, in wall time.
+class FaultRecord(FaultSpan, kw_only=True):
+    """A fault of the product's fleet.
 
     Attributes:
         kind: What happened.
-        target: VM or data centre that it happened to.
-        started: When it was in force.
-        ended: When its end began; 0 while it lasts.
-        recovered: When the target served again; 0 before.
         list_lag_seconds: Lag of the platform's VM list meanwhile.
-        exit_code: Exit code of a router that was stopped gracefully.
     """
 
     kind: FaultKind
-    target: str
-    started: float
-    ended: float = 0
-    recovered: float = 0
     list_lag_seconds: float = 0
-    exit_code: int = 0
-
-    def overlaps(self, start: float, end: float) -> bool:
-        """Whether any of the fault falls between two times."""
-        last = self.recovered or self.ended
-        return self.started <= end and (not last or start <= last)
--- a/src/pollenloom_standins/history/leaving_checker.py
+++ b/src/pollenloom_standins/history/leaving_checker.py
@@ -10,7 +10,7 @@
 LEAVING_SECONDS: Final = 3.0
 
 
-class LeavingChecker(PromiseChecker):
+class LeavingChecker(PromiseChecker[History]):
     """No run starts and no request arrives from 3 s on, plus the list's lag.
 
     A server that refuses by itself counts what it refused, since a request
--- a/src/pollenloom_standins/history/order_checker.py
+++ b/src/pollenloom_standins/history/order_checker.py
@@ -8,7 +8,7 @@
 from pollenloom_standins.history.promise_checker import PromiseChecker
 
 
-class OrderChecker(PromiseChecker):
+class OrderChecker(PromiseChecker[History]):
     """No key ran twice; all answers to a key are one and the same."""
 
     requirement = 'R8'
--- a/src/pollenloom_standins/history/promise_checker.py
+++ b/src/pollenloom_standins/history/promise_checker.py
@@ -2,12 +2,12 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Iterator
-from typing import ClassVar
+from typing import ClassVar, Generic, TypeVar
 
-from pollenloom_standins.history.history import History
+HistoryT = TypeVar('HistoryT')
 
 
-class PromiseChecker(ABC):
+class PromiseChecker(ABC, Generic[HistoryT]):
     """Checks one promise; a pure function of the history.
 
     Attributes:
@@ -19,9 +19,12 @@
     promise: ClassVar[str]
 
     @abstractmethod
-    def violations(self, history: History) -> Iterator[str]:
+    def violations(self, history: HistoryT) -> Iterator[str]:
         """Return how the history breaks the promise, one line each."""
 
     @abstractmethod
-    def checked(self, history: History) -> int:
+    def checked(self, history: HistoryT) -> int:
         """Return how many observations the promise was checked on."""
+
+
+Checkers = tuple[PromiseChecker[HistoryT], ...]
--- a/src/pollenloom_standins/history/promises.py
+++ b/src/pollenloom_standins/history/promises.py
@@ -8,15 +8,16 @@
     ConfigurationChecker,
 )
 from pollenloom_standins.history.drain_checker import DrainChecker
+from pollenloom_standins.history.history import History
 from pollenloom_standins.history.leaving_checker import LeavingChecker
 from pollenloom_standins.history.order_checker import OrderChecker
-from pollenloom_standins.history.promise_checker import PromiseChecker
+from pollenloom_standins.history.promise_checker import Checkers
 from pollenloom_standins.history.refusal_checker import RefusalChecker
 from pollenloom_standins.history.repeat_checker import RepeatChecker
 from pollenloom_standins.history.service_checker import ServiceChecker
 from pollenloom_standins.history.stop_checker import StopChecker
 
-PROMISES: Final[tuple[PromiseChecker, ...]] = (
+PROMISES: Final[Checkers[History]] = (
     ServiceChecker(),
     ColdChecker(),
     DrainChecker(),
--- a/src/pollenloom_standins/history/refusal_checker.py
+++ b/src/pollenloom_standins/history/refusal_checker.py
@@ -7,7 +7,7 @@
 from pollenloom_standins.history.promise_checker import PromiseChecker
 
 
-class RefusalChecker(PromiseChecker):
+class RefusalChecker(PromiseChecker[History]):
     """No server ran a request whose caller was told that it was not run."""
 
     requirement = 'R7'
--- a/src/pollenloom_standins/history/service_checker.py
+++ b/src/pollenloom_standins/history/service_checker.py
@@ -17,7 +17,7 @@
 SERVICE_SECONDS: Final = 10.0
 
 
-class ServiceChecker(PromiseChecker):
+class ServiceChecker(PromiseChecker[History]):
     """Each account gets a whole answer at least every 10 s while it calls."""
 
     requirement = 'R2'
--- a/src/pollenloom_standins/history/stop_checker.py
+++ b/src/pollenloom_standins/history/stop_checker.py
@@ -11,7 +11,7 @@
 CUT_OUTCOMES: Final = frozenset((CallOutcome.CUT, CallOutcome.LOST))
 
 
-class StopChecker(PromiseChecker):
+class StopChecker(PromiseChecker[History]):
     """Calls at a router that stops gracefully end whole or refused.
 
     An error event that tells the backend server's fault cuts a stream, but
--- a/src/pollenloom_standins/node_soak/node_caller.py
+++ b/src/pollenloom_standins/node_soak/node_caller.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING, Final
 
 from pollenloom.core.host_port import split_address
-from pollenloom_standins.node_soak.node_history import NodeCall, NodeCallKind
+from pollenloom_standins.node_soak.node_call import NodeCall
+from pollenloom_standins.node_soak.node_call_kind import NodeCallKind
 
 if TYPE_CHECKING:
     from pollenloom_standins.node_soak.node_ground import NodeGround
--- a/src/pollenloom_standins/node_soak/node_fleet.py
+++ b/src/pollenloom_standins/node_soak/node_fleet.py
@@ -1,30 +1,32 @@
 """Rounds of the fleet on the users' machines."""
 
+from collections import Counter
 from pathlib import Path
 
-from pollenloom_standins.node_soak.node_checkers import CHECKERS
+from pollenloom_standins.node_soak.node_history import NodeHistory
+from pollenloom_standins.node_soak.node_promises import NODE_PROMISES
 from pollenloom_standins.node_soak.node_round import run_node_round
-from pollenloom_standins.soak.soak_fleet import SoakFleet, SoakVerdict
+from pollenloom_standins.soak.soak_fleet import PlayedRound, SoakFleet
 
 
-class NodeFleet(SoakFleet):
+class NodeFleet(SoakFleet[NodeHistory]):
     """Nodes with the users' store, servers and callers."""
 
-    def __init__(self) -> None:
-        self.promises = {
-            checker.name: (checker.__doc__ or '').strip()
-            for checker in CHECKERS
-        }
+    checkers = NODE_PROMISES
 
-    async def run(self, seed: int, directory: Path) -> SoakVerdict:
-        """Run a round; see `SoakFleet.run`."""
-        result = await run_node_round(seed, directory)
-        return SoakVerdict(
-            summary=result.summary,
-            checked={
-                checker.name: checker.checked(result.history)
-                for checker in CHECKERS
-            },
-            violations=result.violations,
-            troubles=result.troubles,
+    async def play(
+        self,
+        seed: int,
+        directory: Path,
+    ) -> PlayedRound[NodeHistory]:
+        """Play a round; see `SoakFleet.play`."""
+        return await run_node_round(seed, directory)
+
+    def summarise(self, history: NodeHistory) -> str:
+        """Return faults and statuses in one line."""
+        statuses = Counter(call.status for call in history.calls)
+        counts = ', '.join(
+            f'{status}: {count}' for status, count in sorted(statuses.items())
         )
+        faults = ', '.join(fault.kind.value for fault in history.faults)
+        return f'{counts}; {faults}'
--- a/src/pollenloom_standins/node_soak/node_ground.py
+++ b/src/pollenloom_standins/node_soak/node_ground.py
@@ -13,13 +13,11 @@
 from pollenloom_standins.keyed_store.keyed_store_service import (
     KeyedStoreService,
 )
+from pollenloom_standins.node_soak.announcement import Announcement
+from pollenloom_standins.node_soak.node_call_kind import NodeCallKind
 from pollenloom_standins.node_soak.node_caller import NodeCaller
-from pollenloom_standins.node_soak.node_history import (
-    Announcement,
-    NodeCallKind,
-    NodeFault,
-    NodeHistory,
-)
+from pollenloom_standins.node_soak.node_fault import NodeFault, NodeFaultKind
+from pollenloom_standins.node_soak.node_history import NodeHistory
 from pollenloom_standins.node_soak.soak_node import SoakNode
 from pollenloom_standins.node_soak.soak_workers import SoakWorkers
 from pollenloom_standins.relay.link_rules import LinkRule, LinkRules
@@ -169,7 +167,11 @@
         free = [vm for vm in self.nodes if vm not in self.busy]
         return self.nodes[self.draw.choice(free)] if free else None
 
-    def begin(self, kind: str, target: str) -> NodeFault:
+    def note_missed(self, kind: NodeFaultKind) -> None:
+        """Note a fault that found nothing to act on."""
+        self.troubles.append(f'{kind.value}: nothing to act on')
+
+    def begin(self, kind: NodeFaultKind, target: str) -> NodeFault:
         """Record the start of a fault."""
         self.busy.add(target)
         fault = NodeFault(kind=kind, target=target, started=time.time())
@@ -179,6 +181,7 @@
     def finish(self, fault: NodeFault) -> None:
         """Record that its target serves again."""
         fault.recovered = time.time()
+        fault.ended = fault.ended or fault.recovered
         self.busy.discard(fault.target)
 
 
--- /dev/null
+++ b/src/pollenloom_standins/node_soak/refusal_checker.py
@@ -0,0 +1,42 @@
+"""A refusal that says "not run" is true."""
+
+from collections.abc import Iterator
+from http import HTTPStatus
+from typing import Final
+
+from pollenloom_standins.history.promise_checker import PromiseChecker
+from pollenloom_standins.node_soak.node_call_kind import NodeCallKind
+from pollenloom_standins.node_soak.node_history import NodeHistory
+
+# Statuses by which a router says that a request was not run.
+NOT_RUN: Final = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
+
+
+class RefusalChecker(PromiseChecker[NodeHistory]):
+    """A refusal that says "not run" is true."""
+
+    requirement = 'refusal'
+    promise = 'a refusal that says "not run" is true'
+
+    def violations(self, history: NodeHistory) -> Iterator[str]:
+        """Return refused requests that ran."""
+        ran = {run.request_id for run in history.runs if run.is_run}
+        for call in history.calls:
+            is_refused = call.status in NOT_RUN
+            if (
+                is_refused
+                and call.request_id in ran
+                and (call.kind is not NodeCallKind.READ)
+            ):
+                yield call.describe()
+
+    def checked(self, history: NodeHistory) -> int:
+        """Return the number of observations."""
+        return sum(call.status in NOT_RUN for call in history.calls)
--- /dev/null
+++ b/src/pollenloom_standins/node_soak/revoked_checker.py
@@ -0,0 +1,39 @@
+"""A revoked key is refused after two seconds, and stays refused."""
+
+from collections.abc import Iterator
+from http import HTTPStatus
+from typing import Final
+
+from pollenloom_standins.history.promise_checker import PromiseChecker
+from pollenloom_standins.node_soak.node_history import (
+    TOUCH_SECONDS,
+    NodeHistory,
+)
+
+APPLY_SECONDS: Final = 2.0
+
+
+class RevokedChecker(PromiseChecker[NodeHistory]):
+    """A revoked key is refused after two seconds, and stays refused."""
+
+    requirement = 'revoked'
+    promise = 'a revoked key is refused after two seconds, and stays refused'
+
+    def violations(self, history: NodeHistory) -> Iterator[str]:
+        """Return calls that were served with a revoked key."""
+        revoked = {entry.subject: entry.at for entry in history.revoked}
+        for call in history.calls:
+            at = revoked.get(call.key)
+            if at is None or call.status != HTTPStatus.OK:
+                continue
+            if call.started > at + APPLY_SECONDS and not history.is_disturbed(
+                call.node,
+                at - TOUCH_SECONDS,
+                call.ended,
+            ):
+                late = call.started - at
+                yield f'{call.describe()}: {late:.2f} s after its key'
+
+    def checked(self, history: NodeHistory) -> int:
+        """Return the number of observations."""
+        return len(history.revoked)
--- a/src/pollenloom_standins/node_soak/soak_node.py
+++ b/src/pollenloom_standins/node_soak/soak_node.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import os
-import socket
 import sys
 import time
 from pathlib import Path
@@ -13,6 +12,7 @@
     ManagedProcess,
     ProcessError,
 )
+from pollenloom_standins.serving.free_addresses import free_addresses
 
 LOOK_SECONDS: Final = 0.05
 READY_SECONDS: Final = 30.0
@@ -58,7 +58,7 @@
         )
         self.vm = vm
         self.boot = 0
-        callers, readiness, metrics, peers = free_addresses(4)
+        callers, readiness, metrics, peers = free_addresses('127.0.0.1', 4)
         self.callers = callers
         self.readiness = readiness
         self.settings = directory / f'{vm}.toml'
@@ -116,14 +116,3 @@
             if not self.is_running or time.monotonic() > until:
                 raise ProcessError(f'{self.vm}, see {self.log_path}')
             await asyncio.sleep(LOOK_SECONDS)
-
-
-def free_addresses(count: int) -> list[str]:
-    """Return addresses whose ports are free now."""
-    listeners = [socket.create_server(('127.0.0.1', 0)) for _ in range(count)]
-    addresses = [
-        f'127.0.0.1:{listener.getsockname()[1]}' for listener in listeners
-    ]
-    for listener in listeners:
-        listener.close()
-    return addresses
--- a/src/pollenloom_standins/node_soak/soak_worker.py
+++ b/src/pollenloom_standins/node_soak/soak_worker.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from pollenloom.platform import wire_names
-from pollenloom_standins.node_soak.node_history import NodeHistory, NodeRun
+from pollenloom_standins.node_soak.node_history import NodeHistory
+from pollenloom_standins.node_soak.node_run import NodeRun
 from pollenloom_standins.worker.scripted_worker import (
     ReceivedRequest,
     ScriptedWorker,
--- a/src/pollenloom_standins/node_soak/soak_workers.py
+++ b/src/pollenloom_standins/node_soak/soak_workers.py
@@ -9,10 +9,8 @@
 from pollenloom_standins.keyed_store.keyed_store_service import (
     KeyedStoreService,
 )
-from pollenloom_standins.node_soak.node_history import (
-    Announcement,
-    NodeHistory,
-)
+from pollenloom_standins.node_soak.announcement import Announcement
+from pollenloom_standins.node_soak.node_history import NodeHistory
 from pollenloom_standins.node_soak.soak_worker import SoakWorker
 
 HEARTBEAT_SECONDS: Final = 0.6
--- a/src/pollenloom_standins/soak/link_relays.py
+++ b/src/pollenloom_standins/soak/link_relays.py
@@ -1,6 +1,5 @@
 """Relays between the routers of a fleet."""
 
-import socket
 from pathlib import Path
 
 import aiohttp
@@ -14,6 +13,7 @@
     LinkRule,
     LinkRules,
 )
+from pollenloom_standins.serving.free_addresses import free_addresses
 
 
 class LinkRelays:
@@ -30,7 +30,7 @@
 
     async def place_before(self, plan: RouterPlan) -> RouterPlan:
         """Start a relay; return the plan with its addresses."""
-        address = free_address(plan.host)
+        address = free_addresses(plan.host, 1)[0]
         process = ManagedProcess(
             f'relay-{plan.vm}',
             standin(
@@ -96,9 +96,3 @@
         """End all relays."""
         for process in self.relays.values():
             await process.kill()
-
-
-def free_address(host: str) -> str:
-    """Return an address whose port is free now; only this fleet uses it."""
-    with socket.create_server((host, 0)) as listener:
-        return f'{host}:{listener.getsockname()[1]}'
--- a/src/pollenloom_standins/soak/product_fleet.py
+++ b/src/pollenloom_standins/soak/product_fleet.py
@@ -2,53 +2,34 @@
 
 from collections import Counter
 from pathlib import Path
-from typing import Final
-
-import msgspec
 
+from pollenloom_standins.history.history import History
 from pollenloom_standins.history.promises import PROMISES
 from pollenloom_standins.soak.fault_schedule import draw_schedule
-from pollenloom_standins.soak.soak_fleet import SoakFleet, SoakVerdict
-from pollenloom_standins.soak.soak_round import RoundResult, run_round
-
-HISTORY: Final = 'history.json'
+from pollenloom_standins.soak.soak_fleet import PlayedRound, SoakFleet
+from pollenloom_standins.soak.soak_round import run_round
 
 
-class ProductFleet(SoakFleet):
+class ProductFleet(SoakFleet[History]):
     """Routers with pool owners, log and gossip."""
 
+    checkers = PROMISES
+
     def __init__(self, examples: Path, sections: str) -> None:
         self.examples = examples
         self.sections = sections
-        self.promises = {
-            checker.requirement: checker.promise for checker in PROMISES
-        }
-
-    async def run(self, seed: int, directory: Path) -> SoakVerdict:
-        """Run a round; see `SoakFleet.run`."""
-        result = await run_round(
-            seed,
-            self.examples,
-            directory,
-            sections=self.sections,
-        )
-        if result.violations:
-            path = directory / HISTORY
-            path.write_bytes(msgspec.json.encode(result.history))
-        return SoakVerdict(
-            summary=summarise(result),
-            checked=result.checked,
-            violations=result.violations,
-            troubles=result.troubles,
-        )
 
+    async def play(self, seed: int, directory: Path) -> PlayedRound[History]:
+        """Play a round; see `SoakFleet.play`."""
+        return await run_round(seed, self.examples, directory, self.sections)
 
-def summarise(result: RoundResult) -> str:
-    """Return faults and outcomes in one line."""
-    history = result.history
-    outcomes = Counter(call.outcome.value for call in history.calls)
-    counts = ', '.join(f'{count} {name}' for name, count in outcomes.items())
-    faults = ', '.join(
-        fault.kind.value for fault in draw_schedule(history.seed)
-    )
-    return f'{faults}; calls: {counts}'
+    def summarise(self, history: History) -> str:
+        """Return faults and outcomes in one line."""
+        outcomes = Counter(call.outcome.value for call in history.calls)
+        counts = ', '.join(
+            f'{count} {name}' for name, count in outcomes.items()
+        )
+        faults = ', '.join(
+            fault.kind.value for fault in draw_schedule(history.seed)
+        )
+        return f'{faults}; calls: {counts}'
--- a/src/pollenloom_standins/soak/soak_fleet.py
+++ b/src/pollenloom_standins/soak/soak_fleet.py
@@ -3,6 +3,26 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Final, Generic
+
+import msgspec
+
+from pollenloom_standins.history.promise_checker import Checkers, HistoryT
+
+HISTORY: Final = 'history.json'
+
+
+@dataclass(frozen=True, slots=True)
+class PlayedRound(Generic[HistoryT]):
+    """A round that is over.
+
+    Attributes:
+        history: What callers and servers saw.
+        troubles: What did not go as the schedule wanted.
+    """
+
+    history: HistoryT
+    troubles: list[str]
 
 
 @dataclass(slots=True)
@@ -11,32 +31,52 @@
 
     Attributes:
         summary: Faults and counts in one line.
+        troubles: What did not go as the schedule wanted.
         checked: Number of observations by promise.
         violations: What broke each promise.
-        troubles: What did not go as the schedule wanted.
     """
 
     summary: str
+    troubles: list[str]
     checked: dict[str, int] = field(default_factory=dict)
     violations: dict[str, list[str]] = field(default_factory=dict)
-    troubles: list[str] = field(default_factory=list)
 
 
-class SoakFleet(ABC):
+class SoakFleet(ABC, Generic[HistoryT]):
     """A kind of fleet with its faults and promises.
 
     Attributes:
-        promises: Names of the promises and what must hold.
+        checkers: Promises that a round is checked for.
     """
 
-    promises: dict[str, str]
+    checkers: Checkers[HistoryT]
 
-    @abstractmethod
     async def run(self, seed: int, directory: Path) -> SoakVerdict:
-        """Run a round with a fresh fleet.
+        """Run a round with a fresh fleet and check all promises.
 
         A broken history stays in the directory.
 
         Raises:
             ProcessError: If the fleet did not start.
         """
+        played = await self.play(seed, directory)
+        history = played.history
+        verdict = SoakVerdict(self.summarise(history), played.troubles)
+        for checker in self.checkers:
+            name = checker.requirement
+            verdict.checked[name] = checker.checked(history)
+            found = list(checker.violations(history))
+            if found:
+                verdict.violations[name] = found
+        if verdict.violations:
+            path = directory / HISTORY
+            path.write_bytes(msgspec.json.encode(history))
+        return verdict
+
+    @abstractmethod
+    async def play(self, seed: int, directory: Path) -> PlayedRound[HistoryT]:
+        """Play a round; logs go to the directory."""
+
+    @abstractmethod
+    def summarise(self, history: HistoryT) -> str:
+        """Return faults and outcomes in one line."""
--- a/tests/standins/history/test_checkers.py
+++ b/tests/standins/history/test_checkers.py
@@ -127,7 +127,8 @@
     ]
 
 
-BROKEN: tuple[tuple[PromiseChecker, Break], ...] = (
+Case = tuple[PromiseChecker[History], Break]
+BROKEN: tuple[Case, ...] = (
     (OrderChecker(), run_order_twice),
     (OrderChecker(), answer_repeat_differently),
     (OrderChecker(), invent_answer),
@@ -152,7 +153,7 @@
 
 @pytest.mark.parametrize('checker', PROMISES)
 def test_kept_history_is_accepted(
-    checker: PromiseChecker,
+    checker: PromiseChecker[History],
     history: History,
 ) -> None:
     assert not list(checker.violations(history))
@@ -160,7 +161,7 @@
 
 @pytest.mark.parametrize(('checker', 'break_history'), BROKEN)
 def test_broken_history_is_rejected(
-    checker: PromiseChecker,
+    checker: PromiseChecker[History],
     break_history: Break,
     history: History,
 ) -> None:
--- a/tests/standins/node_soak/test_node_checkers.py
+++ b/tests/standins/node_soak/test_node_checkers.py
@@ -4,15 +4,13 @@
 
 import pytest
 
-from pollenloom_standins.node_soak.node_checkers import CHECKERS
-from pollenloom_standins.node_soak.node_history import (
-    Announcement,
-    NodeCall,
-    NodeCallKind,
-    NodeFault,
-    NodeHistory,
-    NodeRun,
-)
+from pollenloom_standins.node_soak.announcement import Announcement
+from pollenloom_standins.node_soak.node_call import NodeCall
+from pollenloom_standins.node_soak.node_call_kind import NodeCallKind
+from pollenloom_standins.node_soak.node_fault import NodeFault, NodeFaultKind
+from pollenloom_standins.node_soak.node_history import NodeHistory
+from pollenloom_standins.node_soak.node_promises import NODE_PROMISES
+from pollenloom_standins.node_soak.node_run import NodeRun
 from pollenloom_standins.node_soak.soak_worker import EVENTS, event_of
 
 START = 1000.0
@@ -73,8 +71,8 @@
 def broken(history: NodeHistory) -> set[str]:
     """Return the names of the promises that are broken."""
     return {
-        checker.name
-        for checker in CHECKERS
+        checker.requirement
+        for checker in NODE_PROMISES
         if list(checker.violations(history))
     }
 
@@ -157,7 +155,7 @@
 def make_stop() -> NodeFault:
     """Return a graceful stop of the node."""
     return NodeFault(
-        kind='node-stop',
+        kind=NodeFaultKind.NODE_STOP,
         target='edge-0',
         started=START - 0.5,
         ended=START + 3,
@@ -197,7 +195,7 @@
     use_a_leaving_server(history)
     serve_a_revoked_key(history)
     cut = NodeFault(
-        kind='store-cut',
+        kind=NodeFaultKind.STORE_CUT,
         target='edge-0',
         started=START - 6,
         ended=START + 1,
--- a/tests/standins/node_soak/test_node_round.py
+++ b/tests/standins/node_soak/test_node_round.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from pollenloom_standins.node_soak.node_round import run_node_round
+from pollenloom_standins.node_soak.node_fleet import NodeFleet
 
 
 # Seed 2 has leaving, crashing and cutting servers, a killed node, and a store
@@ -13,6 +13,6 @@
 @pytest.mark.parametrize('seed', [2, 136])
 async def test_promises_hold_under_faults(tmp_path: Path, seed: int) -> None:
     """Guards against promises that hold only while nothing goes wrong."""
-    result = await run_node_round(seed, tmp_path)
-    assert result.violations == {}
-    assert len(result.history.calls) > 200
+    verdict = await NodeFleet().run(seed, tmp_path)
+    assert verdict.violations == {}
+    assert verdict.checked['served'] > 200
