Share the users' protocol between tests and stand-ins

Cause: the fixtures of the gateway and of the catalogue each started a store, filled in a node's settings and built a server's entry, and the soak's server wrote the same answers, chunks and entries once more. Change: pollenloom_standins.worker.answers writes them for all, and tests.fakes.node_site starts the store and makes the settings. No assertion changed.

--- a/src/pollenloom_standins/node_soak/soak_worker.py
+++ b/src/pollenloom_standins/node_soak/soak_worker.py
@@ -5,17 +5,23 @@
 from enum import Enum, unique
 from typing import Final
 
-import msgspec
-
 from pollenloom.platform import wire_names
 from pollenloom_standins.node_soak.node_history import NodeHistory
 from pollenloom_standins.node_soak.node_run import NodeRun
+from pollenloom_standins.worker.answers import (
+    LAST_CHUNK,
+    chunk,
+    sealed_answer,
+    sealed_stream_head,
+    server_entry,
+)
 from pollenloom_standins.worker.scripted_worker import (
     ReceivedRequest,
     ScriptedWorker,
 )
 
 EVENTS: Final = 8
+SLOTS: Final = 40
 EVENT_SECONDS: Final = 0.02
 WORK_SECONDS: Final = 0.02
 
@@ -68,17 +74,12 @@
         state = wire_names.STATE_READY
         if is_leaving:
             state = wire_names.STATE_DRAINING
-        return msgspec.json.encode(
-            {
-                'service': 'app',
-                'address': self.listed_address,
-                'zone': self.data_centre,
-                'version': 'v1',
-                'slots': 40,
-                'state': state,
-                'cold_remaining_ms': 0,
-                'seq': time.time_ns(),
-            },
+        return server_entry(
+            self.listed_address,
+            zone=self.data_centre,
+            slots=SLOTS,
+            state=state,
+            seq=time.time_ns(),
         )
 
     async def serve(
@@ -90,13 +91,15 @@
         run = self.note(request)
         if request.headers.get('x-pollenloom-expect-instance') != self.server:
             run.is_run = False
-            await send(writer, answer_head(run, '421 Wrong', b''))
+            await send(writer, sealed_answer(run.request_id, b'', '421 Wrong'))
             return
         fault = self.fault
         if fault is WorkerFault.REJECT:
             run.is_run = False
             extra = b'X-Pollenloom-Not-Executed: 1\r\n'
-            await send(writer, answer_head(run, '503 Full', b'', extra))
+            await send(
+                writer, sealed_answer(run.request_id, b'', '503 Full', extra)
+            )
         elif fault is WorkerFault.SILENT:
             await asyncio.Event().wait()
         elif request.start_line.split()[1].startswith(('/stream/', '/resume/')):
@@ -129,15 +132,17 @@
         await asyncio.sleep(WORK_SECONDS)
         body = f'{run.request_id} {self.server}'.encode()
         if fault is WorkerFault.FAIL:
-            await send(writer, answer_head(run, '500 Error', b'failed'))
+            await send(
+                writer, sealed_answer(run.request_id, b'failed', '500 Error')
+            )
             return
-        whole = answer_head(run, '200 OK', body)
+        whole = sealed_answer(run.request_id, body)
         if fault is WorkerFault.CUT:
             await send(writer, whole[:-3])
             writer.transport.abort()
             return
         if fault is WorkerFault.EXTRA:
-            whole += answer_head(run, '200 OK', b'not asked for')
+            whole += sealed_answer(run.request_id, b'not asked for')
         await send(writer, whole)
         run.is_sealed = True
 
@@ -149,14 +154,7 @@
         fault: WorkerFault,
     ) -> None:
         """Answer with events, from the one after the caller's last."""
-        head = (
-            'HTTP/1.1 200 OK\r\n'
-            f'X-Pollenloom-Attempt-Id: {run.request_id}\r\n'
-            'X-Pollenloom-Response-Seal: seal\r\n'
-            'Content-Type: text/event-stream\r\n'
-            'Transfer-Encoding: chunked\r\n\r\n'
-        )
-        await send(writer, head.encode())
+        await send(writer, sealed_stream_head(run.request_id))
         first = int(request.headers.get('last-event-id') or 0) + 1
         for number in range(first, EVENTS + 1):
             await asyncio.sleep(EVENT_SECONDS)
@@ -166,37 +164,16 @@
                 writer.transport.abort()
                 return
             await send(writer, chunk(event))
-        await send(writer, b'0\r\n\r\n')
+        await send(writer, LAST_CHUNK)
         run.is_sealed = True
 
 
-def answer_head(
-    run: NodeRun,
-    status: str,
-    body: bytes,
-    extra: bytes = b'',
-) -> bytes:
-    """Return an answer with a length."""
-    head = (
-        f'HTTP/1.1 {status}\r\n'
-        f'X-Pollenloom-Attempt-Id: {run.request_id}\r\n'
-        'X-Pollenloom-Response-Seal: seal\r\n'
-        f'Content-Length: {len(body)}\r\n'
-    )
-    return b''.join((head.encode(), extra, b'\r\n', body))
-
-
 def event_of(request_id: str, number: int) -> bytes:
     """Return one event; the last one says so."""
     last = ' end' if number == EVENTS else ''
     return f'id: {number}\ndata: {request_id} {number}{last}\n\n'.encode()
 
 
-def chunk(part: bytes) -> bytes:
-    """Return one chunk of a body."""
-    return b'%x\r\n%b\r\n' % (len(part), part)
-
-
 async def send(writer: asyncio.StreamWriter, content: bytes) -> None:
     """Write and wait until it is sent."""
     writer.write(content)
--- a/tests/catalogue/conftest.py
+++ b/tests/catalogue/conftest.py
@@ -4,14 +4,13 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack
 
-import msgspec
 import pytest
 
 from pollenloom.catalogue.fleet_census import FleetCensus
 from pollenloom.catalogue.load_exchange import LoadExchange
 from pollenloom.catalogue.store_catalogue import StoreCatalogue
 from pollenloom.catalogue.topic_relay import TopicRelay
-from pollenloom.core.ids import DataCentreId, ServerId, ServiceId, VmId
+from pollenloom.core.ids import DataCentreId, ServerId, ServiceId
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.observability.event_log import EventLog
@@ -19,23 +18,15 @@
 from pollenloom.routing.fleet_place import FleetPlace
 from pollenloom.routing.fleet_router import FleetRouter
 from pollenloom.routing.service_load import ServiceLoad
-from pollenloom.settings.node_settings import (
-    BoundSettings,
-    ListenSettings,
-    MachineSettings,
-    NodeSettings,
-    StoreSettings,
-)
 from pollenloom_standins.keyed_store.keyed_store_service import (
     KeyedStoreService,
 )
-from pollenloom_standins.serving.http_listener import HttpListener
-from pollenloom_standins.serving.listen_address import ListenAddress
+from pollenloom_standins.worker.answers import server_entry
+from tests.fakes.node_site import make_settings, open_store
 
 SERVICE = ServiceId('answers')
 SERVER = ServerId('i-1')
 DATA_CENTRES = (DataCentreId('enschede'), DataCentreId('almelo'))
-ANY_PORT = '127.0.0.1:0'
 WAIT_SECONDS = 10
 
 
@@ -87,18 +78,11 @@
     async def add_one(self, number: int, capacity: float) -> None:
         """Start one router."""
         kernel = Kernel()
-        settings = NodeSettings(
-            vm=VmId(f'vm-{number}'),
-            data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
-            listen=ListenSettings(
-                callers=ANY_PORT,
-                readiness=ANY_PORT,
-                metrics=ANY_PORT,
-                peers=ANY_PORT,
-            ),
-            store=StoreSettings(address=self.store_address),
-            bounds=BoundSettings(),
-            machine=MachineSettings(processor_share=capacity),
+        settings = make_settings(
+            f'vm-{number}',
+            DATA_CENTRES[number % len(DATA_CENTRES)],
+            self.store_address,
+            capacity,
         )
         exchange = LoadExchange(kernel, settings)
         for service in (
@@ -153,18 +137,7 @@
 
     async def write_server(self, **changes: object) -> None:
         """Write the entry of a server."""
-        entry = {
-            'service': SERVICE,
-            'address': '127.0.0.1:9',
-            'zone': 'enschede',
-            'version': 'v1',
-            'slots': 4,
-            'state': 'ready',
-            'cold_remaining_ms': 0,
-            'seq': 1,
-            **changes,
-        }
-        payload = msgspec.json.encode(entry)
+        payload = server_entry('127.0.0.1:9', service=SERVICE, **changes)
         await self.store.write('keyed.servers', SERVER, payload)
 
     async def wait_for(
@@ -182,11 +155,5 @@
 async def fleet() -> AsyncIterator[Fleet]:
     """A store, and a fleet without routers."""
     async with AsyncExitStack() as stack:
-        store = KeyedStoreService()
-        surroundings = Kernel()
-        surroundings.register(store)
-        listener = HttpListener(surroundings, ListenAddress('127.0.0.1', 0))
-        surroundings.register(listener)
-        await surroundings.start()
-        stack.push_async_callback(surroundings.stop)
-        yield Fleet(stack, store, listener.address)
+        store, address = await open_store(stack)
+        yield Fleet(stack, store, address)
--- a/tests/catalogue/test_store_census.py
+++ b/tests/catalogue/test_store_census.py
@@ -4,14 +4,9 @@
 import pytest
 
 from pollenloom.catalogue.store_census import StoreCensus
-from pollenloom.core.ids import DataCentreId, VmId
+from pollenloom.core.ids import VmId
 from pollenloom.kernel.kernel import Kernel
-from pollenloom.settings.node_settings import (
-    BoundSettings,
-    ListenSettings,
-    NodeSettings,
-    StoreSettings,
-)
+from tests.fakes.node_site import make_settings
 
 ADDRESS = '127.0.0.1:7401'
 NOW = 10.0
@@ -20,19 +15,7 @@
 @pytest.fixture
 def census() -> StoreCensus:
     """A census that has heard of its own router only."""
-    settings = NodeSettings(
-        vm=VmId('vm-b'),
-        data_centre=DataCentreId('enschede'),
-        listen=ListenSettings(
-            callers=ADDRESS,
-            readiness=ADDRESS,
-            metrics=ADDRESS,
-            peers=ADDRESS,
-        ),
-        store=StoreSettings(address=ADDRESS),
-        bounds=BoundSettings(),
-    )
-    return StoreCensus(Kernel(), settings)
+    return StoreCensus(Kernel(), make_settings('vm-b'))
 
 
 def known(census: StoreCensus) -> list[str]:
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -12,27 +12,23 @@
 
 from pollenloom.console.node_process import make_services
 from pollenloom.core.host_port import split_address
-from pollenloom.core.ids import DataCentreId, VmId
 from pollenloom.gateway.gateway_server import GatewayServer
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
-from pollenloom.settings.node_settings import (
-    BoundSettings,
-    ListenSettings,
-    NodeSettings,
-    StoreSettings,
-)
 from pollenloom_standins.keyed_store.keyed_store_service import (
     KeyedStoreService,
 )
-from pollenloom_standins.serving.http_listener import HttpListener
-from pollenloom_standins.serving.listen_address import ListenAddress
+from pollenloom_standins.worker.answers import (
+    sealed_answer,
+    sealed_stream_head,
+    server_entry,
+)
 from pollenloom_standins.worker.scripted_worker import (
     ReceivedRequest,
     ScriptedWorker,
 )
+from tests.fakes.node_site import make_settings, open_store
 
-ANY_PORT = '127.0.0.1:0'
 HOST = 'shop.example'
 KEY = 'key-of-the-shop'
 READY_SECONDS = 10
@@ -73,21 +69,6 @@
     }
 
 
-def make_entry(address: str, **changes: Any) -> dict[str, Any]:
-    """Return a server's entry."""
-    return {
-        'service': 'app',
-        'address': address,
-        'zone': 'enschede',
-        'version': 'v1',
-        'slots': 4,
-        'state': 'ready',
-        'cold_remaining_ms': 0,
-        'seq': 1,
-        **changes,
-    }
-
-
 @dataclass(slots=True)
 class Answer:
     """What a caller got; `is_whole` tells whether it ended as framed."""
@@ -129,7 +110,7 @@
     async def register(self, worker: ScriptedWorker, **entry: Any) -> None:
         """Write a server's entry."""
         server = f'i-{self.workers.index(worker)}'
-        payload = msgspec.json.encode(make_entry(worker.address, **entry))
+        payload = server_entry(worker.address, **entry)
         await self.store.write('keyed.servers', server, payload)
 
     async def wait_for(self, is_reached: Callable[[], bool]) -> None:
@@ -224,25 +205,8 @@
 async def site(tmp_path: Path) -> AsyncIterator[Site]:
     """A router that has read a configuration and no servers."""
     async with AsyncExitStack() as stack:
-        store = KeyedStoreService()
-        surroundings = Kernel()
-        surroundings.register(store)
-        listener = HttpListener(surroundings, ListenAddress('127.0.0.1', 0))
-        surroundings.register(listener)
-        await surroundings.start()
-        stack.push_async_callback(surroundings.stop)
-        settings = NodeSettings(
-            vm=VmId('edge-1'),
-            data_centre=DataCentreId('enschede'),
-            listen=ListenSettings(
-                callers=ANY_PORT,
-                readiness=ANY_PORT,
-                metrics=ANY_PORT,
-                peers=ANY_PORT,
-            ),
-            store=StoreSettings(address=listener.address),
-            bounds=BoundSettings(),
-        )
+        store, address = await open_store(stack)
+        settings = make_settings('edge-1', store_address=address)
         path = tmp_path / 'node.toml'
         path.write_text('', encoding='utf-8')
         kernel = Kernel()
@@ -257,31 +221,12 @@
 
 def whole(request: ReceivedRequest, body: bytes = b'done') -> bytes:
     """Return a whole sealed answer to a request."""
-    request_id = request.headers['x-pollenloom-attempt-id']
-    head = (
-        'HTTP/1.1 200 OK\r\n'
-        f'X-Pollenloom-Attempt-Id: {request_id}\r\n'
-        'X-Pollenloom-Response-Seal: seal\r\n'
-        f'Content-Length: {len(body)}\r\n\r\n'
-    )
-    return head.encode() + body
+    return sealed_answer(request.headers['x-pollenloom-attempt-id'], body)
 
 
 def stream_head(request: ReceivedRequest) -> bytes:
     """Return the head of a sealed stream in chunks."""
-    request_id = request.headers['x-pollenloom-attempt-id']
-    return (
-        'HTTP/1.1 200 OK\r\n'
-        f'X-Pollenloom-Attempt-Id: {request_id}\r\n'
-        'X-Pollenloom-Response-Seal: seal\r\n'
-        'Content-Type: text/event-stream\r\n'
-        'Transfer-Encoding: chunked\r\n\r\n'
-    ).encode()
-
-
-def chunk(part: bytes) -> bytes:
-    """Return one chunk of a body."""
-    return b'%x\r\n%b\r\n' % (len(part), part)
+    return sealed_stream_head(request.headers['x-pollenloom-attempt-id'])
 
 
 def event(number: int) -> bytes:
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -3,11 +3,11 @@
 import asyncio
 import time
 
+from pollenloom_standins.worker.answers import chunk
 from pollenloom_standins.worker.scripted_worker import ReceivedRequest
 from tests.gateway.conftest import (
     KEY,
     Site,
-    chunk,
     event,
     make_configuration,
     make_route,
