Record why requests wait or are refused for lack of capacity

Change: refusals state the account's usage; capacity_short, one line a second and service, has the decisions, the least waiting usage here and elsewhere and the age and size of the sum. Decisions are unchanged; tests of admission, routing, gateway, observability pass.

--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -15,9 +15,11 @@
 from pollenloom.admission.local_backlog import WaitingTicket
 from pollenloom.admission.local_pool import LocalPool
 from pollenloom.admission.placement import Placement
+from pollenloom.admission.pool_activity import PoolActivity
 from pollenloom.admission.selection_context import SelectionContext
 from pollenloom.admission.server_health_update import update_server_health
 from pollenloom.admission.settlement import Settlement
+from pollenloom.admission.shortage_record import record_shortage
 from pollenloom.admission.ticket import Ticket
 from pollenloom.catalogue.catalogue import Catalogue
 from pollenloom.catalogue.fleet_directory import FleetDirectory
@@ -29,6 +31,7 @@
 from pollenloom.core.states import Outcome
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.observability.event_log import EventLog
 from pollenloom.routing.cold_server_turn import (
     CLOSED_TURN,
     ColdServerTurn,
@@ -40,6 +43,8 @@
 # Limits on cold servers and queue windows ease with time, without an event.
 RECHECK_SECONDS: Final = 0.05
 MIN_RETRY_SECONDS: Final = 0.3
+# Interval of the records about services that are short of capacity.
+RECORD_INTERVAL_SECONDS: Final = 1.0
 
 GrantFuture = asyncio.Future[Grant]
 
@@ -80,9 +85,11 @@
             KernelServiceName.LOAD_EXCHANGE,
             LoadExchange,
         )
+        self.events = self.kernel.find(KernelServiceName.EVENTS, EventLog)
         self.exchange.local_loads = self.local_loads
         self.catalogue.watch(self.grant_all_waiting)
         self.kernel.spawn('admission-recheck', self.recheck())
+        self.kernel.spawn('admission-record', self.record_shortages())
 
     async def stop(self) -> None:
         """Cancel all waiting requests."""
@@ -107,7 +114,11 @@
             expected = pool.expected_wait(ticket, now)
             limit = pool.max_wait(ticket)
             if expected > limit:
-                reason = f'expected wait {expected:.2f} s, limit {limit:.2f} s'
+                pool.activity.refused += 1
+                reason = (
+                    f'expected wait {expected:.2f} s, limit {limit:.2f} s, '
+                    f'usage {pool.backlog.usage.total(ticket.account):.0f}'
+                )
                 return Error(self.reject(ticket, reason))
             return await self.wait(ticket, grant_future, now)
 
@@ -138,7 +149,13 @@
             raise
         if grant_future.done():
             return Ok(grant_future.result())
-        return Error(self.reject(ticket, f'no room within {seconds:.2f} s'))
+        self.pools[ticket.service].activity.timed_out += 1
+        usage = self.pools[ticket.service].backlog.usage.total(ticket.account)
+        return Error(
+            self.reject(
+                ticket, f'no room within {seconds:.2f} s, usage {usage:.0f}'
+            )
+        )
 
     def reject(self, ticket: Ticket, reason: str) -> Failure:
         """Return a failure that states after which time to retry."""
@@ -273,6 +290,18 @@
             if not any(pool.backlog.queues for pool in self.pools.values()):
                 self.has_waiting.clear()
 
+    async def record_shortages(self) -> None:
+        """Record the decisions about services that are short of capacity."""
+        while True:
+            await asyncio.sleep(RECORD_INTERVAL_SECONDS)
+            now = self.kernel.clock.monotonic()
+            for service, pool in self.pools.items():
+                if pool.activity.has_shortage:
+                    record_shortage(
+                        self.events, service, pool, self.exchange, now
+                    )
+                pool.activity = PoolActivity()
+
     def status(self, now: float) -> AdmissionStatus:
         """Return how many requests wait."""
         waiting = sum(
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -7,6 +7,7 @@
 from pollenloom.admission.local_backlog import LocalBacklog, WaitingTicket
 from pollenloom.admission.local_servers import LocalServers
 from pollenloom.admission.placement import Placement
+from pollenloom.admission.pool_activity import PoolActivity
 from pollenloom.admission.selection_context import SelectionContext
 from pollenloom.admission.server_candidates import ServerCandidates
 from pollenloom.admission.ticket import Ticket
@@ -44,11 +45,13 @@
         recent_cost: Sum of these cost hints.
         tightest_objective: Shortest objective of any request so far, in
             seconds.
+        activity: What was decided since it was last recorded.
     """
 
     def __init__(self) -> None:
         self.backlog = LocalBacklog()
         self.servers = LocalServers()
+        self.activity = PoolActivity()
         self.recent_sends: deque[tuple[float, float]] = deque()
         self.recent_cost: float = 0
         self.tightest_objective = float('inf')
@@ -95,10 +98,12 @@
         """
         for waiting in self.backlog.heads():
             if self.is_ahead(waiting.ticket.account, candidates.context):
+                self.activity.held_back += 1
                 return None
             placement = self.servers.place(waiting, candidates)
             if placement is not None:
                 return waiting, placement
+        self.activity.without_room += 1
         return None
 
     def record_sent(
@@ -109,6 +114,7 @@
     ) -> None:
         """Count a request that is sent."""
         now = context.now
+        self.activity.sent += 1
         self.backlog.remove(waiting)
         self.backlog.usage.charge(
             waiting.ticket.account,
--- /dev/null
+++ b/src/pollenloom/admission/pool_activity.py
@@ -0,0 +1,34 @@
+"""Counts of what admission to one service decided within a period."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class PoolActivity:
+    """Counts since the latest record in the event log.
+
+    Attributes:
+        sent: Requests that were sent.
+        refused: Requests that were refused at once.
+        timed_out: Requests that were refused after they had waited.
+        held_back: Choices that ended because the first account in order was
+            ahead of one that waits at another router.
+        without_room: Choices in which no waiting request had a server with
+            room.
+    """
+
+    sent: int = 0
+    refused: int = 0
+    timed_out: int = 0
+    held_back: int = 0
+    without_room: int = 0
+
+    @property
+    def has_shortage(self) -> bool:
+        """Whether a request was refused or had to wait."""
+        return bool(
+            self.refused
+            or self.timed_out
+            or self.held_back
+            or self.without_room
+        )
--- /dev/null
+++ b/src/pollenloom/admission/shortage_record.py
@@ -0,0 +1,44 @@
+"""Event records about services that are short of capacity."""
+
+from pollenloom.admission.local_pool import LocalPool
+from pollenloom.catalogue.load_exchange import LoadExchange
+from pollenloom.core.ids import ServiceId
+from pollenloom.core.units import MILLISECONDS_PER_SECOND
+from pollenloom.observability.event_log import EventLog
+from pollenloom.observability.event_name import EventName
+
+
+def record_shortage(
+    events: EventLog,
+    service: ServiceId,
+    pool: LocalPool,
+    exchange: LoadExchange,
+    now: float,
+) -> None:
+    """Record what admission decided lately, and on which inputs.
+
+    Args:
+        events: Event log of the router.
+        service: Service that is short of capacity.
+        pool: Its backlog and servers.
+        exchange: Source of the load of other routers.
+        now: Monotonic seconds.
+    """
+    remote_load = exchange.remote_load(service, now)
+    age = exchange.table.fleet_sum_age(now)
+    events.record(
+        EventName.CAPACITY_SHORT,
+        service,
+        sent=pool.activity.sent,
+        refused=pool.activity.refused,
+        timed_out=pool.activity.timed_out,
+        held_back=pool.activity.held_back,
+        without_room=pool.activity.without_room,
+        waiting_accounts=len(pool.backlog.queues),
+        least_usage=pool.backlog.lowest_waiting_usage(),
+        least_usage_elsewhere=remote_load.lowest_waiting_usage,
+        sum_age_ms=None
+        if age is None
+        else round(age * MILLISECONDS_PER_SECOND),
+        sum_routers=exchange.table.summed_routers,
+    )
--- a/src/pollenloom/observability/event_name.py
+++ b/src/pollenloom/observability/event_name.py
@@ -73,6 +73,11 @@
         REQUEST_ENDED: A request of a caller ended. Subject request: route,
             service, account, server, outcome, status, attempts, reason,
             revision, waited_ms, first_byte_ms, total_ms.
+        CAPACITY_SHORT: Requests for a service waited or were refused within
+            the last second; usages are decayed costs over the fleet. Subject
+            service: sent, refused, timed_out, held_back, without_room,
+            waiting_accounts, least_usage, least_usage_elsewhere, sum_age_ms,
+            sum_routers.
         ATTEMPT_FAILED: An attempt at a request on a backend server failed.
             Subject request: server, reason, run, server_version,
             entry_age_ms, is_again.
@@ -113,6 +118,7 @@
     SERVER_STATE = 'server_state'
     FLEET_SIZE = 'fleet_size'
     REQUEST_ENDED = 'request_ended'
+    CAPACITY_SHORT = 'capacity_short'
     ATTEMPT_FAILED = 'attempt_failed'
     LINES_DROPPED = 'lines_left_out'
     PROCESS_STATE = 'process_state'
--- a/src/pollenloom/routing/load_table.py
+++ b/src/pollenloom/routing/load_table.py
@@ -133,6 +133,19 @@
             return ServiceLoad()
         return add_loads(loads).scaled((routers - 1) / len(self.reports))
 
+    def fleet_sum_age(self, now: float) -> float | None:
+        """Return the seconds since the fleet sum in use arrived, if any."""
+        if not self.fleet_sums:
+            return None
+        return now - most_complete_entry(self.fleet_sums)[0]
+
+    @property
+    def summed_routers(self) -> int:
+        """Number of routers that the load in use covers."""
+        if not self.fleet_sums:
+            return len(self.reports)
+        return most_complete(self.fleet_sums).routers
+
     def without_local_load(
         self,
         total: LoadSum,
@@ -161,9 +174,14 @@
     }
 
 
-def most_complete(sums: ReceivedSums) -> LoadSum:
-    """Return the sum over most routers; of several, the newest."""
+def most_complete_entry(sums: ReceivedSums) -> tuple[float, LoadSum]:
+    """Return the entry of the sum over most routers; the newest of several."""
     return max(
         sums.values(),
         key=lambda entry: (entry[1].routers, entry[0]),
-    )[1]
+    )
+
+
+def most_complete(sums: ReceivedSums) -> LoadSum:
+    """Return the sum over most routers; of several, the newest."""
+    return most_complete_entry(sums)[1]
