Add failing tests of the shares of a fleet that decides locally

Change: LocalFleet runs 40 routers with local admission, 24 engines and their callers in one process and simulated time; half of the engines crash.

--- /dev/null
+++ b/tests/admission/local_fleet.py
@@ -0,0 +1,329 @@
+"""Routers with local admission in one process, in simulated time."""
+
+import asyncio
+import random
+import zlib
+from collections import Counter, defaultdict, deque
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from itertools import count
+from typing import TYPE_CHECKING, Any
+
+from pollenloom.admission.grant import Grant
+from pollenloom.admission.local_admission import LocalAdmission
+from pollenloom.admission.settlement import Settlement
+from pollenloom.admission.ticket import Ticket
+from pollenloom.catalogue.catalogue import Catalogue
+from pollenloom.catalogue.fleet_directory import FleetDirectory
+from pollenloom.catalogue.load_exchange import LoadExchange
+from pollenloom.core.ids import (
+    AccountId,
+    DataCentreId,
+    RequestId,
+    RouteId,
+    ServerId,
+    ServiceId,
+    VersionId,
+    VmId,
+)
+from pollenloom.core.states import Outcome, Resource
+from pollenloom.kernel.kernel import Kernel
+from pollenloom.observability.event_log import EventLog
+from pollenloom.routing.fleet_position import FleetPosition
+from pollenloom.routing.fleet_router import FleetRouter
+from pollenloom.routing.load_table import LoadTable
+from pollenloom.routing.server_directory import ServerDirectory
+from pollenloom.routing.server_entry import ServerEntry
+from pollenloom.routing.service_load import ServiceLoad, add_loads
+from tests.admission.simulated_loop import LoopClock
+
+if TYPE_CHECKING:
+    from pollenloom.routing.routing_configuration import RoutingConfiguration
+
+SERVICE = ServiceId('answers')
+REPORT_SECONDS = 0.1
+# Reports reach the other routers through the collectors of two data centres.
+REPORT_DELAY_SECONDS = 0.2
+# An engine that generates at the same time reads prompts at this rate.
+READ_TOKENS_PER_SECOND = 66_000
+SECONDS_PER_OUTPUT_TOKEN = 0.005
+
+
+@dataclass(frozen=True, slots=True)
+class RequestShape:
+    """Size and objective of one kind of request; sizes in tokens."""
+
+    route: str
+    prompt: int
+    shared: int
+    output: int
+    objective: float
+    timeout: float
+    sessions: int
+
+
+class FakeCatalogue(Catalogue):
+    """Catalogue with a fixed list of engines."""
+
+    def __init__(self, engines: int, slots: int) -> None:
+        self.configuration: RoutingConfiguration | None = None
+        self.directory = ServerDirectory()
+        for number in range(engines):
+            entry = ServerEntry(
+                server=ServerId(f'i-{number}'),
+                service=SERVICE,
+                address='10.0.0.1:80',
+                data_centre=DataCentreId('enschede'),
+                version=VersionId('v1'),
+                slots=slots,
+                is_leaving=False,
+                cold_seconds=0,
+                started_at=0,
+            )
+            self.directory.upsert(entry, 1, 0, wall=0, is_first_read=True)
+
+    async def start(self) -> None:
+        """Do nothing."""
+
+    async def stop(self) -> None:
+        """Do nothing."""
+
+    def watch(self, listener: Callable[[], None]) -> None:
+        """Engines never change."""
+
+    @property
+    def is_complete(self) -> bool:
+        """Engines are known from the start."""
+        return True
+
+
+class FakeFleetDirectory(FleetDirectory):
+    """Directory that no decision depends on, as no engine is cold."""
+
+    async def start(self) -> None:
+        """Do nothing."""
+
+    async def stop(self) -> None:
+        """Do nothing."""
+
+    def size(self, now: float) -> int:
+        """Return a fixed size."""
+        return 1
+
+    def position(self) -> FleetPosition | None:
+        """Raise an error, since only cold engines need a position."""
+        raise NotImplementedError
+
+    def routers(self) -> tuple[FleetRouter, ...]:
+        """Return no routers."""
+        return ()
+
+
+class DelayedExchange(LoadExchange):
+    """Exchange whose reports reach other routers after a fixed delay."""
+
+    def __init__(self, vm: VmId) -> None:
+        self.vm = vm
+        self.table = LoadTable(vm)
+        self.local_loads = dict
+        self.remote = ServiceLoad()
+
+    async def start(self) -> None:
+        """Do nothing; the fleet delivers the loads."""
+
+    async def stop(self) -> None:
+        """Do nothing."""
+
+    def remote_load(self, service: ServiceId, now: float) -> ServiceLoad:
+        """Return the latest load that was delivered."""
+        return self.remote
+
+
+@dataclass(slots=True)
+class Engine:
+    """Reads prompts in order of arrival; generates for many at a time."""
+
+    read_until: float = 0
+
+    async def read(self, tokens: float) -> None:
+        """Wait until the prompt is read."""
+        now = asyncio.get_running_loop().time()
+        start = max(now, self.read_until)
+        self.read_until = start + tokens / READ_TOKENS_PER_SECOND
+        await asyncio.sleep(self.read_until - now)
+
+
+def new_seconds() -> defaultdict[int, float]:
+    """Return sums by second of the run."""
+    return defaultdict(float)
+
+
+@dataclass(slots=True)
+class AccountSeconds:
+    """Tokens of one account by second of the run.
+
+    Attributes:
+        asked: Tokens of requests when they are first asked.
+        begun: Tokens of requests when their first token is generated.
+        refused: Number of requests that were refused.
+    """
+
+    asked: defaultdict[int, float] = field(default_factory=new_seconds)
+    begun: defaultdict[int, float] = field(default_factory=new_seconds)
+    refused: Counter[int] = field(default_factory=Counter)
+
+
+class LocalFleet:
+    """Routers, engines and callers.
+
+    Callers of an account use one router each, and try again once at another
+    router after the time that a refusal states.
+    """
+
+    def __init__(self, routers: int, engines: int, slots: int) -> None:
+        self.random = random.Random(18)
+        self.catalogue = FakeCatalogue(engines, slots)
+        self.engines: dict[ServerId, Engine] = defaultdict(Engine)
+        self.cached: set[tuple[ServerId, int]] = set()
+        self.exchanges = [
+            DelayedExchange(VmId(f'r-{number}')) for number in range(routers)
+        ]
+        self.admissions: list[LocalAdmission] = []
+        self.seconds: dict[str, AccountSeconds] = defaultdict(AccountSeconds)
+        self.request_numbers = count()
+        self.started_at: float = 0
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Start the routers and the exchange of their loads."""
+        self.started_at = asyncio.get_running_loop().time()
+        for exchange in self.exchanges:
+            kernel = Kernel(LoopClock())
+            kernel.register(EventLog(kernel.clock))
+            kernel.register(self.catalogue)
+            kernel.register(FakeFleetDirectory())
+            kernel.register(exchange)
+            admission = LocalAdmission(kernel)
+            await admission.start()
+            self.admissions.append(admission)
+        self.spawn(self.exchange_loads())
+
+    async def stop(self) -> None:
+        """End all tasks."""
+        for admission in self.admissions:
+            await admission.kernel.stop()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a task until the fleet stops."""
+        self.tasks.append(asyncio.get_running_loop().create_task(coroutine))
+
+    def second(self) -> int:
+        """Second of the run."""
+        return int(asyncio.get_running_loop().time() - self.started_at)
+
+    async def exchange_loads(self) -> None:
+        """Add up the reports and deliver the sums after the delay."""
+        sent: deque[list[ServiceLoad]] = deque()
+        while True:
+            await asyncio.sleep(REPORT_SECONDS)
+            sent.append(
+                [
+                    exchange.local_loads().get(SERVICE, ServiceLoad())
+                    for exchange in self.exchanges
+                ]
+            )
+            if len(sent) * REPORT_SECONDS <= REPORT_DELAY_SECONDS:
+                continue
+            loads = sent.popleft()
+            total = add_loads(loads)
+            for exchange, load in zip(self.exchanges, loads, strict=True):
+                exchange.remote = total.minus(load, exchange.vm)
+
+    async def ask(
+        self,
+        account: str,
+        shape: RequestShape,
+        per_second: float,
+        routers: int | None = None,
+    ) -> None:
+        """Send requests of one shape at random times until cancelled.
+
+        First attempts go to the first `routers` routers, or to all.
+        """
+        while True:
+            await asyncio.sleep(self.random.expovariate(per_second))
+            self.spawn(self.call(account, shape, routers))
+
+    def remove_engines(self, number: int) -> None:
+        """Remove engines as if they had crashed and left the store."""
+        now = asyncio.get_running_loop().time()
+        directory = self.catalogue.directory
+        for server in tuple(directory.servers)[:number]:
+            directory.remove(server, now)
+        directory.drop_removed(now)
+
+    async def call(
+        self,
+        account: str,
+        shape: RequestShape,
+        routers: int | None,
+    ) -> None:
+        """Send one request, and once again if it is refused."""
+        tokens = shape.prompt + 2 * shape.output
+        session = self.random.randrange(shape.sessions)
+        prefix = zlib.crc32(f'{account} {shape.route} {session}'.encode())
+        self.seconds[account].asked[self.second()] += tokens
+        deadline = asyncio.get_running_loop().time() + shape.timeout
+        for admissions in (self.admissions[:routers], self.admissions):
+            ticket = Ticket(
+                request_id=RequestId(str(next(self.request_numbers))),
+                account=AccountId(account),
+                service=SERVICE,
+                route=RouteId(shape.route),
+                resource=Resource.MODEL,
+                cost_hint=tokens,
+                deadline=deadline,
+                prefix_hashes=(prefix,),
+                objective=shape.objective,
+                prompt_tokens=shape.prompt,
+                shared_tokens=shape.shared,
+            )
+            admission = self.random.choice(admissions)
+            acquired = await admission.acquire(ticket)
+            if acquired.is_ok():
+                await self.run(admission, acquired.ok, ticket, shape)
+                return
+            self.seconds[account].refused[self.second()] += 1
+            retry_after = acquired.error.retry_after_seconds
+            await asyncio.sleep(retry_after or 0)
+
+    async def run(
+        self,
+        admission: LocalAdmission,
+        grant: Grant,
+        ticket: Ticket,
+        shape: RequestShape,
+    ) -> None:
+        """Run a request on the engine of its grant."""
+        sent_at = asyncio.get_running_loop().time()
+        server = grant.server.server
+        prefix = (server, ticket.prefix_hashes[0])
+        is_cached = prefix in self.cached
+        self.cached.add(prefix)
+        await self.engines[server].read(
+            ticket.unshared_tokens if is_cached else ticket.prompt_tokens
+        )
+        self.seconds[ticket.account].begun[self.second()] += ticket.cost_hint
+        first_byte = asyncio.get_running_loop().time() - sent_at
+        admission.observe_first_byte(grant, first_byte)
+        await asyncio.sleep(shape.output * SECONDS_PER_OUTPUT_TOKEN)
+        admission.settle(
+            Settlement(
+                grant=grant,
+                outcome=Outcome.SERVED,
+                first_byte_seconds=first_byte,
+            )
+        )
--- /dev/null
+++ b/tests/admission/test_local_fleet_fairness.py
@@ -0,0 +1,124 @@
+"""Shares of client accounts over a fleet that decides locally."""
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from tests.admission.local_fleet import LocalFleet, RequestShape
+from tests.admission.simulated_loop import simulate
+
+DRAFT = RequestShape('draft', 12_000, 5_400, 380, 0.6, 12, 40)
+ANSWER = RequestShape('answer', 830, 200, 290, 0.3, 10, 12)
+TAG = RequestShape('tag', 2_400, 570, 22, 0.3, 2.5, 50)
+# Requests of each shape in the mix, as in the grown environment.
+MIX = ((DRAFT, 0.28), (ANSWER, 0.14), (TAG, 0.58))
+LARGEST_TOKENS = DRAFT.prompt + 2 * DRAFT.output
+ROUTERS = 40
+ENGINES = 24
+CRASHED_ENGINES = 11
+SLOTS = 12
+CRASH_SECOND = 5
+END_SECOND = 13
+WINDOW_SECONDS = 6
+# An account that has requests refused in each second of a window gets at least
+# this part of the smaller of its own demand and of what the best served
+# account gets.
+SMALLEST_SHARE = 0.5
+# Requests are not divisible: so many of the largest ones may be missing.
+SLACK_REQUESTS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Requests of one account.
+
+    Attributes:
+        account: The account.
+        per_second: Requests per second.
+        routers: Number of routers that its callers reach at first; None for
+            all.
+        start: Second in which they begin.
+    """
+
+    account: str
+    per_second: float
+    routers: int | None = None
+    start: float = 0
+
+
+async def run_fleet(loads: Iterable[Load]) -> LocalFleet:
+    """Run accounts while half of the engines crash."""
+    fleet = LocalFleet(ROUTERS, ENGINES, SLOTS)
+    await fleet.start()
+    for load in loads:
+        for shape, part in MIX:
+            fleet.spawn(ask(fleet, load, shape, part))
+    await asyncio.sleep(CRASH_SECOND)
+    fleet.remove_engines(CRASHED_ENGINES)
+    await asyncio.sleep(END_SECOND - CRASH_SECOND)
+    await fleet.stop()
+    return fleet
+
+
+async def ask(
+    fleet: LocalFleet, load: Load, shape: RequestShape, part: float
+) -> None:
+    """Send the requests of one account and shape from its start on."""
+    await asyncio.sleep(load.start)
+    await fleet.ask(load.account, shape, load.per_second * part, load.routers)
+
+
+def find_starved(fleet: LocalFleet) -> list[str]:
+    """Describe each window in which an account gets less than its share."""
+    starved: list[str] = []
+    for start in range(1, END_SECOND - WINDOW_SECONDS + 1):
+        window = range(start, start + WINDOW_SECONDS)
+        begun = {
+            account: sum(seconds.begun[second] for second in window)
+            for account, seconds in fleet.seconds.items()
+        }
+        best = max(begun, key=begun.__getitem__)
+        best_seconds = fleet.seconds[best]
+        for account, seconds in fleet.seconds.items():
+            if not all(seconds.refused[second] for second in window):
+                continue
+            owed = sum(
+                min(seconds.asked[second], best_seconds.begun[second])
+                for second in window
+            )
+            slack = SLACK_REQUESTS * LARGEST_TOKENS
+            if begun[account] < SMALLEST_SHARE * owed - slack:
+                starved.append(
+                    f'from {start} s: {account} got {begun[account]} of '
+                    f'{owed}, {best} got {begun[best]}'
+                )
+    return starved
+
+
+def test_small_account_is_not_refused_while_others_are_served() -> None:
+    """Guards against an account that asks little and is refused all the same.
+
+    In a large fleet one router sends few tokens a second, so that a large
+    request seemed to be late because of its own size.
+    """
+    loads = [Load(f'small-{number}', 8) for number in range(8)]
+    loads += [Load(f'bound-{number}', 70, 1) for number in range(2)]
+    loads += [Load(f'spread-{number}', 90) for number in range(3)]
+    fleet = simulate(run_fleet(loads))
+    assert not find_starved(fleet)
+
+
+def test_account_does_not_pay_back_what_it_got_from_idle_capacity() -> None:
+    """Guards against an account that is held back for seconds.
+
+    It got much while there was capacity for all; then other accounts began to
+    ask, and engines crashed.
+    """
+    loads = [Load(f'small-{number}', 8) for number in range(8)]
+    loads.append(Load('early', 200))
+    loads += [
+        Load(f'late-{number}', 60, number + 1, CRASH_SECOND - 1)
+        for number in range(5)
+    ]
+    fleet = simulate(run_fleet(loads))
+    assert not find_starved(fleet)
