Forget the usage of an account after about a second

Cause: payback. Usage decayed with 4 s, so what an account had got from idle capacity, or before engines crashed, was held against it at the new, lower level for 4 s x ln(old / new level), about six seconds. Change: DECAY_SECONDS 4 -> 1.

--- a/src/pollenloom/routing/account_usage.py
+++ b/src/pollenloom/routing/account_usage.py
@@ -9,10 +9,10 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-# Time constant of the decay. Shares are balanced over a few seconds; older cost
-# is forgotten, so that idle time gives no credit and an account is not charged
-# for a past burst.
-DECAY_SECONDS: Final = 4.0
+# Time constant of the decay. An account that got more than its share, from idle
+# capacity or before capacity fell, is held back for up to about twice this
+# time; with 4 s it got nothing for six seconds.
+DECAY_SECONDS: Final = 1.0
 # Accounts whose decayed cost is not larger than this are dropped.
 SMALLEST_USAGE: Final = 1.0
 # Accounts in one report to other routers, those with the largest usage.
