Limit accounts to their max-min share of what the fleet serves

Cause: an account was held back only for the least served account with a request in a queue at the moment of a report. Demand that is refused at once, most of it in a large fleet, was not seen; and one small request that waited held back every account above its usage, whatever their shares. Change: routers report the cost that they refused, by account, instead of the least waiting usage. From usage and refusals each router computes the max-min share.

--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -160,7 +160,9 @@
     def reject(self, ticket: Ticket, reason: str) -> Failure:
         """Return a failure that states after which time to retry."""
         now = self.kernel.clock.monotonic()
-        wait = self.pools[ticket.service].expected_wait(ticket, now)
+        pool = self.pools[ticket.service]
+        pool.record_refusal(ticket, now)
+        wait = pool.expected_wait(ticket, now)
         return Failure(
             ErrorKind.NO_CAPACITY,
             reason,
@@ -171,7 +173,7 @@
         """Return the loads that this router reports to others, by service."""
         now = self.kernel.clock.monotonic()
         return {
-            service: pool.service_load(self.exchange.vm, now)
+            service: pool.service_load(now)
             for service, pool in self.pools.items()
         }
 
--- a/src/pollenloom/admission/local_backlog.py
+++ b/src/pollenloom/admission/local_backlog.py
@@ -7,6 +7,7 @@
 from pollenloom.admission.ticket import Ticket
 from pollenloom.core.ids import AccountId
 from pollenloom.routing.account_usage import AccountUsage
+from pollenloom.routing.fair_level import fair_level
 
 
 @dataclass(eq=False, slots=True)
@@ -22,9 +23,15 @@
     """Queues by account; the account with the least recent usage is first.
 
     Every account has the same share.
+
+    Attributes:
+        usage: Cost of the requests that were sent.
+        refused: Cost of the requests that were refused.
+        queues: Waiting requests, by account.
     """
 
     usage: AccountUsage = field(default_factory=AccountUsage)
+    refused: AccountUsage = field(default_factory=AccountUsage)
     queues: dict[AccountId, deque[WaitingTicket]] = field(default_factory=dict)
 
     def put(self, waiting: WaitingTicket) -> None:
@@ -50,9 +57,9 @@
         for account in sorted(self.queues, key=self.usage.total):
             yield self.queues[account][0]
 
-    def lowest_waiting_usage(self) -> float | None:
-        """Lowest usage of an account that waits; None if none does."""
-        return min(map(self.usage.total, self.queues), default=None)
+    def fair_level(self, now: float) -> float | None:
+        """Usage within an account's share; None if nothing was refused."""
+        return fair_level(self.usage.totals(now), self.refused.totals(now))
 
     def cost_ahead(self, ticket: Ticket) -> float:
         """Cost of the requests that go before a new request of the account.
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -11,7 +11,7 @@
 from pollenloom.admission.selection_context import SelectionContext
 from pollenloom.admission.server_candidates import ServerCandidates
 from pollenloom.admission.ticket import Ticket
-from pollenloom.core.ids import AccountId, VmId
+from pollenloom.core.ids import AccountId
 from pollenloom.routing.send_window import (
     PREFILL_TOKENS_PER_SECOND,
     QUEUE_SHARE,
@@ -29,9 +29,11 @@
 # queueing time as prompts that take just this share, so that prompt sizes are
 # treated alike.
 MAX_PREFILL_SHARE: Final = 0.4
-# Lead in usage that an account may have over one that waits at another router:
-# load reports are late, and requests differ in size. The cost is in the unit
-# of the service's resource.
+# Load reports come every 0.1 s.
+LEVEL_SECONDS: Final = 0.1
+# Lead in usage that an account may have over its share: load reports are late,
+# and requests differ in size. The cost is in the unit of the service's
+# resource.
 MAX_LEAD_SHARE: Final = 0.2
 MAX_LEAD_COST: Final = 20_000.0
 
@@ -46,6 +48,10 @@
         tightest_objective: Shortest objective of any request so far, in
             seconds.
         activity: What was decided since it was last recorded.
+        remote_load: Latest load of the other routers.
+        level: Usage up to which an account is within its share; None while
+            no account takes capacity from another.
+        level_expires_at: When the level is computed again, monotonic seconds.
     """
 
     def __init__(self) -> None:
@@ -54,6 +60,9 @@
         self.activity = PoolActivity()
         self.recent_sends: deque[tuple[float, float]] = deque()
         self.recent_cost: float = 0
+        self.remote_load = ServiceLoad()
+        self.level: float | None = None
+        self.level_expires_at = float('-inf')
         self.tightest_objective = float('inf')
 
     def put(self, waiting: WaitingTicket) -> None:
@@ -75,9 +84,8 @@
         """
         if not self.backlog.queues:
             return
-        usage = self.backlog.usage
-        usage.decay(context.now)
-        usage.remote = context.remote_load.usage
+        self.backlog.usage.decay(context.now)
+        self.apply_remote_load(context.remote_load, context.now)
         candidates = self.servers.make_candidates(servers, context)
         while self.backlog.queues:
             found = self.next_placement(candidates)
@@ -87,6 +95,17 @@
             candidates.refresh(found[1].known)
             yield found
 
+    def apply_remote_load(self, load: ServiceLoad, now: float) -> None:
+        """Use the load of other routers, and the share that follows from it."""
+        if load is self.remote_load and now < self.level_expires_at:
+            return
+        self.remote_load = load
+        self.backlog.usage.remote = load.usage
+        self.backlog.refused.remote = load.refused
+        if now >= self.level_expires_at:
+            self.level = self.backlog.fair_level(now)
+            self.level_expires_at = now + LEVEL_SECONDS
+
     def next_placement(
         self,
         candidates: ServerCandidates,
@@ -97,12 +116,14 @@
         ahead of one that waits at another router.
         """
         for waiting in self.backlog.heads():
-            if self.is_ahead(waiting.ticket.account, candidates.context):
-                self.activity.held_back += 1
-                return None
-            placement = self.servers.place(waiting, candidates)
+            is_ahead = self.is_ahead(waiting.ticket.account)
+            placement = self.servers.place(
+                waiting, candidates, is_ahead=is_ahead
+            )
             if placement is not None:
                 return waiting, placement
+            if is_ahead:
+                self.activity.held_back += 1
         self.activity.without_room += 1
         return None
 
@@ -159,20 +180,19 @@
             - prefill_seconds,
         )
 
-    def is_ahead(self, account: AccountId, context: SelectionContext) -> bool:
-        """Whether an account is too far ahead of those on other routers.
+    def record_refusal(self, ticket: Ticket, now: float) -> None:
+        """Count a request that is refused for lack of capacity."""
+        self.backlog.refused.charge(ticket.account, ticket.cost_hint, now)
 
-        Compares it with the least served account that waits at any of them.
-        """
-        least = context.remote_load.lowest_waiting_usage
-        if least is None:
+    def is_ahead(self, account: AccountId) -> bool:
+        """Whether an account got more than its share while others need it."""
+        if self.level is None:
             return False
-        allowed = least * (1 + MAX_LEAD_SHARE) + MAX_LEAD_COST
+        allowed = self.level * (1 + MAX_LEAD_SHARE) + MAX_LEAD_COST
         return self.backlog.usage.total(account) > allowed
 
-    def service_load(self, router: VmId, now: float) -> ServiceLoad:
-        """Return the load of this service that `router` reports to others."""
-        least = self.backlog.lowest_waiting_usage()
+    def service_load(self, now: float) -> ServiceLoad:
+        """Return the load of this service that is reported to others."""
         return ServiceLoad(
             unread={
                 server: round(load.window.outstanding)
@@ -185,5 +205,5 @@
                 if load.in_flight
             },
             usage=self.backlog.usage.largest_usages(now),
-            waiting={} if least is None else {router: round(least)},
+            refused=self.backlog.refused.largest_usages(now),
         )
--- a/src/pollenloom/admission/local_servers.py
+++ b/src/pollenloom/admission/local_servers.py
@@ -89,9 +89,14 @@
         self,
         waiting: WaitingTicket,
         candidates: ServerCandidates,
+        *,
+        is_ahead: bool = False,
     ) -> Placement | None:
         """Return a server with room for the request, if there is one.
 
+        A request of an account that is ahead of its share only gets spare
+        room.
+
         Chooses the lowest sum of the expected delay and the expected time to
         read the prompt, in which a repeated read of the shared prefix has
         extra weight.
@@ -105,6 +110,8 @@
         for rank, server in self.eligible_servers(
             waiting, candidates, preferred_servers
         ):
+            if is_ahead and not server.has_spare_room:
+                continue
             miss_probability = MISS_PROBABILITIES[rank]
             repeated_prefill = (
                 REPEATED_PREFILL_WEIGHT
--- a/src/pollenloom/admission/server_candidates.py
+++ b/src/pollenloom/admission/server_candidates.py
@@ -17,15 +17,27 @@
 # it responded later.
 FAILURE_PENALTY_SECONDS: Final = 2.0
 
+# Share of a server's room that accounts ahead of their share may fill. The rest
+# is for the others, so that they need not wait until a request ends.
+SPARE_SHARE: Final = 0.5
+
 LoadLookup = Callable[[ServerId, float], ServerLoad]
 
 
 @dataclass(frozen=True, slots=True)
 class AvailableServer:
-    """A server with room, and its expected delay before a new request."""
+    """A server with room.
+
+    Attributes:
+        known: The server.
+        delay_seconds: Expected seconds before a new request is started.
+        has_spare_room: Whether it also has room for accounts that are ahead
+            of their share.
+    """
 
     known: KnownServer
     delay_seconds: float
+    has_spare_room: bool
 
 
 class ServerCandidates:
@@ -93,7 +105,11 @@
         load = self.find_load(server, self.context.now)
         if not self.may_send(load, known):
             return None
-        return AvailableServer(known, self.estimate_delay(load, server))
+        return AvailableServer(
+            known,
+            self.estimate_delay(load, server),
+            self.has_spare_room(load, known),
+        )
 
     def rank(self) -> None:
         """Sort the available servers by expected delay."""
@@ -142,6 +158,16 @@
         unread = context.remote_unread(server)
         return is_free and load.window.has_room(unread)
 
+    def has_spare_room(self, load: ServerLoad, known: KnownServer) -> bool:
+        """Whether little enough of a server's room is taken."""
+        server = known.entry.server
+        running = load.in_flight + self.context.remote_running(server)
+        unread = load.window.outstanding + self.context.remote_unread(server)
+        return (
+            running < known.entry.slots * SPARE_SHARE
+            and unread < load.window.limit * SPARE_SHARE
+        )
+
     def estimate_delay(self, load: ServerLoad, server: ServerId) -> float:
         """Return the expected seconds before a new request is started."""
         health = load.health
--- a/src/pollenloom/admission/shortage_record.py
+++ b/src/pollenloom/admission/shortage_record.py
@@ -24,7 +24,6 @@
         exchange: Source of the load of other routers.
         now: Monotonic seconds.
     """
-    remote_load = exchange.remote_load(service, now)
     age = exchange.table.fleet_sum_age(now)
     events.record(
         EventName.CAPACITY_SHORT,
@@ -35,8 +34,7 @@
         held_back=pool.activity.held_back,
         without_room=pool.activity.without_room,
         waiting_accounts=len(pool.backlog.queues),
-        least_usage=pool.backlog.lowest_waiting_usage(),
-        least_usage_elsewhere=remote_load.lowest_waiting_usage,
+        fair_level=pool.level,
         sum_age_ms=None
         if age is None
         else round(age * MILLISECONDS_PER_SECOND),
--- a/src/pollenloom/observability/event_name.py
+++ b/src/pollenloom/observability/event_name.py
@@ -76,8 +76,7 @@
         CAPACITY_SHORT: Requests for a service waited or were refused within
             the last second; usages are decayed costs over the fleet. Subject
             service: sent, refused, timed_out, held_back, without_room,
-            waiting_accounts, least_usage, least_usage_elsewhere, sum_age_ms,
-            sum_routers.
+            waiting_accounts, fair_level, sum_age_ms, sum_routers.
         ATTEMPT_FAILED: An attempt at a request on a backend server failed.
             Subject request: server, reason, run, server_version,
             entry_age_ms, is_again.
--- a/src/pollenloom/routing/account_usage.py
+++ b/src/pollenloom/routing/account_usage.py
@@ -42,6 +42,14 @@
         """Return the usage over the fleet, as of the latest decay."""
         return self.local.get(account, 0) + self.remote.get(account, 0)
 
+    def totals(self, now: float) -> dict[AccountId, float]:
+        """Return the usage of all accounts over the fleet."""
+        self.decay(now)
+        return {
+            account: self.total(account)
+            for account in self.local.keys() | self.remote.keys()
+        }
+
     def decay(self, now: float) -> None:
         """Decay the local cost for the time since the latest decay."""
         elapsed = now - self.decayed_at
--- a/src/pollenloom/routing/load_table.py
+++ b/src/pollenloom/routing/load_table.py
@@ -162,7 +162,7 @@
         if local_report is None:
             return load
         local_load = local_report.loads.get(service, ServiceLoad())
-        return load.minus(local_load, self.router)
+        return load.minus(local_load)
 
 
 def received_since(sums: ReceivedSums, earliest: float) -> ReceivedSums:
--- a/src/pollenloom/routing/service_load.py
+++ b/src/pollenloom/routing/service_load.py
@@ -4,15 +4,11 @@
 from dataclasses import dataclass, field
 from typing import TypeVar
 
-from pollenloom.core.ids import AccountId, ServerId, VmId
+from pollenloom.core.ids import AccountId, ServerId
 
 KeyT = TypeVar('KeyT', bound=str)
 Amounts = Mapping[KeyT, float]
 
-# Only the lowest usage is needed, but each router leaves out its own, so the
-# two lowest ones are kept.
-WAITING_ROUTERS_KEPT = 2
-
 
 @dataclass(frozen=True, slots=True)
 class ServiceLoad:
@@ -21,32 +17,22 @@
     Attributes:
         unread: Prompt tokens sent and not known to be read, by server.
         running: Requests sent and not ended, by server.
-        usage: Recent cost, by client account.
-        waiting: Usage over the fleet of the least served account that has a
-            request waiting, by router; only the lowest ones.
+        usage: Recent cost that was served, by client account.
+        refused: Recent cost that was refused, by client account.
     """
 
     unread: Mapping[ServerId, float] = field(default_factory=dict)
     running: Mapping[ServerId, float] = field(default_factory=dict)
     usage: Mapping[AccountId, float] = field(default_factory=dict)
-    waiting: Mapping[VmId, float] = field(default_factory=dict)
-
-    @property
-    def lowest_waiting_usage(self) -> float | None:
-        """Usage of the least served account that waits; None if none does."""
-        return min(self.waiting.values(), default=None)
+    refused: Mapping[AccountId, float] = field(default_factory=dict)
 
-    def minus(self, part: 'ServiceLoad', router: VmId) -> 'ServiceLoad':
+    def minus(self, part: 'ServiceLoad') -> 'ServiceLoad':
         """Return the load without the part of one router."""
         return ServiceLoad(
             unread=subtract(self.unread, part.unread),
             running=subtract(self.running, part.running),
             usage=subtract(self.usage, part.usage),
-            waiting={
-                waiting: usage
-                for waiting, usage in self.waiting.items()
-                if waiting != router
-            },
+            refused=subtract(self.refused, part.refused),
         )
 
     def scaled(self, scale: float) -> 'ServiceLoad':
@@ -57,22 +43,18 @@
             unread=multiply(self.unread, scale),
             running=multiply(self.running, scale),
             usage=multiply(self.usage, scale),
-            waiting=self.waiting,
+            refused=multiply(self.refused, scale),
         )
 
 
 def add_loads(loads: Iterable[ServiceLoad]) -> ServiceLoad:
     """Return the sum of the loads of different routers."""
     parts = tuple(loads)
-    waiting: dict[VmId, float] = {}
-    for part in parts:
-        waiting.update(part.waiting)
-    lowest = sorted(waiting, key=waiting.__getitem__)[:WAITING_ROUTERS_KEPT]
     return ServiceLoad(
         unread=add_up(parts, lambda load: load.unread),
         running=add_up(parts, lambda load: load.running),
         usage=add_up(parts, lambda load: load.usage),
-        waiting={router: waiting[router] for router in lowest},
+        refused=add_up(parts, lambda load: load.refused),
     )
 
 
