Expect no wait for what a request's own size or its turn does not cause

Cause: expected_wait counted the new request itself, which is in the queue already, at the send rate of one router. A 12,000-token prompt seemed 0.4 s late at one router of 70 with 31,000 tokens a second, limit 0.26 s. It also assumed that accounts take turns, while the order is by usage. Change: the cost ahead is that of earlier requests of the account and of accounts with less usage, as far as they come before it. Retry-After uses the same figure. Measured: test_large_request_is_not_late_because_of_its_own_size and test_account_with_least_usage_does_not_wait_for_others fail before, pass after.

--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -100,7 +100,8 @@
         """Wait for a grant; see `Admission.acquire`."""
         now = self.kernel.clock.monotonic()
         if not self.catalogue.directory.usable(ticket.service, now):
-            return Error(self.reject(ticket, 'no server is registered'))
+            reason = 'no server is registered'
+            return Error(self.reject(ticket, reason, 0))
         pool = self.pools[ticket.service]
         waiting = WaitingTicket(ticket, now)
         grant_future: GrantFuture = asyncio.get_running_loop().create_future()
@@ -111,7 +112,7 @@
             self.grant_waiting(ticket.service)
             if grant_future.done():
                 return Ok(grant_future.result())
-            expected = pool.expected_wait(ticket, now)
+            expected = pool.expected_wait(waiting, now)
             limit = pool.max_wait(ticket)
             if expected > limit:
                 pool.activity.refused += 1
@@ -119,8 +120,8 @@
                     f'expected wait {expected:.2f} s, limit {limit:.2f} s, '
                     f'usage {pool.backlog.usage.total(ticket.account):.0f}'
                 )
-                return Error(self.reject(ticket, reason))
-            return await self.wait(ticket, grant_future, now)
+                return Error(self.reject(ticket, reason, expected))
+            return await self.wait(waiting, grant_future, now)
 
     def withdraw(self, waiting: WaitingTicket) -> None:
         """Remove a request that no longer waits."""
@@ -129,12 +130,13 @@
 
     async def wait(
         self,
-        ticket: Ticket,
+        waiting: WaitingTicket,
         grant_future: GrantFuture,
         now: float,
     ) -> Result[Grant, Failure]:
         """Wait for a grant while it could still meet objective and deadline."""
         self.has_waiting.set()
+        ticket = waiting.ticket
         limit = self.pools[ticket.service].max_wait(ticket)
         seconds = min(limit, ticket.deadline - now)
         try:
@@ -149,24 +151,23 @@
             raise
         if grant_future.done():
             return Ok(grant_future.result())
-        self.pools[ticket.service].activity.timed_out += 1
-        usage = self.pools[ticket.service].backlog.usage.total(ticket.account)
-        return Error(
-            self.reject(
-                ticket, f'no room within {seconds:.2f} s, usage {usage:.0f}'
-            )
-        )
+        pool = self.pools[ticket.service]
+        pool.activity.timed_out += 1
+        usage = pool.backlog.usage.total(ticket.account)
+        reason = f'no room within {seconds:.2f} s, usage {usage:.0f}'
+        expected = pool.expected_wait(waiting, now + seconds)
+        return Error(self.reject(ticket, reason, expected))
 
-    def reject(self, ticket: Ticket, reason: str) -> Failure:
-        """Return a failure that states after which time to retry."""
+    def reject(
+        self, ticket: Ticket, reason: str, expected_wait: float
+    ) -> Failure:
+        """Return a failure that states after which seconds to retry."""
         now = self.kernel.clock.monotonic()
-        pool = self.pools[ticket.service]
-        pool.record_refusal(ticket, now)
-        wait = pool.expected_wait(ticket, now)
+        self.pools[ticket.service].record_refusal(ticket, now)
         return Failure(
             ErrorKind.NO_CAPACITY,
             reason,
-            retry_after_seconds=max(MIN_RETRY_SECONDS, wait),
+            retry_after_seconds=max(MIN_RETRY_SECONDS, expected_wait),
         )
 
     def local_loads(self) -> dict[ServiceId, ServiceLoad]:
--- a/src/pollenloom/admission/local_backlog.py
+++ b/src/pollenloom/admission/local_backlog.py
@@ -61,18 +61,23 @@
         """Usage within an account's share; None if nothing was refused."""
         return fair_level(self.usage.totals(now), self.refused.totals(now))
 
-    def cost_ahead(self, ticket: Ticket) -> float:
-        """Cost of the requests that go before a new request of the account.
+    def cost_ahead(self, waiting: WaitingTicket) -> float:
+        """Cost of the queued requests that go before one of this backlog.
 
-        Accounts take turns, so each other account is served at most the cost
-        that this account has queued, including the new request.
+        These are the requests before it in its own queue, and those of each
+        other account until its usage exceeds that of this account.
         """
-        account_cost = self.queue_cost(ticket.account)
-        most_ahead = account_cost + ticket.cost_hint
-        return account_cost + sum(
-            min(most_ahead, self.queue_cost(account))
-            for account in self.queues
-            if account != ticket.account
+        account = waiting.ticket.account
+        own_cost: float = 0
+        for earlier in self.queues.get(account, ()):
+            if earlier is waiting:
+                break
+            own_cost += earlier.ticket.cost_hint
+        usage = self.usage.total(account) + own_cost
+        return own_cost + sum(
+            min(self.queue_cost(other), usage - self.usage.total(other))
+            for other in self.queues
+            if other != account and self.usage.total(other) < usage
         )
 
     def queue_cost(self, account: AccountId) -> float:
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -150,8 +150,8 @@
         self.recent_sends.append((now, waiting.ticket.cost_hint))
         self.recent_cost += waiting.ticket.cost_hint
 
-    def expected_wait(self, ticket: Ticket, now: float) -> float:
-        """Expected seconds until a new request would be sent.
+    def expected_wait(self, waiting: WaitingTicket, now: float) -> float:
+        """Expected seconds until a request of the backlog would be sent.
 
         0 if nothing was sent lately, since there is no rate to predict from.
         """
@@ -163,7 +163,7 @@
         if not self.recent_sends:
             return 0
         rate = max(self.recent_cost, 1) / RATE_WINDOW_SECONDS
-        return self.backlog.cost_ahead(ticket) / rate
+        return self.backlog.cost_ahead(waiting) / rate
 
     def max_wait(self, ticket: Ticket) -> float:
         """Longest wait here, in seconds, that still meets the objective."""
--- a/tests/admission/test_local_pool.py
+++ b/tests/admission/test_local_pool.py
@@ -203,10 +203,36 @@
     for _ in range(40):
         pool.put(WaitingTicket(make_ticket('shop', 20_000), NOW))
     send_all(pool, servers, context())
-    late = make_ticket('shop')
-    prompt = make_ticket('other', 100)
-    assert pool.expected_wait(late, NOW) > pool.max_wait(late)
-    assert pool.expected_wait(prompt, NOW) < pool.max_wait(prompt)
+    late = WaitingTicket(make_ticket('shop'), NOW)
+    pool.put(late)
+    prompt = WaitingTicket(make_ticket('other', 100), NOW)
+    pool.put(prompt)
+    assert pool.expected_wait(late, NOW) > pool.max_wait(late.ticket)
+    assert pool.expected_wait(prompt, NOW) < pool.max_wait(prompt.ticket)
+
+
+def test_large_request_is_not_late_because_of_its_own_size(
+    pool: LocalPool,
+) -> None:
+    """Guards against large requests that a router with little load refuses."""
+    pool.put(WaitingTicket(make_ticket('other', 100), NOW))
+    send_all(pool, [make_server('i-1')], context())
+    large = WaitingTicket(make_ticket('shop', 12_000), NOW)
+    pool.put(large)
+    assert not pool.expected_wait(large, NOW)
+
+
+def test_account_with_least_usage_does_not_wait_for_others(
+    pool: LocalPool,
+) -> None:
+    """Guards against a refusal for a queue that the request would overtake."""
+    pool.put(WaitingTicket(make_ticket('ahead', 30_000), NOW))
+    send_all(pool, [make_server('i-1')], context())
+    for _ in range(4):
+        pool.put(WaitingTicket(make_ticket('ahead', 12_000), NOW))
+    behind = WaitingTicket(make_ticket('behind', 12_000), NOW)
+    pool.put(behind)
+    assert not pool.expected_wait(behind, NOW)
 
 
 def test_failing_servers_are_used_if_all_fail(pool: LocalPool) -> None:
