Try ordered versions on a small share of the requests, and take bad ones back

Cause: nothing on a node read the orders of version moves. Servers of the new version were used like all others, and no state was ever written. Change: StoreMoves follows orders and states. Routers count good and bad responses by route and phase and report them with their load; all run the same change test (Page) on the sums. One that finds a version bad stops using it at once; the state is written by the first of a ranking, or by the next ones, on the condition that the topic has no newer record.

--- a/src/pollenloom/admission/held_grant.py
+++ b/src/pollenloom/admission/held_grant.py
@@ -11,10 +11,12 @@
 
     Attributes:
         placement: Server and cost of the grant.
+        granted_at: Monotonic seconds.
         has_first_byte: Whether the first byte of the response arrived; from
             then on the prompt no longer counts against the server's send
             window.
     """
 
     placement: Placement
+    granted_at: float
     has_first_byte: bool = False
--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -1,7 +1,6 @@
 """Admission decided locally, without a request to other routers."""
 
 import asyncio
-from collections import defaultdict
 from contextlib import ExitStack
 from itertools import count
 from typing import Final
@@ -21,6 +20,8 @@
 from pollenloom.admission.settlement import Settlement
 from pollenloom.admission.shortage_record import record_shortage
 from pollenloom.admission.ticket import Ticket
+from pollenloom.admission.version_credit import VersionCredit
+from pollenloom.admission.version_move_shares import VersionMoveShares
 from pollenloom.catalogue.catalogue import Catalogue
 from pollenloom.catalogue.fleet_directory import FleetDirectory
 from pollenloom.catalogue.load_exchange import LoadExchange
@@ -31,6 +32,8 @@
 from pollenloom.core.states import Outcome
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.moves.fleet_moves import FleetMoves
+from pollenloom.moves.response_report import ResponseReport
 from pollenloom.observability.event_log import EventLog
 from pollenloom.routing.cold_server_turn import (
     CLOSED_TURN,
@@ -65,7 +68,7 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self.kernel = kernel
-        self.pools: dict[ServiceId, LocalPool] = defaultdict(LocalPool)
+        self.pools: dict[ServiceId, LocalPool] = {}
         self.grant_futures: dict[WaitingTicket, GrantFuture] = {}
         self.held: dict[GrantId, HeldGrant] = {}
         self.grant_numbers = count(1)
@@ -85,12 +88,22 @@
             KernelServiceName.LOAD_EXCHANGE,
             LoadExchange,
         )
+        self.moves = self.kernel.find(KernelServiceName.MOVES, FleetMoves)
         self.events = self.kernel.find(KernelServiceName.EVENTS, EventLog)
         self.exchange.local_loads = self.local_loads
         self.catalogue.watch(self.grant_all_waiting)
         self.kernel.spawn('admission-recheck', self.recheck())
         self.kernel.spawn('admission-record', self.record_shortages())
 
+    def pool(self, service: ServiceId) -> LocalPool:
+        """Return the pool of a service; create it if needed."""
+        pool = self.pools.get(service)
+        if pool is None:
+            shares = VersionMoveShares(self.moves)
+            pool = LocalPool(VersionCredit(service, shares))
+            self.pools[service] = pool
+        return pool
+
     async def stop(self) -> None:
         """Cancel all waiting requests."""
         for grant_future in self.grant_futures.values():
@@ -102,7 +115,7 @@
         if not self.catalogue.directory.usable(ticket.service, now):
             reason = 'no server is registered'
             return Error(self.reject(ticket, reason, 0))
-        pool = self.pools[ticket.service]
+        pool = self.pool(ticket.service)
         waiting = WaitingTicket(ticket, now)
         grant_future: GrantFuture = asyncio.get_running_loop().create_future()
         self.grant_futures[waiting] = grant_future
@@ -126,7 +139,7 @@
     def withdraw(self, waiting: WaitingTicket) -> None:
         """Remove a request that no longer waits."""
         self.grant_futures.pop(waiting, None)
-        self.pools[waiting.ticket.service].backlog.remove(waiting)
+        self.pool(waiting.ticket.service).backlog.remove(waiting)
 
     async def wait(
         self,
@@ -137,7 +150,7 @@
         """Wait for a grant while it could still meet objective and deadline."""
         self.has_waiting.set()
         ticket = waiting.ticket
-        limit = self.pools[ticket.service].max_wait(ticket)
+        limit = self.pool(ticket.service).max_wait(ticket)
         seconds = min(limit, ticket.deadline - now)
         try:
             await asyncio.wait((grant_future,), timeout=max(0, seconds))
@@ -151,7 +164,7 @@
             raise
         if grant_future.done():
             return Ok(grant_future.result())
-        pool = self.pools[ticket.service]
+        pool = self.pool(ticket.service)
         pool.activity.timed_out += 1
         usage = pool.backlog.usage.total(ticket.account)
         reason = f'no room within {seconds:.2f} s, usage {usage:.0f}'
@@ -163,7 +176,7 @@
     ) -> Failure:
         """Return a failure that states after which seconds to retry."""
         now = self.kernel.clock.monotonic()
-        self.pools[ticket.service].record_refusal(ticket, now)
+        self.pool(ticket.service).record_refusal(ticket, now)
         return Failure(
             ErrorKind.NO_CAPACITY,
             reason,
@@ -174,7 +187,7 @@
         """Return the loads that this router reports to others, by service."""
         now = self.kernel.clock.monotonic()
         return {
-            service: pool.service_load(now)
+            service: pool.service_load(now, self.moves.responses(service))
             for service, pool in self.pools.items()
         }
 
@@ -199,7 +212,7 @@
 
     def grant_waiting(self, service: ServiceId) -> None:
         """Grant the waiting requests for which a server has room."""
-        pool = self.pools[service]
+        pool = self.pool(service)
         if not pool.backlog.queues:
             return
         now = self.kernel.clock.monotonic()
@@ -208,44 +221,21 @@
             now,
             self.cold_turn(service),
             self.exchange.remote_load(service, now),
+            lambda version: pool.credit.allows(version, now),
+            pool.credit.limited(
+                {known.entry.version for known in servers}, now
+            ),
         )
         for waiting, placement in pool.send(servers, context):
-            grant = self.make_grant(waiting.ticket, placement, now)
+            grant_id = GrantId(str(next(self.grant_numbers)))
+            grant = make_grant(grant_id, waiting.ticket, placement, now)
+            self.held[grant_id] = HeldGrant(placement, now)
             grant_future = self.grant_futures.get(waiting)
             if grant_future is None or grant_future.done():
                 self.settle(Settlement(grant=grant, outcome=Outcome.UNUSED))
             else:
                 grant_future.set_result(grant)
 
-    def make_grant(
-        self,
-        ticket: Ticket,
-        placement: Placement,
-        now: float,
-    ) -> Grant:
-        """Create the grant for a placement and keep it until it is settled."""
-        entry = placement.known.entry
-        grant = Grant(
-            grant_id=GrantId(str(next(self.grant_numbers))),
-            pool=PoolId(ticket.service),
-            account=ticket.account,
-            route=ticket.route,
-            server=BackendServer(
-                server=entry.server,
-                service=entry.service,
-                data_centre=entry.data_centre,
-                version=entry.version,
-                address=entry.address,
-                slots=entry.slots,
-                cold_slots=1,
-            ),
-            epoch=0,
-            expires_at=now + GRANT_VALIDITY_SECONDS,
-            charged=ticket.cost_hint,
-        )
-        self.held[grant.grant_id] = HeldGrant(placement)
-        return grant
-
     def observe_first_byte(self, grant: Grant, seconds: float) -> None:
         """Release the prompt's part of the send window and adapt the window."""
         held = self.held.get(grant.grant_id)
@@ -254,11 +244,11 @@
         held.has_first_byte = True
         now = self.kernel.clock.monotonic()
         cost = held.placement.cost
-        load = self.pools[grant.server.service].servers.server_load(
+        load = self.pool(grant.server.service).servers.server_load(
             grant.server.server,
             now,
         )
-        objective = self.pools[grant.server.service].tightest_objective
+        objective = self.pool(grant.server.service).tightest_objective
         load.window.observe(seconds, cost, objective, now)
         load.window.released(cost)
         load.health.observe_latency(seconds, now)
@@ -271,7 +261,7 @@
         if held is None:
             return
         now = self.kernel.clock.monotonic()
-        pool = self.pools[grant.server.service]
+        pool = self.pool(grant.server.service)
         load = pool.servers.server_load(grant.server.server, now)
         load.in_flight -= 1
         if not held.has_first_byte:
@@ -282,6 +272,10 @@
             held.placement.known,
         )
         update_server_health(settlement, known, load.health, directory, now)
+        if not held.placement.known.is_cold(held.granted_at):
+            self.moves.record_response(
+                make_response_report(settlement, held.placement)
+            )
         self.grant_waiting(grant.server.service)
 
     async def recheck(self) -> None:
@@ -313,3 +307,49 @@
             for queue in pool.backlog.queues.values()
         )
         return AdmissionStatus(policy='local', waiting=waiting)
+
+
+def make_response_report(
+    settlement: Settlement, placement: Placement
+) -> ResponseReport:
+    """Return the evidence on the server's version in a settlement."""
+    grant = settlement.grant
+    seconds = settlement.duration_seconds
+    has_ended = settlement.outcome is not Outcome.CANCELLED
+    return ResponseReport(
+        service=grant.server.service,
+        route=grant.route,
+        version=grant.server.version,
+        outcome=settlement.outcome,
+        cost=settlement.cost,
+        first_byte_seconds=settlement.first_byte_seconds,
+        duration_seconds=seconds if has_ended else None,
+        expected_seconds=placement.load.expected_seconds(placement.cost),
+        load_class=placement.load.load_class,
+        cancelled_after=None if has_ended else seconds,
+    )
+
+
+def make_grant(
+    grant_id: GrantId, ticket: Ticket, placement: Placement, now: float
+) -> Grant:
+    """Return the grant for a placement, given at monotonic seconds."""
+    entry = placement.known.entry
+    return Grant(
+        grant_id=grant_id,
+        pool=PoolId(ticket.service),
+        account=ticket.account,
+        route=ticket.route,
+        server=BackendServer(
+            server=entry.server,
+            service=entry.service,
+            data_centre=entry.data_centre,
+            version=entry.version,
+            address=entry.address,
+            slots=entry.slots,
+            cold_slots=1,
+        ),
+        epoch=0,
+        expires_at=now + GRANT_VALIDITY_SECONDS,
+        charged=ticket.cost_hint,
+    )
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -1,7 +1,7 @@
 """Admission to the servers of one service, decided on this router."""
 
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from typing import Final
 
 from pollenloom.admission.local_backlog import LocalBacklog, WaitingTicket
@@ -11,7 +11,8 @@
 from pollenloom.admission.selection_context import SelectionContext
 from pollenloom.admission.server_candidates import ServerCandidates
 from pollenloom.admission.ticket import Ticket
-from pollenloom.core.ids import AccountId
+from pollenloom.admission.version_credit import VersionCredit
+from pollenloom.core.ids import AccountId, ResponseClass, VersionId
 from pollenloom.routing.send_window import (
     PREFILL_TOKENS_PER_SECOND,
     QUEUE_SHARE,
@@ -42,24 +43,28 @@
     """Backlog and servers of one service.
 
     Attributes:
+        credit: Requests that versions with a limited share may get.
         recent_sends: Time and cost hint of the requests sent within the rate
             window.
         recent_cost: Sum of these cost hints.
         tightest_objective: Shortest objective of any request so far, in
             seconds.
         activity: What was decided since it was last recorded.
+        versions: Versions of the usable servers.
         remote_load: Latest load of the other routers.
         level: Usage up to which an account is within its share; None while
             no account takes capacity from another.
         level_expires_at: When the level is computed again, monotonic seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, credit: VersionCredit) -> None:
+        self.credit = credit
         self.backlog = LocalBacklog()
         self.servers = LocalServers()
         self.activity = PoolActivity()
         self.recent_sends: deque[tuple[float, float]] = deque()
         self.recent_cost: float = 0
+        self.versions: set[VersionId] = set()
         self.remote_load = ServiceLoad()
         self.level: float | None = None
         self.level_expires_at = float('-inf')
@@ -86,6 +91,7 @@
             return
         self.backlog.usage.decay(context.now)
         self.apply_remote_load(context.remote_load, context.now)
+        self.versions = {known.entry.version for known in servers}
         candidates = self.servers.make_candidates(servers, context)
         while self.backlog.queues:
             found = self.next_placement(candidates)
@@ -145,6 +151,8 @@
         load = self.servers.server_load(placement.known.entry.server, now)
         load.in_flight += 1
         load.window.sent(placement.cost)
+        version = placement.known.entry.version
+        self.credit.record_grant(version, self.versions, now)
         if context.cold_turn and placement.known.is_cold(now):
             load.limiter.mark_used(context.cold_turn)
         self.recent_sends.append((now, waiting.ticket.cost_hint))
@@ -191,8 +199,15 @@
         allowed = self.level * (1 + MAX_LEAD_SHARE) + MAX_LEAD_COST
         return self.backlog.usage.total(account) > allowed
 
-    def service_load(self, now: float) -> ServiceLoad:
-        """Return the load of this service that is reported to others."""
+    def service_load(
+        self, now: float, responses: Mapping[ResponseClass, float]
+    ) -> ServiceLoad:
+        """Return the load of this service that is reported to others.
+
+        Args:
+            now: Monotonic seconds.
+            responses: Responses in a version move, by class.
+        """
         return ServiceLoad(
             unread={
                 server: round(load.window.outstanding)
@@ -206,4 +221,5 @@
             },
             usage=self.backlog.usage.largest_usages(now),
             refused=self.backlog.refused.largest_usages(now),
+            responses=responses,
         )
--- a/src/pollenloom/admission/local_servers.py
+++ b/src/pollenloom/admission/local_servers.py
@@ -104,6 +104,11 @@
         ticket = waiting.ticket
         if candidates.is_exhausted(ticket.excluded):
             return None
+        trial_server = candidates.trial_server(ticket.excluded)
+        if trial_server is not None:
+            miss_probability = max(MISS_PROBABILITIES)
+            cost = expected_cost(ticket, miss_probability)
+            return Placement(trial_server.known, cost, trial_server.load)
         preferred_servers = self.preferred_servers(ticket, candidates)
         best: Placement | None = None
         best_score = float('inf')
@@ -124,7 +129,7 @@
                 + (cost + repeated_prefill) / PREFILL_TOKENS_PER_SECOND
             )
             if score < best_score:
-                best = Placement(server.known, cost)
+                best = Placement(server.known, cost, server.load)
                 best_score = score
         return best
 
--- a/src/pollenloom/admission/selection_context.py
+++ b/src/pollenloom/admission/selection_context.py
@@ -1,12 +1,18 @@
 """Context in which a backend server is chosen."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
-from pollenloom.core.ids import ServerId
+from pollenloom.core.ids import ServerId, VersionId
 from pollenloom.routing.cold_server_turn import ColdServerTurn
 from pollenloom.routing.service_load import ServiceLoad
 
 
+def allow_any_version(_version: VersionId) -> bool:
+    """Allow all versions of a service without a move."""
+    return True
+
+
 @dataclass(frozen=True, slots=True)
 class SelectionContext:
     """Values that apply to all servers of a service during a choice.
@@ -15,11 +21,17 @@
         now: Monotonic seconds.
         cold_turn: Turn of this router for cold servers; None for no limit.
         remote_load: Load of the service on other routers.
+        allows_version: Whether the next request may go to a version.
+        trial_versions: Versions with a limited share. One that has not used
+            up its share gets the next request, since a choice by load would
+            leave out a slow version before it is proven bad.
     """
 
     now: float
     cold_turn: ColdServerTurn | None
     remote_load: ServiceLoad
+    allows_version: Callable[[VersionId], bool] = allow_any_version
+    trial_versions: frozenset[VersionId] = frozenset()
 
     def remote_unread(self, server: ServerId) -> float:
         """Unread prompt tokens that other routers have at a server."""
--- a/src/pollenloom/admission/server_candidates.py
+++ b/src/pollenloom/admission/server_candidates.py
@@ -6,7 +6,8 @@
 
 from pollenloom.admission.selection_context import SelectionContext
 from pollenloom.admission.server_load import ServerLoad
-from pollenloom.core.ids import ServerId
+from pollenloom.core.ids import ServerId, VersionId
+from pollenloom.routing.load_before import LoadBefore
 from pollenloom.routing.send_window import PREFILL_TOKENS_PER_SECOND
 from pollenloom.routing.server_directory import KnownServer
 
@@ -33,11 +34,13 @@
         delay_seconds: Expected seconds before a new request is started.
         has_spare_room: Whether it also has room for accounts that are ahead
             of their share.
+        load: Load of the server.
     """
 
     known: KnownServer
     delay_seconds: float
     has_spare_room: bool
+    load: LoadBefore
 
 
 class ServerCandidates:
@@ -66,6 +69,11 @@
         self.context = context
         self.is_model = is_model
         now = context.now
+        servers = [
+            known
+            for known in servers
+            if context.allows_version(known.entry.version)
+        ]
         self.reachable = {
             known.entry.server: known
             for known in servers
@@ -94,10 +102,23 @@
             self.available[server] = found
 
     def refresh(self, known: KnownServer) -> None:
-        """Evaluate a server again after a request was sent to it."""
-        if known.entry.server in self.healthy:
+        """Evaluate a server again after a request was sent to it.
+
+        Its version may have used up its share by that request.
+        """
+        if not self.context.allows_version(known.entry.version):
+            self.drop_version(known.entry.version)
+        elif known.entry.server in self.healthy:
             self.update_available(known)
-            self.rank()
+        self.rank()
+
+    def drop_version(self, version: VersionId) -> None:
+        """Remove all servers of a version."""
+        for servers in (self.reachable, self.healthy):
+            for server, known in tuple(servers.items()):
+                if known.entry.version == version:
+                    servers.pop(server)
+                    self.available.pop(server, None)
 
     def check_room(self, known: KnownServer) -> AvailableServer | None:
         """Return a server with its expected delay, or None without room."""
@@ -105,10 +126,20 @@
         load = self.find_load(server, self.context.now)
         if not self.may_send(load, known):
             return None
+        load_before = LoadBefore(
+            is_model=self.is_model,
+            unread=load.window.outstanding + self.context.remote_unread(server),
+            running=load.in_flight + self.context.remote_running(server),
+            slots=known.entry.slots,
+        )
         return AvailableServer(
             known,
             self.estimate_delay(load, server),
-            self.has_spare_room(load, known),
+            has_spare_room=(
+                load_before.running < load_before.slots * SPARE_SHARE
+                and load_before.unread < load.window.limit * SPARE_SHARE
+            ),
+            load=load_before,
         )
 
     def rank(self) -> None:
@@ -141,6 +172,17 @@
             if server.known.entry.server not in excluded
         ]
 
+    def trial_server(
+        self, excluded: Collection[ServerId]
+    ) -> AvailableServer | None:
+        """Return the server of a trial version with the least delay, if any."""
+        if not self.context.trial_versions:
+            return None
+        for server in self.ranked_for(excluded):
+            if server.known.entry.version in self.context.trial_versions:
+                return server
+        return None
+
     def may_send(self, load: ServerLoad, known: KnownServer) -> bool:
         """Whether a server has room and, if cold, may get a request now."""
         context = self.context
@@ -158,16 +200,6 @@
         unread = context.remote_unread(server)
         return is_free and load.window.has_room(unread)
 
-    def has_spare_room(self, load: ServerLoad, known: KnownServer) -> bool:
-        """Whether little enough of a server's room is taken."""
-        server = known.entry.server
-        running = load.in_flight + self.context.remote_running(server)
-        unread = load.window.outstanding + self.context.remote_unread(server)
-        return (
-            running < known.entry.slots * SPARE_SHARE
-            and unread < load.window.limit * SPARE_SHARE
-        )
-
     def estimate_delay(self, load: ServerLoad, server: ServerId) -> float:
         """Return the expected seconds before a new request is started."""
         health = load.health
--- a/src/pollenloom/admission/settlement.py
+++ b/src/pollenloom/admission/settlement.py
@@ -17,8 +17,8 @@
             not run.
         first_byte_seconds: Time from sending to the first byte of the
             response; None if there was none.
-        duration_seconds: Time from sending to the end of the response; None
-            if it did not end.
+        duration_seconds: Time from sending to the end of the response, or
+            until the request was cancelled; None if it was not sent.
         server_cold: Whether the server reported that it is cold.
         server_leaving: Whether the server reported that it is shutting down.
         server_fenced: Whether the server refused the fencing number.
--- a/src/pollenloom/admission/version_credit.py
+++ b/src/pollenloom/admission/version_credit.py
@@ -30,6 +30,16 @@
             return True
         return self.credit.get(version, 0) + share >= 1 - ROUNDING_TOLERANCE
 
+    def limited(
+        self, versions: Iterable[VersionId], now: float
+    ) -> frozenset[VersionId]:
+        """Return the versions with a limited share that is not zero."""
+        return frozenset(
+            version
+            for version in versions
+            if 0 < self.shares.share(self.service, version, now) < 1
+        )
+
     def record_grant(
         self,
         version: VersionId,
--- a/src/pollenloom/admission/version_move_shares.py
+++ b/src/pollenloom/admission/version_move_shares.py
@@ -3,14 +3,14 @@
 from pollenloom.admission.messages import SettledGrant
 from pollenloom.admission.version_shares import VersionShares
 from pollenloom.core.ids import ServiceId, VersionId
-from pollenloom.moves.move_service import MoveService
 from pollenloom.moves.response_report import ResponseReport
+from pollenloom.moves.version_moves import VersionMoves
 
 
 class VersionMoveShares(VersionShares):
     """Gets shares from the move service and reports outcomes to it."""
 
-    def __init__(self, moves: MoveService) -> None:
+    def __init__(self, moves: VersionMoves) -> None:
         self.moves = moves
 
     def share(
--- a/src/pollenloom/catalogue/catalogue.py
+++ b/src/pollenloom/catalogue/catalogue.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import ClassVar
 
+from pollenloom.catalogue.operator_change import MoveOrder
+from pollenloom.core.ids import ServiceId
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.routing.routing_configuration import RoutingConfiguration
@@ -17,12 +19,14 @@
         configuration: Newest known configuration; None until the first one
             was read.
         directory: Known backend servers.
+        move_orders: Version moves that operators ordered, by service.
     """
 
     name: ClassVar[KernelServiceName] = KernelServiceName.CATALOGUE
 
     configuration: RoutingConfiguration | None
     directory: ServerDirectory
+    move_orders: dict[ServiceId, MoveOrder]
 
     @abstractmethod
     def watch(self, listener: Callable[[], None]) -> None:
--- a/src/pollenloom/catalogue/keyed_store.py
+++ b/src/pollenloom/catalogue/keyed_store.py
@@ -6,6 +6,7 @@
 from expression import Result
 
 from pollenloom.catalogue.keyed_record import KeyedRecord, Listing
+from pollenloom.catalogue.move_status import MoveStatus
 from pollenloom.catalogue.operator_change import OperatorChange
 from pollenloom.catalogue.store_topic import StoreTopic
 from pollenloom.core.failure import Failure
@@ -49,6 +50,25 @@
     ) -> Result[Offset, Failure]:
         """Append a record; return its offset."""
 
+    @abstractmethod
+    async def put_move_status(
+        self,
+        status: MoveStatus,
+        end: Offset,
+    ) -> Result[Offset, Failure]:
+        """Append the state of a move; return its offset.
+
+        Nothing is written if the topic does not end at `end`, which means that
+        another router has written a state since.
+        """
+
+    @abstractmethod
+    def read_move_status(
+        self,
+        record: KeyedRecord,
+    ) -> Result[MoveStatus | None, Failure]:
+        """Decode the state of a move; None for a record of another kind."""
+
     @abstractmethod
     def read_operator_change(
         self,
--- a/src/pollenloom/catalogue/operator_change.py
+++ b/src/pollenloom/catalogue/operator_change.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from pollenloom.core.ids import DataCentreId
+from pollenloom.core.ids import DataCentreId, Offset, ServiceId, VersionId
 from pollenloom.routing.routing_configuration import RoutingConfiguration
 
 
@@ -25,6 +25,24 @@
     is_out: bool
 
 
+@dataclass(frozen=True, slots=True)
+class MoveOrder:
+    """Order to move the traffic of a service to another version.
+
+    Attributes:
+        service: Service whose traffic moves.
+        to_version: Version that replaces all others; None if the order is
+            withdrawn.
+        seconds: Time after which the move must have ended.
+        offset: Position of the order in the store; tells repeated orders apart.
+    """
+
+    service: ServiceId
+    to_version: VersionId | None
+    seconds: float
+    offset: Offset
+
+
 @dataclass(frozen=True, slots=True)
 class UnrelatedChange:
     """A record that does not concern this router."""
@@ -32,4 +50,6 @@
     key: str
 
 
-OperatorChange = NewConfiguration | DataCentreDirective | UnrelatedChange
+OperatorChange = (
+    NewConfiguration | DataCentreDirective | MoveOrder | UnrelatedChange
+)
--- a/src/pollenloom/catalogue/store_catalogue.py
+++ b/src/pollenloom/catalogue/store_catalogue.py
@@ -11,11 +11,12 @@
 from pollenloom.catalogue.keyed_store import KeyedStore
 from pollenloom.catalogue.operator_change import (
     DataCentreDirective,
+    MoveOrder,
     NewConfiguration,
 )
 from pollenloom.catalogue.store_topic import StoreTopic
 from pollenloom.catalogue.topic_follower import TopicFollower
-from pollenloom.core.ids import DataCentreId, ServerId
+from pollenloom.core.ids import DataCentreId, ServerId, ServiceId
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.observability.event_log import EventLog
@@ -43,6 +44,7 @@
         self.kernel = kernel
         self.configuration: RoutingConfiguration | None = None
         self.directory = ServerDirectory()
+        self.move_orders: dict[ServiceId, MoveOrder] = {}
         self.listeners: list[Callable[[], None]] = []
         self.read_topics: set[StoreTopic] = set()
         self.rejected: set[tuple[str, bytes]] = set()
@@ -95,10 +97,11 @@
         """Apply records of the operators; return them all.
 
         A full listing also returns those data centres to service that it does
-        not take out of service.
+        not take out of service, and withdraws the moves that it does not order.
         """
         now = self.kernel.clock.monotonic()
         if is_full:
+            self.move_orders = {}
             evacuated = self.data_centres_out(listing)
             for data_centre in tuple(self.directory.evacuated - evacuated):
                 self.apply_directive(
@@ -132,6 +135,8 @@
             self.apply_configuration(change.configuration, record)
         elif isinstance(change, DataCentreDirective):
             self.apply_directive(change, now)
+        elif isinstance(change, MoveOrder):
+            update_orders(self.move_orders, change)
 
     def apply_directive(
         self, directive: DataCentreDirective, now: float
@@ -268,3 +273,11 @@
         while True:
             await asyncio.sleep(SWEEP_SECONDS)
             self.drop_removed(self.kernel.clock.monotonic())
+
+
+def update_orders(orders: dict[ServiceId, MoveOrder], order: MoveOrder) -> None:
+    """Store the order of a version move, or remove a withdrawn one."""
+    if order.to_version is None:
+        orders.pop(order.service, None)
+    else:
+        orders[order.service] = order
--- a/src/pollenloom/catalogue/store_topic.py
+++ b/src/pollenloom/catalogue/store_topic.py
@@ -13,3 +13,5 @@
     SERVERS = 'servers'
     # Written by the routers about themselves.
     NODES = 'nodes'
+    # Written by the routers about version moves, read by operators.
+    MOVES = 'moves'
--- a/src/pollenloom/console/node_process.py
+++ b/src/pollenloom/console/node_process.py
@@ -20,6 +20,7 @@
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.moves.store_moves import StoreMoves
 from pollenloom.observability.bounded_stream import BoundedStream
 from pollenloom.observability.event_log import EventLog
 from pollenloom.observability.json_log import configure_json_log
@@ -58,6 +59,7 @@
         StoreCatalogue(kernel),
         LoadExchange(kernel, settings),
         ServerConnectionPool(kernel, header_codec),
+        StoreMoves(kernel, settings),
         LocalAdmission(kernel),
         Relay(kernel, header_codec),
         GatewayServer(kernel, settings.listen.callers),
--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -53,6 +53,7 @@
         is_misdirected: Whether the address belongs to another server now.
         may_have_run_before: Whether an earlier attempt may have run.
         body: Parts of the body received so far, unless it is streamed.
+        streamed_bytes: Bytes of the events relayed so far.
     """
 
     call: PendingCall
@@ -69,6 +70,7 @@
     is_misdirected: bool = False
     may_have_run_before: bool = False
     body: list[bytes] = field(default_factory=list)
+    streamed_bytes: int = 0
 
     async def run(self, connection_pool: ServerConnectionPool) -> AttemptEnd:
         """Run the attempt and settle the grant in every case."""
@@ -238,6 +240,7 @@
             return
         if not self.writer.has_started:
             await self.writer.start(head)
+        self.streamed_bytes += len(events)
         await self.writer.write_chunk(events)
 
     def record_first_byte(self) -> None:
@@ -262,13 +265,20 @@
         )
 
     def settle(self) -> None:
-        """Report the outcome of the grant to admission."""
+        """Report the outcome of the grant to admission.
+
+        The bytes of a stream stand for its tokens, which are not counted here.
+        """
+        duration = None
+        if self.sent_at:
+            duration = self.clock.monotonic() - self.sent_at
         self.admission.settle(
             Settlement(
                 grant=self.grant,
                 outcome=self.outcome,
-                cost=self.grant.charged,
+                cost=self.streamed_bytes or self.grant.charged,
                 first_byte_seconds=self.first_byte_seconds,
+                duration_seconds=duration,
                 server_cold=self.is_cold,
                 server_leaving=self.is_misdirected,
             )
--- a/src/pollenloom/moves/latency_baseline.py
+++ b/src/pollenloom/moves/latency_baseline.py
@@ -18,24 +18,31 @@
     """Recent times of the old version on one route.
 
     Attributes:
+        margin_seconds: Smallest difference from the median that is slow.
         samples: Latest times, in seconds.
-        threshold: Longest time that is not slow, in seconds; None until
-            there are enough samples.
+        threshold: Longest time that is not slow, in seconds; None until it is
+            computed again after a new sample.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, margin_seconds: float = SLOW_MARGIN_SECONDS) -> None:
+        self.margin_seconds = margin_seconds
         self.samples: deque[float] = deque(maxlen=MAX_SAMPLES)
         self.threshold: float | None = None
 
     def add(self, seconds: float) -> None:
         """Add the time of a response of the old version."""
         self.samples.append(seconds)
-        if len(self.samples) >= MIN_SAMPLES:
+        self.threshold = None
+
+    def check(self, seconds: float) -> bool | None:
+        """Whether a response took too long; None without enough samples."""
+        if len(self.samples) < MIN_SAMPLES:
+            return None
+        if self.threshold is None:
             median = statistics.median(self.samples)
-            self.threshold = SLOW_FACTOR * median + SLOW_MARGIN_SECONDS
+            self.threshold = SLOW_FACTOR * median + self.margin_seconds
+        return seconds > self.threshold
 
     def is_slow(self, seconds: float | None) -> bool:
         """Whether a response took too long; False without time or baseline."""
-        if seconds is None or self.threshold is None:
-            return False
-        return seconds > self.threshold
+        return seconds is not None and bool(self.check(seconds))
--- a/src/pollenloom/observability/event_name.py
+++ b/src/pollenloom/observability/event_name.py
@@ -47,6 +47,9 @@
             reason, evidence.
         MOVE_TAKEN_BACK: A version move was reverted. Subject move: service,
             stage, reason, evidence.
+        VERSION_STOPPED: This router sends nothing more to a new version, since
+            the responses of the fleet show that it is bad. Subject move:
+            service, evidence.
         POOL_TAKEN_OVER: This router allocates for a pool from now on. Subject
             pool: epoch, reason.
         POOL_LEFT: This router no longer allocates for a pool. Subject pool:
@@ -105,6 +108,7 @@
     MOVE_RUNNING = 'move_running'
     MOVE_DONE = 'move_done'
     MOVE_TAKEN_BACK = 'move_taken_back'
+    VERSION_STOPPED = 'version_stopped'
     POOL_TAKEN_OVER = 'pool_taken_over'
     POOL_LEFT = 'pool_left'
     SERVER_COLD = 'server_cold'
--- a/src/pollenloom/platform/store_client.py
+++ b/src/pollenloom/platform/store_client.py
@@ -11,6 +11,7 @@
 
 from pollenloom.catalogue.keyed_record import KeyedRecord, Listing
 from pollenloom.catalogue.keyed_store import KeyedStore
+from pollenloom.catalogue.move_status import MoveStatus
 from pollenloom.catalogue.operator_change import (
     DataCentreDirective,
     NewConfiguration,
@@ -20,10 +21,15 @@
 from pollenloom.catalogue.store_topic import StoreTopic
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
-from pollenloom.core.ids import DataCentreId, Offset, ServerId
+from pollenloom.core.ids import DataCentreId, Offset, ServerId, ServiceId
 from pollenloom.core.units import MILLISECONDS_PER_SECOND
 from pollenloom.platform import record_frames, wire_names
 from pollenloom.platform.configuration_codec import decode_configuration
+from pollenloom.platform.move_codec import (
+    decode_move_order,
+    decode_move_status,
+    encode_move_status,
+)
 from pollenloom.platform.server_entry_codec import decode_server_entry
 from pollenloom.transport.shielded_connector import ShieldedConnector
 
@@ -38,6 +44,7 @@
         StoreTopic.OPERATOR: wire_names.OPERATOR_TOPIC,
         StoreTopic.SERVERS: wire_names.SERVERS_TOPIC,
         StoreTopic.NODES: wire_names.NODES_TOPIC,
+        StoreTopic.MOVES: wire_names.STATUS_TOPIC,
     }
 )
 # Keyed topics have a single partition.
@@ -178,10 +185,33 @@
         payload: bytes,
     ) -> Result[Offset, Failure]:
         """Append a record; see `KeyedStore.put`."""
+        return await self.append(topic, key, payload, {})
+
+    async def put_move_status(
+        self,
+        status: MoveStatus,
+        end: Offset,
+    ) -> Result[Offset, Failure]:
+        """Append the state of a move; see `KeyedStore.put_move_status`."""
+        return await self.append(
+            StoreTopic.MOVES,
+            f'{wire_names.ROLLOUT_PREFIX}{status.service}',
+            encode_move_status(status),
+            {'at': str(end)},
+        )
+
+    async def append(
+        self,
+        topic: StoreTopic,
+        key: str,
+        payload: bytes,
+        condition: 'Mapping[str, str]',
+    ) -> Result[Offset, Failure]:
+        """Append a record, with the condition in the query."""
         called = await self.call(
             'POST',
             '/log-append',
-            {'topic': TOPICS[topic], 'part': str(PARTITION)},
+            {'topic': TOPICS[topic], 'part': str(PARTITION), **condition},
             body=record_frames.encode_record(key, payload),
         )
         if called.is_error():
@@ -250,8 +280,23 @@
                     is_out=bool(record.payload),
                 )
             )
+        if record.key.startswith(wire_names.ROLLOUT_PREFIX):
+            service = record.key.removeprefix(wire_names.ROLLOUT_PREFIX)
+            return decode_move_order(
+                ServiceId(service), record.payload, record.offset
+            )
         return Ok(UnrelatedChange(record.key))
 
+    def read_move_status(
+        self,
+        record: KeyedRecord,
+    ) -> Result[MoveStatus | None, Failure]:
+        """Decode the state of a move; see `KeyedStore.read_move_status`."""
+        if not record.key.startswith(wire_names.ROLLOUT_PREFIX):
+            return Ok(None)
+        service = record.key.removeprefix(wire_names.ROLLOUT_PREFIX)
+        return decode_move_status(ServiceId(service), record.payload)
+
     def read_server(
         self,
         record: KeyedRecord,
--- a/src/pollenloom/platform/wire_names.py
+++ b/src/pollenloom/platform/wire_names.py
@@ -44,12 +44,19 @@
 SERVERS_TOPIC: Final = 'keyed.servers'
 # Entries that routers write about themselves; the platform calls VMs nodes.
 NODES_TOPIC: Final = 'keyed.nodes'
+STATUS_TOPIC: Final = 'keyed.status'
 CONFIGURATION_KEY: Final = 'config'
 # Followed by a data centre; a record with a value takes it out of service.
 EVACUATION_PREFIX: Final = 'evacuate/'
+# Followed by a service, in the topics of operators and of states.
+ROLLOUT_PREFIX: Final = 'rollout/'
 
 # Values in the configuration and in server entries.
 IDEMPOTENT: Final = 'idempotent'
 STREAMING: Final = 'streaming'
 STATE_READY: Final = 'ready'
 STATE_DRAINING: Final = 'draining'
+# States of a version move.
+MOVE_ACTIVE: Final = 'active'
+MOVE_COMPLETED: Final = 'completed'
+MOVE_ROLLED_BACK: Final = 'rolled_back'
--- a/src/pollenloom/routing/service_load.py
+++ b/src/pollenloom/routing/service_load.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import TypeVar
 
-from pollenloom.core.ids import AccountId, ServerId
+from pollenloom.core.ids import AccountId, ResponseClass, ServerId
 
 KeyT = TypeVar('KeyT', bound=str)
 Amounts = Mapping[KeyT, float]
@@ -19,12 +19,14 @@
         running: Requests sent and not ended, by server.
         usage: Recent cost that was served, by client account.
         refused: Recent cost that was refused, by client account.
+        responses: Responses since a version move was ordered, by class.
     """
 
     unread: Mapping[ServerId, float] = field(default_factory=dict)
     running: Mapping[ServerId, float] = field(default_factory=dict)
     usage: Mapping[AccountId, float] = field(default_factory=dict)
     refused: Mapping[AccountId, float] = field(default_factory=dict)
+    responses: Mapping[ResponseClass, float] = field(default_factory=dict)
 
     def minus(self, part: 'ServiceLoad') -> 'ServiceLoad':
         """Return the load without the part of one router."""
@@ -33,6 +35,7 @@
             running=subtract(self.running, part.running),
             usage=subtract(self.usage, part.usage),
             refused=subtract(self.refused, part.refused),
+            responses=subtract(self.responses, part.responses),
         )
 
     def scaled(self, scale: float) -> 'ServiceLoad':
@@ -44,6 +47,7 @@
             running=multiply(self.running, scale),
             usage=multiply(self.usage, scale),
             refused=multiply(self.refused, scale),
+            responses=self.responses,
         )
 
 
@@ -55,6 +59,7 @@
         running=add_up(parts, lambda load: load.running),
         usage=add_up(parts, lambda load: load.usage),
         refused=add_up(parts, lambda load: load.refused),
+        responses=add_up(parts, lambda load: load.responses),
     )
 
 
--- a/src/pollenloom/settings/node_settings.py
+++ b/src/pollenloom/settings/node_settings.py
@@ -47,12 +47,15 @@
         retry_reserve: Retries allowed in addition to that ratio, in the whole
             fleet and one window.
         retry_window_seconds: Length of that window.
+        trial_share: Largest share of the requests for a service that a new
+            version may get before it is proven good.
     """
 
     stop_seconds: float = Field(default=8, gt=0, le=600)
     retry_ratio: float = Field(default=0.2, ge=0, le=1)
     retry_reserve: int = Field(default=50, ge=0)
     retry_window_seconds: int = Field(default=10, ge=1, le=600)
+    trial_share: float = Field(default=0.1, ge=0, le=1)
 
 
 class MachineSettings(SettingsSection):
--- a/src/pollenloom_standins/keyed_store/keyed_store_service.py
+++ b/src/pollenloom_standins/keyed_store/keyed_store_service.py
@@ -66,11 +66,18 @@
         return offset
 
     async def append(self, request: web.Request) -> web.Response:
-        """Append the record in the body."""
+        """Append the record in the body.
+
+        With `at` in the query, only if the topic ends at that offset.
+        """
         self.count_call(request)
         body = await request.read()
         record = record_frames.read_record(body[LENGTH_BYTES:], Offset(0))
         topic = request.query['topic']
+        end = self.topics[topic].end
+        if read_query_number(request, 'at', end) != end:
+            status = HTTPStatus.PRECONDITION_FAILED
+            return json_response({'end': end}, status)
         offset = await self.write(topic, record.key, record.payload)
         return json_response({'offset': offset, 'end': offset + 1})
 
--- a/tests/admission/local_fleet.py
+++ b/tests/admission/local_fleet.py
@@ -20,6 +20,7 @@
     AccountId,
     DataCentreId,
     RequestId,
+    ResponseClass,
     RouteId,
     ServerId,
     ServiceId,
@@ -28,6 +29,8 @@
 )
 from pollenloom.core.states import Outcome, Resource
 from pollenloom.kernel.kernel import Kernel
+from pollenloom.moves.fleet_moves import FleetMoves
+from pollenloom.moves.response_report import ResponseReport
 from pollenloom.observability.event_log import EventLog
 from pollenloom.routing.fleet_position import FleetPosition
 from pollenloom.routing.fleet_router import FleetRouter
@@ -67,6 +70,7 @@
 
     def __init__(self, engines: int, slots: int) -> None:
         self.configuration: RoutingConfiguration | None = None
+        self.move_orders = {}
         self.directory = ServerDirectory()
         for number in range(engines):
             entry = ServerEntry(
@@ -119,6 +123,27 @@
         return ()
 
 
+class NoMoves(FleetMoves):
+    """Moves of a fleet whose engines all run the same version."""
+
+    async def start(self) -> None:
+        """Do nothing."""
+
+    async def stop(self) -> None:
+        """Do nothing."""
+
+    def share(self, service: ServiceId, version: VersionId) -> float:
+        """Limit no version."""
+        return 1
+
+    def record_response(self, report: ResponseReport) -> None:
+        """Ignore the response."""
+
+    def responses(self, service: ServiceId) -> dict[ResponseClass, float]:
+        """Return no counts."""
+        return {}
+
+
 class DelayedExchange(LoadExchange):
     """Exchange whose reports reach other routers after a fixed delay."""
 
@@ -203,6 +228,7 @@
             kernel.register(self.catalogue)
             kernel.register(FakeFleetDirectory())
             kernel.register(exchange)
+            kernel.register(NoMoves())
             admission = LocalAdmission(kernel)
             await admission.start()
             self.admissions.append(admission)
--- a/tests/admission/test_local_pool.py
+++ b/tests/admission/test_local_pool.py
@@ -9,6 +9,8 @@
 from pollenloom.admission.selection_context import SelectionContext
 from pollenloom.admission.server_candidates import SPARE_SHARE
 from pollenloom.admission.ticket import Ticket
+from pollenloom.admission.version_credit import VersionCredit
+from pollenloom.admission.version_shares import UnlimitedShares
 from pollenloom.core.ids import (
     AccountId,
     DataCentreId,
@@ -91,7 +93,7 @@
 @pytest.fixture
 def pool() -> LocalPool:
     """An empty pool."""
-    return LocalPool()
+    return LocalPool(VersionCredit(SERVICE, UnlimitedShares()))
 
 
 def test_accounts_take_turns(pool: LocalPool) -> None:
--- /dev/null
+++ b/tests/platform/test_move_codec.py
@@ -0,0 +1,54 @@
+"""Tests of the records about version moves, also malformed ones."""
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollenloom.catalogue.move_status import MoveStatus
+from pollenloom.catalogue.operator_change import MoveOrder
+from pollenloom.core.ids import Offset, ServiceId, VersionId
+from pollenloom.core.states import MoveState
+from pollenloom.platform.move_codec import (
+    decode_move_order,
+    decode_move_status,
+    encode_move_status,
+)
+
+SERVICE = ServiceId('app')
+OFFSET = Offset(7)
+
+
+def test_order_is_read() -> None:
+    """Guards against an order that has no effect."""
+    payload = b'{"service":"app","target":"v2","duration_s":12}'
+    order = decode_move_order(SERVICE, payload, OFFSET).ok
+    assert order == MoveOrder(SERVICE, VersionId('v2'), 12, OFFSET)
+
+
+def test_removed_order_is_withdrawn() -> None:
+    """Guards against a move that goes on without its order."""
+    assert decode_move_order(SERVICE, b'', OFFSET).ok.to_version is None
+
+
+def test_states_have_the_names_of_the_protocol() -> None:
+    """Guards against a state that operators do not understand."""
+    names = {
+        msgspec.json.decode(
+            encode_move_status(MoveStatus(SERVICE, VersionId('v2'), state))
+        )['state']
+        for state in MoveState
+    }
+    assert names == {'active', 'completed', 'rolled_back'}
+
+
+def test_written_state_is_read_back() -> None:
+    """Guards against routers that do not understand each other."""
+    status = MoveStatus(SERVICE, VersionId('v2'), MoveState.REVERTED)
+    assert decode_move_status(SERVICE, encode_move_status(status)).ok == status
+
+
+@given(st.binary(max_size=200))
+def test_arbitrary_bytes_do_not_raise(payload: bytes) -> None:
+    """Guards against a record of another writer that ends a task."""
+    decode_move_order(SERVICE, payload, OFFSET)
+    decode_move_status(SERVICE, payload)
