Find a version bad that generates tokens several times slower

Cause: the margin of 50 ms, meant for times to the first byte, was added to the threshold for seconds per token, which is about 10 ms: no version was ever slow after its first byte. Change: baselines of times for each unit of cost have no margin.

--- a/src/pollenloom/moves/evidence_counter.py
+++ b/src/pollenloom/moves/evidence_counter.py
@@ -5,7 +5,7 @@
 
 from pollenloom.core.ids import RouteId
 from pollenloom.core.states import Outcome
-from pollenloom.moves.latency_baseline import LatencyBaseline
+from pollenloom.moves.latency_baseline import NO_MARGIN, LatencyBaseline
 from pollenloom.moves.version_counts import VersionCounts
 
 if TYPE_CHECKING:
@@ -39,7 +39,7 @@
             LatencyBaseline,
         )
         self.cost_time_baselines: dict[RouteId, LatencyBaseline] = defaultdict(
-            LatencyBaseline,
+            lambda: LatencyBaseline(NO_MARGIN),
         )
 
     def begin_test(self, test: int) -> None:
--- a/src/pollenloom/moves/latency_baseline.py
+++ b/src/pollenloom/moves/latency_baseline.py
@@ -12,6 +12,9 @@
 SLOW_FACTOR: Final = 3.0
 # Smaller differences are noise of the network and the event loop.
 SLOW_MARGIN_SECONDS: Final = 0.05
+# Baselines of multiples of an expected time, or of seconds for each token, have
+# no margin: 50 ms for a token would hide a version four times slower.
+NO_MARGIN: Final = 0
 
 
 class LatencyBaseline:
--- a/src/pollenloom/moves/response_counter.py
+++ b/src/pollenloom/moves/response_counter.py
@@ -1,18 +1,13 @@
 """Counts of good and bad responses of both versions on one router."""
 
 from collections import defaultdict
-from typing import Final
 
 from pollenloom.core.ids import ResponseClass, RouteId, VersionId
 from pollenloom.core.states import Outcome
-from pollenloom.moves.latency_baseline import LatencyBaseline
+from pollenloom.moves.latency_baseline import NO_MARGIN, LatencyBaseline
 from pollenloom.moves.response_class import ResponsePhase, response_class
 from pollenloom.moves.response_report import ResponseReport
 
-# The margin of a baseline suits plain times to the first byte. These here are
-# multiples of the expected time, or seconds for each byte.
-NO_MARGIN: Final = 0
-
 LoadKey = tuple[RouteId, int]
 
 
