Close backend servers that send bytes without end

Cause: heads, interim responses and responses to other requests had no limit in size, nor had bodies that are held in memory, incomplete events and bodies of rejections. Bytes that the parser refuses ended the response but were read on until the attempt was released. Change: 64 KiB before the body of a response, 8 MiB for a body that is held, 256 KiB for an event without its end, 0.25 s for the body of a rejection, whose head already proves that the request did not run. The connection is aborted and the request goes to another server where it may.

--- a/src/pollenloom/gateway/event_splitter.py
+++ b/src/pollenloom/gateway/event_splitter.py
@@ -6,6 +6,9 @@
 EVENT_END: Final = re.compile(rb'\r?\n\r?\n')
 EVENT_ID: Final = re.compile(rb'(?m)^id: ?([^\r\n]*)')
 EVENT_END_LF: Final = b'\n\n'
+# An event holds a few tokens; a server that sends more without the end of an
+# event sends no events.
+MAX_EVENT_BYTES: Final = 262_144
 
 
 class EventSplitter:
@@ -42,6 +45,11 @@
         if events.startswith(b'id:') or b'\nid:' in events:
             self.identified_events = events
 
+    @property
+    def is_too_long(self) -> bool:
+        """Whether the incomplete event is longer than any event may be."""
+        return len(self.partial) > MAX_EVENT_BYTES
+
     @property
     def last_event_id(self) -> str:
         """Id of the last event that was relayed."""
--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -1,5 +1,6 @@
 """Sends a request to one backend server and relays the response."""
 
+import asyncio
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -37,6 +38,10 @@
 
 HEAD_METHOD: Final = b'HEAD'
 FIRST_SERVER_ERROR_STATUS: Final = 500
+# A response that is not a stream is held in memory until it is complete.
+MAX_BODY_BYTES: Final = 8_388_608
+# Bodies of rejections are short; a longer wait for one delays the next attempt.
+REJECTION_BODY_SECONDS: Final = 0.25
 
 
 @dataclass(slots=True)
@@ -154,7 +159,12 @@
         self.call.may_have_run = self.may_have_run_before
         self.is_misdirected = self.header_codec.is_misdirected(head)
         self.first_byte_seconds = self.clock.monotonic() - self.sent_at
-        await self.read_body(channel)
+        try:
+            async with asyncio.timeout(REJECTION_BODY_SECONDS):
+                await self.read_body(channel)
+        except TimeoutError:
+            # The connection is closed, as the response has not ended.
+            self.body.clear()
         if head.status == HTTPStatus.BAD_REQUEST:
             await self.writer.write_response(head, b''.join(self.body))
             return AttemptEnd(AttemptState.ANSWERED, status=head.status)
@@ -202,13 +212,18 @@
         return AttemptEnd(AttemptState.ANSWERED, status=head.status)
 
     async def read_body(self, channel: ServerChannel) -> ChannelEnd:
-        """Read a response to its end into `body`."""
+        """Read a response into `body`; close one that is too long."""
+        received_bytes = 0
         while True:
             event = await channel.next_event()
             if isinstance(event, ChannelEnd):
                 return event
             if isinstance(event, bytes):
+                received_bytes += len(event)
                 self.body.append(event)
+            if received_bytes > MAX_BODY_BYTES:
+                channel.abort()
+                return ChannelEnd.TOO_LONG
 
     async def relay_stream(
         self,
@@ -221,6 +236,8 @@
             if isinstance(event, bytes):
                 self.record_first_byte()
                 await self.write_events(head, self.splitter.feed(event))
+                if self.splitter.is_too_long:
+                    return self.fail_stream(ChannelEnd.TOO_LONG)
             elif event is ChannelEnd.COMPLETE:
                 await self.write_events(head, self.splitter.partial)
                 if not self.writer.has_started:
@@ -229,10 +246,14 @@
                 await self.writer.finish()
                 return AttemptEnd(AttemptState.ANSWERED, status=head.status)
             else:
-                self.splitter.drop_partial()
-                return self.fail_attempt(
-                    f'incomplete stream, connection was {describe_end(event)}'
-                )
+                return self.fail_stream(event)
+
+    def fail_stream(self, event: ServerEvent) -> AttemptEnd:
+        """Fail a stream that ended or is to be closed before its last event."""
+        self.splitter.drop_partial()
+        return self.fail_attempt(
+            f'incomplete stream, connection was {describe_end(event)}'
+        )
 
     async def write_events(self, head: ResponseHead, events: bytes) -> None:
         """Write complete events, preceded by the head if it is not sent yet."""
--- a/src/pollenloom/gateway/server_channel.py
+++ b/src/pollenloom/gateway/server_channel.py
@@ -8,6 +8,7 @@
 
 import httptools
 
+from pollenloom.gateway.expected_response import ExpectedResponse
 from pollenloom.gateway.headers import (
     CONTENT_LENGTH,
     TRANSFER_ENCODING,
@@ -44,6 +45,7 @@
         response_ended: Whether the response has ended or none is expected.
         is_skipping: Whether the response being parsed is discarded.
         is_framed: Whether the response marks its own end.
+        request: What is known of the request in progress or the last one.
     """
 
     def __init__(self, id_header: bytes) -> None:
@@ -55,8 +57,7 @@
         self.is_reusable = True
         self.idle_timeout_seconds: float | None = None
         self.idle_since: float = 0
-        self.request_id: bytes | None = None
-        self.is_head_request = False
+        self.request = ExpectedResponse()
         self.response_ended = True
         self.is_skipping = False
         self.is_framed = True
@@ -72,8 +73,9 @@
         self, request_id: bytes, *, is_head_request: bool
     ) -> None:
         """Prepare for the response to a request."""
-        self.request_id = request_id
-        self.is_head_request = is_head_request
+        self.request = ExpectedResponse(
+            request_id, is_head_request=is_head_request
+        )
         self.response_ended = False
         self.events.clear()
         self.has_events.clear()
@@ -84,14 +86,21 @@
             self.is_reusable = False
             self.abort()
             return
+        self.request.count_received(len(chunk))
         try:
             self.parser.feed_data(chunk)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.is_reusable = False
-            self.finish(ChannelEnd.MALFORMED)
+            self.reject_bytes()
+        if self.request.is_head_too_long:
+            self.reject_bytes()
         if len(self.events) > MAX_QUEUED_EVENTS:
             self.transport.pause_reading()
 
+    def reject_bytes(self) -> None:
+        """End the response and close, since a server may send without end."""
+        self.finish(ChannelEnd.MALFORMED)
+        self.abort()
+
     def eof_received(self) -> bool:
         """End the response, which is complete if only closing marks its end."""
         self.is_reusable = False
@@ -134,16 +143,19 @@
             self.is_skipping = True
             return
         response_id = find_header(self.headers, self.id_header)
-        if response_id is not None and response_id != self.request_id:
+        if response_id is not None and response_id != self.request.request_id:
             # A late response to an earlier request on this connection.
             self.is_skipping = True
             self.is_reusable = False
             return
-        self.is_framed = self.is_head_request or self.is_self_delimiting(status)
+        self.is_framed = (
+            self.request.is_head_request or self.is_self_delimiting(status)
+        )
         self.idle_timeout_seconds = keep_alive_seconds(self.headers)
         head = ResponseHead(status, tuple(self.headers), self.is_framed)
         self.enqueue(head)
-        if self.is_head_request:
+        self.request.is_in_body = True
+        if self.request.is_head_request:
             self.is_reusable = False
             self.finish(ChannelEnd.COMPLETE)
 
--- a/src/pollenloom/gateway/server_event.py
+++ b/src/pollenloom/gateway/server_event.py
@@ -17,6 +17,8 @@
     # The bytes cannot be parsed.
     MALFORMED = 'garbled'
     SILENT = 'silent'
+    # The router closed a response that is longer than any may be.
+    TOO_LONG = 'too_long'
 
 
 @dataclass(frozen=True, slots=True)
