Do not hold back accounts of pool owners for what idle capacity gave them

Callers would see: an account that used idle capacity gets nothing once others begin to ask, until they have caught up (the class of FAIR, payback, in the product's own admission). Cause: the floor at which an account enters follows the accounts that are backlogged at that moment. While requests are served at once nobody is, so the floor stays and the virtual time of the served account runs ahead without bound. Change: without any backlogged account the floor is the largest virtual time, as in start-time fair queueing at the end of a busy period. Measured: test_account_does_not_pay_back_what_it_got_from_idle_capacity of the totals has a lead of 100,000 after 1,000 requests of 100 before, 0 after; all tests of admission pass, among them fairness and failures of the fleet.

--- a/src/pollenloom/admission/service_totals.py
+++ b/src/pollenloom/admission/service_totals.py
@@ -104,9 +104,15 @@
             self.backlogged.pop(account, None)
 
     def current_floor(self) -> float:
-        """Smallest virtual time of backlogged accounts, or the last one."""
+        """Smallest virtual time of backlogged accounts, or the last one.
+
+        Without any, it is the largest virtual time: what was served from idle
+        capacity must not hold an account back.
+        """
         if self.backlogged:
             self.floor = min(map(self.time_of, self.backlogged))
+        else:
+            self.floor = max((self.floor, *self.times.values()))
         return self.floor
 
     def merge(
