--- a/src/pollenloom_standins/commands/soak_command.py
+++ b/src/pollenloom_standins/commands/soak_command.py
@@ -14,6 +14,7 @@
 
 from pollenloom_standins.fleet.managed_process import ProcessError
 from pollenloom_standins.node_soak.node_fleet import NodeFleet
+from pollenloom_standins.node_soak.node_history import DEFAULT_NODES
 from pollenloom_standins.soak.product_fleet import ProductFleet
 from pollenloom_standins.soak.soak_fleet import SoakVerdict
 from pollenloom_standins.soak.soak_plan import SECTIONS
@@ -60,6 +61,7 @@
         fleet: Fleet to run: `product` has routers with the platform's
             stand-in, `node` has `pollenloom.node` processes with the users'
             store.
+        nodes: Number of nodes in a fleet of nodes.
         seed: Seed of the first round; each next round has the next seed.
         minutes: Start no round after this many minutes.
         rounds: Start no more rounds than this; 0 for no limit.
@@ -72,6 +74,7 @@
     """
 
     fleet: Annotated[FleetKind, cappa.Arg(long=True)] = FleetKind.PRODUCT
+    nodes: Annotated[int, cappa.Arg(long=True)] = DEFAULT_NODES
     seed: Annotated[int, cappa.Arg(long=True)] = 1
     minutes: Annotated[float, cappa.Arg(long=True)] = 1
     rounds: Annotated[int, cappa.Arg(long=True)] = 0
@@ -91,7 +94,7 @@
     def make_fleet(self) -> AnyFleet:
         """Return the chosen fleet."""
         if self.fleet is FleetKind.NODE:
-            return NodeFleet()
+            return NodeFleet(self.nodes)
         return ProductFleet(self.examples, self.router_sections())
 
     async def run(self, fleet: AnyFleet) -> SoakTotals:
--- a/src/pollenloom_standins/node_soak/node_history.py
+++ b/src/pollenloom_standins/node_soak/node_history.py
@@ -9,6 +9,7 @@
 from pollenloom_standins.node_soak.node_fault_record import NodeFaultRecord
 from pollenloom_standins.node_soak.node_run import NodeRun
 
+DEFAULT_NODES: Final = 4
 # Target of faults of the store.
 STORE: Final = 'store'
 # Time in which a node that was cut off or frozen learns what it missed.
@@ -20,6 +21,7 @@
 
     Attributes:
         seed: Seed of load and faults.
+        node_count: Number of nodes.
         calls: Requests as callers saw them.
         runs: Requests as backend servers saw them.
         faults: Faults and planned operations.
@@ -28,6 +30,7 @@
     """
 
     seed: int
+    node_count: int = DEFAULT_NODES
     calls: list[NodeCall] = []
     runs: list[NodeRun] = []
     faults: list[NodeFaultRecord] = []
--- a/src/pollenloom_standins/node_soak/node_round.py
+++ b/src/pollenloom_standins/node_soak/node_round.py
@@ -8,7 +8,10 @@
 
 from pollenloom_standins.node_soak.fault_table import FAULTS
 from pollenloom_standins.node_soak.injected_fault import InjectedFault
-from pollenloom_standins.node_soak.node_history import NodeHistory
+from pollenloom_standins.node_soak.node_history import (
+    DEFAULT_NODES,
+    NodeHistory,
+)
 from pollenloom_standins.node_soak.node_round_environment import (
     NodeRoundEnvironment,
 )
@@ -56,10 +59,11 @@
 async def run_node_round(
     seed: int,
     directory: Path,
+    node_count: int = DEFAULT_NODES,
 ) -> FinishedRound[NodeHistory]:
     """Run a round; logs stay in the directory."""
     directory.mkdir(parents=True, exist_ok=True)
-    history = NodeHistory(seed=seed)
+    history = NodeHistory(seed=seed, node_count=node_count)
     environment = NodeRoundEnvironment(history, directory.resolve())
     async with environment:
         await asyncio.gather(
--- a/src/pollenloom_standins/node_soak/node_round_environment.py
+++ b/src/pollenloom_standins/node_soak/node_round_environment.py
@@ -29,7 +29,6 @@
 from pollenloom_standins.serving.listen_address import ListenAddress
 
 DATA_CENTRES: Final = ('enschede', 'almelo')
-NODES: Final = 4
 BACKENDS: Final = 4
 CALLERS: Final = 16
 PROBE_INTERVAL_SECONDS: Final = 0.25
@@ -97,7 +96,7 @@
             await self.backends.start(data_centre)
         self.exit_stack.push_async_callback(self.backends.stop_all)
         self.kernel.spawn('heartbeats', self.backends.write_heartbeats())
-        for number in range(NODES):
+        for number in range(self.history.node_count):
             await self.add_node(number, ListenAddress.parse(listener.address))
         await asyncio.gather(
             *(node.wait_until_ready() for node in self.nodes.values()),
