Do not judge a version by requests that its servers rejected

Cause: a rejection ended the request fast and counted as a good response of its version, which dilutes the evidence on a bad one. Measured: test_rejected_request_is_not_judged fails before, passes after.

--- a/src/pollenloom/admission/pool_activity.py
+++ b/src/pollenloom/admission/pool_activity.py
@@ -11,8 +11,8 @@
         sent: Requests that were sent.
         refused: Requests that were refused at once.
         timed_out: Requests that were refused after they had waited.
-        held_back: Choices that ended because the first account in order was
-            ahead of one that waits at another router.
+        held_back: Choices in which a request found no spare room, since its
+            account was beyond its share.
         without_room: Choices in which no waiting request had a server with
             room.
     """
--- a/src/pollenloom/moves/response_counter.py
+++ b/src/pollenloom/moves/response_counter.py
@@ -40,7 +40,9 @@
         self.counts.clear()
 
     def count(self, report: ResponseReport) -> None:
-        """Count both phases of a response."""
+        """Count both phases of a response, unless the request was rejected."""
+        if report.outcome in {Outcome.REFUSED, Outcome.UNUSED}:
+            return
         is_new = report.version == self.to_version
         # The expected time already accounts for the load of model engines.
         has_expected = report.expected_seconds != 1
--- a/tests/moves/test_response_counter.py
+++ b/tests/moves/test_response_counter.py
@@ -100,6 +100,12 @@
     assert not count_of(counter, ResponsePhase.FIRST_BYTE, is_bad=False)
 
 
+def test_rejected_request_is_not_judged(counter: ResponseCounter) -> None:
+    """Guards against fast rejections that make a version look good."""
+    counter.count(make_report(NEW, 0.01, Outcome.REFUSED))
+    assert not counter.counts
+
+
 def test_failure_is_bad(counter: ResponseCounter) -> None:
     """Guards against a version whose failures are not counted."""
     counter.count(make_report(NEW, None, Outcome.FAILED))
