Do not charge accounts for requests that did not begin

Cause: usage was charged at the cost hint when a request was sent and never corrected. Change: a request that ends without a first byte is refunded, except for one that its caller gave up, which used the server's time.

--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -266,6 +266,11 @@
         load.in_flight -= 1
         if not held.has_first_byte:
             load.window.released(held.placement.cost)
+            if settlement.outcome is not Outcome.CANCELLED:
+                # A request that its caller gave up used the server's time.
+                pool.backlog.usage.refund(
+                    grant.account, grant.charged, held.granted_at, now
+                )
         directory = self.catalogue.directory
         known = directory.servers.get(
             grant.server.server,
--- a/src/pollenloom/routing/account_usage.py
+++ b/src/pollenloom/routing/account_usage.py
@@ -38,6 +38,22 @@
         self.decay(now)
         self.local[account] = self.local.get(account, 0) + cost
 
+    def refund(
+        self, account: AccountId, cost: float, charged_at: float, now: float
+    ) -> None:
+        """Take back what is left of a charge for a request that did not run.
+
+        Args:
+            account: The account.
+            cost: The cost that was charged.
+            charged_at: Monotonic seconds of the charge.
+            now: Monotonic seconds.
+        """
+        self.decay(now)
+        left = cost * math.exp(-max(0, now - charged_at) / DECAY_SECONDS)
+        usage = self.local.get(account, 0) - left
+        self.local[account] = max(0, usage)
+
     def total(self, account: AccountId) -> float:
         """Return the usage over the fleet, as of the latest decay."""
         return self.local.get(account, 0) + self.remote.get(account, 0)
--- a/tests/routing/test_account_usage.py
+++ b/tests/routing/test_account_usage.py
@@ -24,6 +24,17 @@
     assert not usage.local
 
 
+def test_refund_takes_back_what_is_left_of_a_charge() -> None:
+    """Guards against accounts that pay for requests that did not begin."""
+    usage = AccountUsage()
+    usage.charge(SHOP, 1000, 0)
+    usage.charge(SHOP, 500, DECAY_SECONDS)
+    usage.refund(SHOP, 1000, 0, DECAY_SECONDS)
+    assert usage.total(SHOP) == pytest.approx(500)
+    usage.refund(SHOP, 9000, DECAY_SECONDS, DECAY_SECONDS)
+    assert not usage.total(SHOP)
+
+
 def test_usage_at_other_routers_counts() -> None:
     """Guards against an account that gets its full share at each router."""
     usage = AccountUsage()
