Keep reported counts of a move and survive a withdrawn order

Cause: load reports held the live counts of a move, so that newer local counts were subtracted from the sum of the fleet; and a move that was withdrawn while another one was written ended the evaluation of all moves with a KeyError. Both were found by reading the change. Change: reports get a copy; a move that is gone is passed over. Measured: test_reported_counts_do_not_change_later and test_withdrawn_move_is_not_evaluated fail before, pass after.

--- a/src/pollenloom/moves/store_moves.py
+++ b/src/pollenloom/moves/store_moves.py
@@ -98,11 +98,14 @@
         self.counter(report.service).count(report)
 
     def responses(self, service: ServiceId) -> Mapping[ResponseClass, float]:
-        """Return the counts of this router in a move that has not ended."""
+        """Return the counts of this router in a move that has not ended.
+
+        A copy: reports are kept, to subtract them from later sums.
+        """
         move = self.moves.get(service)
         if move is None or move.has_ended:
             return {}
-        return self.counter(service).counts
+        return dict(self.counter(service).counts)
 
     def counter(self, service: ServiceId) -> ResponseCounter:
         """Return the counter of a service."""
@@ -162,9 +165,11 @@
         if move.has_ended or move.state is status.state:
             return
         move.state = status.state
-        self.record_state(status, 'read from the store')
+        self.record_state(move, status, 'read from the store')
 
-    def record_state(self, status: MoveStatus, reason: str) -> None:
+    def record_state(
+        self, move: OrderedMove, status: MoveStatus, reason: str
+    ) -> None:
         """Record a state that is in force at this router from now on."""
         self.events.record(
             f'move_{status.state.value}',
@@ -172,7 +177,7 @@
             service=status.service,
             stage=0,
             reason=reason,
-            evidence=describe_evidence(self.moves[status.service].test),
+            evidence=describe_evidence(move.test),
         )
 
     async def run(self) -> None:
@@ -184,8 +189,9 @@
 
     async def evaluate(self, service: ServiceId) -> None:
         """Evaluate one move; write its state if it is this router's turn."""
-        move = self.moves[service]
-        if move.has_ended:
+        move = self.moves.get(service)
+        # The order may have been withdrawn while another move was evaluated.
+        if move is None or move.has_ended:
             return
         now = self.kernel.clock.monotonic()
         self.observe(service, move, now)
@@ -236,7 +242,7 @@
         move.due_since = None
         if move.state is not status.state:
             move.state = status.state
-            self.record_state(status, 'written by this router')
+            self.record_state(move, status, 'written by this router')
 
 
 def describe_evidence(test: ChangeTest) -> str:
