--- a/src/pollenloom_standins/serving/free_addresses.py
+++ b/src/pollenloom_standins/serving/free_addresses.py
@@ -13,6 +13,8 @@
 # 32768 on, and one of them could take a chosen port before its process listens.
 FIRST_PORT: Final = 10_000
 LAST_PORT: Final = 32_767
+# Ports that this process chose earlier; their processes may not listen yet.
+chosen_ports: Final[set[int]] = set()
 
 
 def free_addresses(host: str, count: int) -> list[str]:
@@ -32,8 +34,11 @@
     source = random.SystemRandom()
     while True:
         port = source.randint(FIRST_PORT, LAST_PORT)
+        if port in chosen_ports:
+            continue
         try:
             stack.enter_context(socket.create_server((host, port)))
         except OSError:
             continue
+        chosen_ports.add(port)
         yield port
