Treat a connection that is closed at once as a failed connection

Cause: a closed transport has no socket, and the options were set all the same. Change: the attempt fails as not sent, so that another server is used. Measured: test_connection_that_is_closed_at_once_is_a_failure fails with that AttributeError before, passes after.

--- a/src/pollenloom/gateway/server_connection_pool.py
+++ b/src/pollenloom/gateway/server_connection_pool.py
@@ -110,7 +110,12 @@
         except asyncio.CancelledError:
             connecting.add_done_callback(close_unused)
             raise
-        set_socket_options(transport.get_extra_info('socket'))
+        tcp_socket = transport.get_extra_info('socket')
+        if tcp_socket is None:
+            # The server closed it before this task ran again.
+            detail = f'connection to {address} was closed at once'
+            return Error(Failure(ErrorKind.NO_CAPACITY, detail))
+        set_socket_options(tcp_socket)
         return Ok(channel)
 
     def release(self, server: BackendServer, channel: ServerChannel) -> None:
