Log the prompt parts and the progress of failed attempts

Logs could not tell whether requests that crash servers have a prompt part in common, since attempt_failed named neither the shared parts nor whether the server had begun to answer. Both are fields of the line now; the last eight parts are logged, and a long id is replaced by its hash. The field list in event_name named fields that the line does not have; corrected.

--- a/src/pollenloom/gateway/relay.py
+++ b/src/pollenloom/gateway/relay.py
@@ -176,7 +176,12 @@
         end = await request_attempt.run(self.connection_pool)
         if end.state is not AttemptState.ANSWERED:
             call.failed_servers.add(grant.server.server)
-            self.event_log.attempt_failed(call, grant, end)
+            self.event_log.attempt_failed(
+                call,
+                grant,
+                end,
+                request_attempt.answered_seconds(self.kernel.clock.monotonic()),
+            )
         if (
             request_attempt.first_byte_seconds is not None
             and call.first_byte_seconds is None
--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -272,6 +272,12 @@
                 self.grant, self.first_byte_seconds
             )
 
+    def answered_seconds(self, now: float) -> float | None:
+        """Return the seconds since the first byte; None if there was none."""
+        if self.first_byte_seconds is None:
+            return None
+        return now - self.sent_at - self.first_byte_seconds
+
     def fail_attempt(self, detail: str) -> AttemptEnd:
         """Mark the attempt as failed and perhaps run; return its end."""
         self.outcome = Outcome.FAILED
--- a/src/pollenloom/gateway/request_event_log.py
+++ b/src/pollenloom/gateway/request_event_log.py
@@ -1,6 +1,6 @@
 """Event log lines and metrics of requests."""
 
-from typing import Self
+from typing import Final, Self
 
 from pollenloom.admission.grant import Grant
 from pollenloom.catalogue.catalogue import Catalogue
@@ -18,6 +18,10 @@
 from pollenloom.observability.metrics import Metrics
 from pollenloom.routing.request_metadata import RequestMetadata
 
+# Shared parts of a prompt in a log line: the last ones, which fewest requests
+# have.
+LOGGED_PARTS: Final = 8
+
 
 class RequestEventLog:
     """Writes one line for each decision about a request.
@@ -154,8 +158,17 @@
         call: PendingCall,
         grant: Grant,
         end: AttemptEnd,
+        answered_seconds: float | None,
     ) -> None:
-        """Record why an attempt failed and how old the server entry was."""
+        """Record why an attempt failed and how old the server entry was.
+
+        Args:
+            call: The request.
+            grant: Grant of the attempt.
+            end: End of the attempt.
+            answered_seconds: Time since the first byte of the response; None
+                if there was none.
+        """
         known = self.catalogue.directory.servers.get(grant.server.server)
         now = self.clock.monotonic()
         self.events.record(
@@ -168,6 +181,10 @@
             entry_age_ms=round((now - known.read_at) * MILLISECONDS_PER_SECOND)
             if known
             else None,
+            answered_ms=None
+            if answered_seconds is None
+            else round(answered_seconds * MILLISECONDS_PER_SECOND),
+            parts=','.join(call.metadata.shared_part_ids[-LOGGED_PARTS:]),
         )
 
     def retried(self, call: PendingCall, end: AttemptEnd) -> None:
--- a/src/pollenloom/observability/event_name.py
+++ b/src/pollenloom/observability/event_name.py
@@ -81,8 +81,8 @@
             service: sent, refused, timed_out, held_back, without_room,
             waiting_accounts, fair_level, sum_age_ms, sum_routers.
         ATTEMPT_FAILED: An attempt at a request on a backend server failed.
-            Subject request: server, reason, run, server_version,
-            entry_age_ms, is_again.
+            Subject request: server, reason, run, entry_version, entry_age_ms,
+            answered_ms, parts.
         LINES_DROPPED: Lines of requests that were rejected for load were not
             written, to bound the log. Subject error kind: lines.
         PROCESS_STATE: The process starts, is ready, reads its settings again
--- a/src/pollenloom/routing/request_metadata.py
+++ b/src/pollenloom/routing/request_metadata.py
@@ -1,6 +1,15 @@
 """Metadata of a request that routing uses."""
 
 from dataclasses import dataclass
+from typing import Final
+
+import xxhash
+
+from pollenloom.core.ids import PromptPartId
+
+# Callers choose the ids of parts; longer ones are replaced by their hash, so
+# that what is kept of them is bounded.
+MAX_PART_ID_LENGTH: Final = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,7 +58,19 @@
         """Prompt tokens in parts that other requests may share."""
         return sum(part.tokens for part in self.parts[:-1])
 
+    @property
+    def shared_part_ids(self) -> tuple[PromptPartId, ...]:
+        """Ids, of bounded length, of the parts that others may share."""
+        return tuple(bounded_part_id(part.part_id) for part in self.parts[:-1])
+
     @property
     def affinity_key(self) -> str:
         """Id of the longest shared prefix; empty if nothing is shared."""
         return self.parts[-2].part_id if len(self.parts) > 1 else ''
+
+
+def bounded_part_id(part_id: str) -> PromptPartId:
+    """Return the id of a part, or its hash if the id is long."""
+    if len(part_id) <= MAX_PART_ID_LENGTH:
+        return PromptPartId(part_id)
+    return PromptPartId(xxhash.xxh3_64_hexdigest(part_id.encode()))
