Refuse prompts with parts that crash server after server

Cause: an attempt was judged by its server only. Nothing remembered what a server was about to answer when it crashed, and no router sees enough of the crashes by itself. Class of fault: a request that carries its failure to the next server (poison message).

Change: routers share facts, of which the newest about each subject counts and which outlive the router that observed them. If a server closes connections that it had hardly answered and then refuses a new one, the prompt parts of these requests are suspected; a later answer to a prompt with a part, anywhere, clears it. A part that stays uncleared in more crashes than the fleet's share of lost requests explains (three at least, p below 0.001) is blocked for the accounts that sent it, together with the parts that all its requests had in common. Parts before a crashing part are not blamed for its crashes, and a crash with a blocked prompt says nothing about other requests. A blocked request gets 400 at once, also when it was waiting. A suspected request is not sent to a second server.

Unit tests simulate crashes of other kinds.

--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -244,6 +244,7 @@
         held.has_first_byte = True
         now = self.kernel.clock.monotonic()
         cost = held.placement.cost
+        self.pool(grant.server.service).answers.add(now)
         load = self.pool(grant.server.service).servers.server_load(
             grant.server.server,
             now,
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -13,6 +13,7 @@
 from pollenloom.admission.ticket import Ticket
 from pollenloom.admission.version_credit import VersionCredit
 from pollenloom.core.ids import AccountId, ResponseClass, VersionId
+from pollenloom.routing.decaying_count import DecayingCount
 from pollenloom.routing.send_window import (
     PREFILL_TOKENS_PER_SECOND,
     QUEUE_SHARE,
@@ -47,6 +48,7 @@
         recent_sends: Time and cost hint of the requests sent within the rate
             window.
         recent_cost: Sum of these cost hints.
+        answers: Answers that began lately.
         tightest_objective: Shortest objective of any request so far, in
             seconds.
         activity: What was decided since it was last recorded.
@@ -64,6 +66,7 @@
         self.activity = PoolActivity()
         self.recent_sends: deque[tuple[float, float]] = deque()
         self.recent_cost: float = 0
+        self.answers = DecayingCount()
         self.versions: set[VersionId] = set()
         self.remote_load = ServiceLoad()
         self.level: float | None = None
@@ -222,4 +225,5 @@
             usage=self.backlog.usage.largest_usages(now),
             refused=self.backlog.refused.largest_usages(now),
             responses=responses,
+            answers={self.credit.service: round(self.answers.at(now), 1)},
         )
--- a/src/pollenloom/catalogue/load_exchange.py
+++ b/src/pollenloom/catalogue/load_exchange.py
@@ -3,11 +3,12 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping
-from typing import ClassVar, Final, cast
+from typing import Any, ClassVar, Final, cast
 
 import msgspec
 from absl import logging
 
+from pollenloom.catalogue.fact_message import FactsMessage
 from pollenloom.catalogue.fleet_directory import FleetDirectory
 from pollenloom.catalogue.load_message import (
     DataCentreLoadMessage,
@@ -27,7 +28,7 @@
 from pollenloom.routing.fleet_router import FleetRouter
 from pollenloom.routing.load_table import MAX_REPORT_AGE_SECONDS, LoadTable
 from pollenloom.routing.router_load_report import RouterLoadReport
-from pollenloom.routing.service_load import ServiceLoad
+from pollenloom.routing.service_load import ServiceLoad, add_loads
 from pollenloom.settings.node_settings import NodeSettings
 
 REPORT_INTERVAL_SECONDS: Final = 0.1
@@ -45,7 +46,9 @@
 
 Loads = Mapping[ServiceId, ServiceLoad]
 LocalLoads = Callable[[], Loads]
-TopicUpdateHandler = Callable[[TopicUpdateMessage], None]
+RelayedMessage = TopicUpdateMessage | FactsMessage
+# The argument has the type under which the handler is registered.
+RelayHandler = Callable[[Any], None]
 
 
 class LoadExchange(KernelService, asyncio.DatagramProtocol):
@@ -61,7 +64,7 @@
         local_loads: Returns the load of this router, by service.
         is_first_collector: Whether this router is the preferred collector of
             its data centre.
-        on_topic_update: Called with updates of store topics.
+        relay_handlers: Called with messages that routers pass on, by type.
         local_reports: Latest reports of this router.
         members: Routers that use this one as their collector, with the time
             of their latest report, monotonic seconds.
@@ -83,7 +86,7 @@
         self.collector_choice = CollectorChoice()
         self.local_loads: LocalLoads = dict
         self.is_first_collector = False
-        self.on_topic_update: TopicUpdateHandler = ignore_topic_update
+        self.relay_handlers: dict[type, RelayHandler] = {}
         self.local_reports: deque[RouterLoadReport] = deque(maxlen=KEPT_REPORTS)
         self.members: dict[Address, float] = {}
         self.remote_collectors: dict[Address, float] = {}
@@ -127,8 +130,8 @@
             if message.wants_sum:
                 self.members[sender] = now
             return
-        if isinstance(message, TopicUpdateMessage):
-            self.handle_topic_update(message, sender)
+        if isinstance(message, RelayedMessage):
+            self.handle_relayed(message, sender)
             return
         self.collector_choice.reply_received(message.router)
         if isinstance(message, FleetLoadMessage):
@@ -142,14 +145,16 @@
                 now,
             )
 
-    def handle_topic_update(
+    def handle_relayed(
         self,
-        message: TopicUpdateMessage,
+        message: RelayedMessage,
         sender: Address,
     ) -> None:
-        """Handle an update of store topics if its sender is in the fleet."""
+        """Pass a relayed message to its handler if a router has sent it."""
         if sender in addresses_of(self.fleet_directory.routers()):
-            self.on_topic_update(message)
+            handler = self.relay_handlers.get(type(message))
+            if handler is not None:
+                handler(message)
             return
         logging.warning('news_rejected, unknown sender %s', sender)
 
@@ -173,6 +178,14 @@
             self.remote_loads[service] = (now, load)
         return load
 
+    def fleet_load(self, service: ServiceId, now: float) -> ServiceLoad:
+        """Return the load of a service on all routers, as last reported."""
+        loads = [self.remote_load(service, now)]
+        if self.local_reports:
+            local = self.local_reports[-1].loads.get(service)
+            loads.extend(filter(None, (local,)))
+        return add_loads(loads)
+
     async def run(self) -> None:
         """Send reports and sums periodically."""
         number = 0
@@ -225,6 +238,24 @@
         self.table.receive_fleet_sum(self.vm, total, now)
         self.send(FleetLoadMessage(self.vm, total), self.members)
 
+    def relay_addresses(self, now: float) -> set[Address]:
+        """Return the routers to which this one passes on what it learns.
+
+        In a large fleet the collectors pass it on to the other routers.
+        """
+        routers = self.fleet_directory.routers()
+        if len(routers) <= LARGEST_DIRECT_FLEET:
+            return set(addresses_of(self.without_self(routers)))
+        collectors = self.collector_choice.choose(
+            self.in_local_data_centre(routers),
+            now,
+        )
+        addresses = set(addresses_of(self.without_self(collectors)))
+        if self.members or self.is_first_collector:
+            addresses |= self.choose_remote_collectors(now)
+            addresses |= self.members.keys() | self.remote_collectors.keys()
+        return addresses
+
     def choose_remote_collectors(self, now: float) -> set[Address]:
         """Return the collectors of the other data centres."""
         by_data_centre: dict[DataCentreId, list[FleetRouter]] = {}
@@ -264,10 +295,6 @@
             self.transport.sendto(content, address)
 
 
-def ignore_topic_update(_message: TopicUpdateMessage) -> None:
-    """Default handler of topic updates, until one is set."""
-
-
 def addresses_of(routers: Iterable[FleetRouter]) -> list[Address]:
     """Return the addresses at which routers receive load reports."""
     return [router.address for router in routers]
--- a/src/pollenloom/catalogue/load_message.py
+++ b/src/pollenloom/catalogue/load_message.py
@@ -1,4 +1,4 @@
-"""Datagrams in which routers exchange load reports and topic updates."""
+"""Datagrams in which routers exchange load reports, topic updates and facts."""
 
 from typing import Final
 
@@ -6,6 +6,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from pollenloom.catalogue.fact_message import FactsMessage
 from pollenloom.catalogue.store_topic import StoreTopic
 from pollenloom.catalogue.topic_state import TopicUpdate
 from pollenloom.core.error_kind import ErrorKind
@@ -58,6 +59,7 @@
     | DataCentreLoadMessage
     | FleetLoadMessage
     | TopicUpdateMessage
+    | FactsMessage
 )
 # CBOR encodes bytes natively; by default msgspec converts them to base64.
 NATIVE_TYPES: Final = (bytes,)
--- a/src/pollenloom/catalogue/topic_relay.py
+++ b/src/pollenloom/catalogue/topic_relay.py
@@ -46,7 +46,7 @@
             KernelServiceName.LOAD_EXCHANGE,
             LoadExchange,
         )
-        self.exchange.on_topic_update = self.receive
+        self.exchange.relay_handlers[TopicUpdateMessage] = self.receive
         self.kernel.spawn('topic-relay', self.run())
 
     async def stop(self) -> None:
--- a/src/pollenloom/console/node_process.py
+++ b/src/pollenloom/console/node_process.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from pollenloom.admission.local_admission import LocalAdmission
+from pollenloom.catalogue.fact_exchange import FactExchange
 from pollenloom.catalogue.load_exchange import LoadExchange
 from pollenloom.catalogue.store_catalogue import StoreCatalogue
 from pollenloom.catalogue.store_fleet_directory import StoreFleetDirectory
@@ -15,6 +16,7 @@
 from pollenloom.gateway.gateway_server import GatewayServer
 from pollenloom.gateway.loop_monitor import LoopMonitor
 from pollenloom.gateway.probe_server import ProbeServer
+from pollenloom.gateway.prompt_guard import PromptGuard
 from pollenloom.gateway.relay import Relay
 from pollenloom.gateway.server_connection_pool import ServerConnectionPool
 from pollenloom.kernel.kernel import Kernel
@@ -58,8 +60,10 @@
         StoreFleetDirectory(kernel, settings),
         StoreCatalogue(kernel),
         LoadExchange(kernel, settings),
+        FactExchange(kernel, settings.vm),
         ServerConnectionPool(kernel, header_codec),
         StoreMoves(kernel, settings),
+        PromptGuard(kernel),
         LocalAdmission(kernel),
         Relay(kernel, header_codec),
         GatewayServer(kernel, settings.listen.callers),
--- a/src/pollenloom/core/error_kind.py
+++ b/src/pollenloom/core/error_kind.py
@@ -15,6 +15,7 @@
     UNKNOWN_ROUTE = 'unknown_route'
     UNKNOWN_MODEL = 'unknown_model'
     SERVICE_ENDED = 'service_ended'
+    PROMPT_QUARANTINED = 'prompt_quarantined'
     QUEUE_FULL = 'queue_full'
     DEADLINE_UNREACHABLE = 'deadline_unreachable'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
--- a/src/pollenloom/core/error_responses.py
+++ b/src/pollenloom/core/error_responses.py
@@ -42,6 +42,11 @@
             HTTPStatus.GONE,
             'The service has been shut down',
         ),
+        # A client error, since the same request must not be sent again.
+        ErrorKind.PROMPT_QUARANTINED: ErrorResponse(
+            HTTPStatus.BAD_REQUEST,
+            'A part of the prompt crashes backend servers',
+        ),
         ErrorKind.QUEUE_FULL: ErrorResponse(
             HTTPStatus.TOO_MANY_REQUESTS,
             'Too many requests of the client account are waiting',
--- /dev/null
+++ b/src/pollenloom/gateway/prompt_guard.py
@@ -0,0 +1,192 @@
+"""Observes which prompts crash backend servers, and refuses them."""
+
+import asyncio
+from collections import defaultdict
+from typing import ClassVar, Final
+
+from pollenloom.admission.grant import Grant
+from pollenloom.catalogue.fact_exchange import FactExchange
+from pollenloom.catalogue.load_exchange import LoadExchange
+from pollenloom.core.backend_server import BackendServer
+from pollenloom.core.error_kind import ErrorKind
+from pollenloom.core.failure import Failure
+from pollenloom.core.ids import AccountId, ServerId
+from pollenloom.gateway.pending_call import PendingCall
+from pollenloom.gateway.server_connection_pool import ServerConnectionPool
+from pollenloom.kernel.kernel import Kernel
+from pollenloom.kernel.kernel_service import KernelService
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.observability.event_log import EventLog
+from pollenloom.observability.event_name import EventName
+from pollenloom.routing.prompt_facts import PromptBlock, PromptCrash
+from pollenloom.routing.prompt_quarantine import (
+    SURVIVAL_SECONDS,
+    BegunAnswer,
+    PromptQuarantine,
+)
+
+EVALUATION_SECONDS: Final = 0.1
+NO_ACCOUNT: Final = AccountId('')
+
+LostRequests = list[tuple[PromptCrash, float]]
+
+
+class PromptGuard(KernelService):
+    """Refuses prompts that the fleet has found to crash backend servers.
+
+    A lost connection alone says little: servers also reset connections. Only
+    if the server then refuses a new connection are the requests that it had
+    hardly answered reported as evidence of a crash.
+
+    Attributes:
+        quarantine: Evidence and decisions.
+        lost: Requests whose connection was lost, with the time of the loss in
+            monotonic seconds, by the server that is being checked.
+        logged_blocks: Keys of the blocks that were recorded.
+    """
+
+    name: ClassVar[KernelServiceName] = KernelServiceName.PROMPT_GUARD
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+        self.lost: dict[ServerId, LostRequests] = defaultdict(list)
+        self.logged_blocks: set[str] = set()
+
+    async def start(self) -> None:
+        """Start to evaluate the evidence."""
+        self.events = self.kernel.find(KernelServiceName.EVENTS, EventLog)
+        self.connection_pool = self.kernel.find(
+            KernelServiceName.SERVER_CONNECTION_POOL,
+            ServerConnectionPool,
+        )
+        facts = self.kernel.find(
+            KernelServiceName.FACT_EXCHANGE, FactExchange
+        ).facts
+        self.load_exchange = self.kernel.find(
+            KernelServiceName.LOAD_EXCHANGE,
+            LoadExchange,
+        )
+        self.quarantine = PromptQuarantine(facts)
+        self.kernel.spawn('prompt-guard', self.run())
+
+    async def stop(self) -> None:
+        """Do nothing; the kernel ends the tasks."""
+
+    def check(self, call: PendingCall) -> Failure | None:
+        """Return why a request must not be sent, if its prompt is blocked."""
+        block = self.quarantine.find_block(
+            call.service,
+            call.account or NO_ACCOUNT,
+            call.metadata.shared_part_ids,
+            self.kernel.clock.monotonic(),
+        )
+        if block is None:
+            return None
+        detail = (
+            f'prompt parts {",".join(block.parts)} were in '
+            f'{block.crashes} crashes of servers'
+        )
+        return Failure(ErrorKind.PROMPT_QUARANTINED, detail)
+
+    def is_suspect(self, call: PendingCall) -> bool:
+        """Whether a prompt may have crashed a server before."""
+        return self.quarantine.is_suspect(
+            call.service, call.metadata.shared_part_ids
+        )
+
+    def answer_began(
+        self, call: PendingCall, grant: Grant, now: float
+    ) -> int | None:
+        """Record the first byte of an answer; return a number for it.
+
+        Prompts without shared parts are not recorded.
+        """
+        parts = call.metadata.shared_part_ids
+        if not parts:
+            return None
+        return self.quarantine.answer_began(
+            BegunAnswer(grant.server.server, call.service, parts, now)
+        )
+
+    def connection_lost(
+        self,
+        call: PendingCall,
+        grant: Grant,
+        answered_seconds: float | None,
+        answer: int | None,
+    ) -> None:
+        """Record a request whose server closed the connection too early.
+
+        Args:
+            call: The request.
+            grant: Grant of the attempt.
+            answered_seconds: Time since the first byte; None without one.
+            answer: Number of the answer, if it had begun.
+        """
+        parts = call.metadata.shared_part_ids
+        is_answered = (
+            answered_seconds is not None
+            and answered_seconds >= SURVIVAL_SECONDS
+        )
+        if is_answered or not parts:
+            return
+        if answer is not None:
+            self.quarantine.answer_lost(answer)
+        server = grant.server.server
+        is_checked = server in self.lost
+        crash = PromptCrash(
+            server, call.service, call.account or NO_ACCOUNT, parts
+        )
+        self.lost[server].append((crash, self.kernel.clock.monotonic()))
+        if not is_checked:
+            self.kernel.spawn(
+                f'crash-check-{server}', self.check_server(grant.server)
+            )
+
+    async def check_server(self, server: BackendServer) -> None:
+        """Report the requests of a server as evidence if it has crashed."""
+        is_crashed = await self.connection_pool.is_refused(server)
+        lost = self.lost.pop(server.server, [])
+        self.events.record(
+            EventName.SERVER_CHECKED,
+            server.server,
+            is_crashed=is_crashed,
+            unanswered=len(lost),
+        )
+        if is_crashed:
+            for crash, lost_at in lost:
+                self.quarantine.record_crash(crash, lost_at)
+
+    async def run(self) -> None:
+        """Evaluate the evidence until the kernel ends the task."""
+        while True:
+            await asyncio.sleep(EVALUATION_SECONDS)
+            now = self.kernel.clock.monotonic()
+            for service in self.quarantine.histories:
+                load = self.load_exchange.fleet_load(service, now)
+                count = load.answers.get(service, 0)
+                self.quarantine.observe_answers(service, count, now)
+            self.quarantine.settle(now)
+            self.quarantine.decide(now)
+            self.record_blocks()
+
+    def record_blocks(self) -> None:
+        """Record blocks that are new here, also those of other routers."""
+        blocks = self.quarantine.facts.blocks.facts
+        self.logged_blocks &= blocks.keys()
+        for key, fact in blocks.items():
+            if key in self.logged_blocks:
+                continue
+            self.logged_blocks.add(key)
+            self.record_block(fact.content, fact.fact_id)
+
+    def record_block(self, block: PromptBlock, fact_id: str) -> None:
+        """Record a block and which router decided on it."""
+        self.events.record(
+            EventName.PROMPT_BLOCKED,
+            ','.join(block.parts),
+            service=block.service,
+            accounts=','.join(block.accounts),
+            crashes=block.crashes,
+            origin=fact_id,
+        )
--- a/src/pollenloom/gateway/relay.py
+++ b/src/pollenloom/gateway/relay.py
@@ -3,14 +3,16 @@
 import asyncio
 from typing import TYPE_CHECKING, ClassVar, Final
 
-from expression import Result
+from expression import Error, Result
 
 from pollenloom.admission.admission import Admission
 from pollenloom.admission.grant import Grant
+from pollenloom.admission.settlement import Settlement
 from pollenloom.catalogue.catalogue import Catalogue
 from pollenloom.catalogue.fleet_directory import FleetDirectory
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
+from pollenloom.core.states import Outcome
 from pollenloom.gateway.attempt_end import (
     AttemptEnd,
     AttemptState,
@@ -21,6 +23,7 @@
 from pollenloom.gateway.event_splitter import EventSplitter
 from pollenloom.gateway.header_codec import HeaderCodec
 from pollenloom.gateway.pending_call import PendingCall
+from pollenloom.gateway.prompt_guard import PromptGuard
 from pollenloom.gateway.raw_request import RawRequest
 from pollenloom.gateway.request_attempt import RequestAttempt
 from pollenloom.gateway.request_event_log import RequestEventLog
@@ -65,6 +68,10 @@
             KernelServiceName.SERVER_CONNECTION_POOL,
             ServerConnectionPool,
         )
+        self.prompt_guard = self.kernel.find(
+            KernelServiceName.PROMPT_GUARD,
+            PromptGuard,
+        )
         self.event_log = RequestEventLog.from_kernel(self.kernel)
 
     async def stop(self) -> None:
@@ -147,12 +154,24 @@
             self.event_log.retried(call, end)
 
     async def acquire(self, call: PendingCall) -> Result[Grant, Failure]:
-        """Wait for a grant and add up the waiting time."""
+        """Wait for a grant and add up the waiting time.
+
+        A prompt may be blocked while its request waits.
+        """
+        blocked = self.prompt_guard.check(call)
+        if blocked is not None:
+            return Error(blocked)
         clock = self.kernel.clock
         began = clock.monotonic()
         acquired = await self.admission.acquire(make_ticket(call))
         call.waited_seconds += clock.monotonic() - began
-        return acquired
+        blocked = self.prompt_guard.check(call)
+        if acquired.is_error() or blocked is None:
+            return acquired
+        self.admission.settle(
+            Settlement(grant=acquired.ok, outcome=Outcome.UNUSED)
+        )
+        return Error(blocked)
 
     async def attempt(
         self,
@@ -172,6 +191,7 @@
             clock=self.kernel.clock,
             header_codec=self.header_codec,
             admission=self.admission,
+            prompt_guard=self.prompt_guard,
         )
         end = await request_attempt.run(self.connection_pool)
         if end.state is not AttemptState.ANSWERED:
@@ -203,7 +223,9 @@
             return is_allowed and call.grant_count < MAX_GRANTS
         if not call.has_sends_left():
             return False
-        if end.state is not AttemptState.REJECTED and not is_repeatable:
+        if end.state is not AttemptState.REJECTED and (
+            not is_repeatable or self.prompt_guard.is_suspect(call)
+        ):
             return False
         now = self.kernel.clock.monotonic()
         return self.call_factory.retry_budget(call.service, now).take(now)
--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -26,6 +26,7 @@
     render,
 )
 from pollenloom.gateway.pending_call import PendingCall
+from pollenloom.gateway.prompt_guard import PromptGuard
 from pollenloom.gateway.response_writer import ResponseWriter
 from pollenloom.gateway.server_channel import ServerChannel
 from pollenloom.gateway.server_connection_pool import ServerConnectionPool
@@ -42,6 +43,8 @@
 MAX_BODY_BYTES: Final = 8_388_608
 # Bodies of rejections are short; a longer wait for one delays the next attempt.
 REJECTION_BODY_SECONDS: Final = 0.25
+# Ends that a crash of the server brings about.
+LOST_CONNECTION: Final = frozenset((ChannelEnd.CLOSED, ChannelEnd.RESET))
 
 
 @dataclass(slots=True)
@@ -57,6 +60,7 @@
         is_cold: Whether the server reported that it is cold.
         is_misdirected: Whether the address belongs to another server now.
         may_have_run_before: Whether an earlier attempt may have run.
+        answer: Number of the begun answer for the prompt guard.
         body: Parts of the body received so far, unless it is streamed.
         streamed_bytes: Bytes of the events relayed so far.
     """
@@ -68,12 +72,14 @@
     clock: Clock
     header_codec: HeaderCodec
     admission: Admission
+    prompt_guard: PromptGuard
     outcome: Outcome = Outcome.UNUSED
     sent_at: float = 0
     first_byte_seconds: float | None = None
     is_cold: bool = False
     is_misdirected: bool = False
     may_have_run_before: bool = False
+    answer: int | None = None
     body: list[bytes] = field(default_factory=list)
     streamed_bytes: int = 0
 
@@ -120,9 +126,7 @@
         channel.transport.write(self.render_request())
         event = await channel.next_event()
         if not isinstance(event, ResponseHead):
-            return self.fail_attempt(
-                f'no response, connection was {describe_end(event)}'
-            )
+            return self.fail_response('no response', event)
         self.is_cold = self.header_codec.cold_seconds(event) > 0
         if self.header_codec.is_not_run(event):
             return await self.handle_rejection(event, channel)
@@ -192,9 +196,7 @@
             return await self.relay_stream(head, channel)
         end = await self.read_body(channel)
         if end is not ChannelEnd.COMPLETE:
-            return self.fail_attempt(
-                f'incomplete response, connection was {end.value}'
-            )
+            return self.fail_response('incomplete response', end)
         body = b''.join(self.body)
         self.record_first_byte()
         if head.status >= FIRST_SERVER_ERROR_STATUS:
@@ -251,8 +253,19 @@
     def fail_stream(self, event: ServerEvent) -> AttemptEnd:
         """Fail a stream that ended or is to be closed before its last event."""
         self.splitter.drop_partial()
+        return self.fail_response('incomplete stream', event)
+
+    def fail_response(self, problem: str, event: ServerEvent) -> AttemptEnd:
+        """Fail an attempt whose connection ended before the response."""
+        if event in LOST_CONNECTION:
+            self.prompt_guard.connection_lost(
+                self.call,
+                self.grant,
+                self.answered_seconds(self.clock.monotonic()),
+                self.answer,
+            )
         return self.fail_attempt(
-            f'incomplete stream, connection was {describe_end(event)}'
+            f'{problem}, connection was {describe_end(event)}'
         )
 
     async def write_events(self, head: ResponseHead, events: bytes) -> None:
@@ -267,10 +280,14 @@
     def record_first_byte(self) -> None:
         """Report the time to the first byte to admission, once."""
         if self.first_byte_seconds is None:
-            self.first_byte_seconds = self.clock.monotonic() - self.sent_at
+            now = self.clock.monotonic()
+            self.first_byte_seconds = now - self.sent_at
             self.admission.observe_first_byte(
                 self.grant, self.first_byte_seconds
             )
+            self.answer = self.prompt_guard.answer_began(
+                self.call, self.grant, now
+            )
 
     def answered_seconds(self, now: float) -> float | None:
         """Return the seconds since the first byte; None if there was none."""
--- a/src/pollenloom/gateway/server_connection_pool.py
+++ b/src/pollenloom/gateway/server_connection_pool.py
@@ -88,6 +88,27 @@
         Errors:
             NO_CAPACITY: No connection could be made in time.
         """
+        opened = await self.open_channel(address)
+        if opened.is_error():
+            detail = f'cannot connect to {address}: {opened.error!r}'
+            return Error(Failure(ErrorKind.NO_CAPACITY, detail))
+        return Ok(opened.ok)
+
+    async def is_refused(self, server: BackendServer) -> bool:
+        """Whether a server refuses a new connection, as after a crash.
+
+        One that it accepts is kept for requests.
+        """
+        opened = await self.open_channel(server.address)
+        if opened.is_ok():
+            self.release(server, opened.ok)
+            return False
+        return isinstance(opened.error, ConnectionRefusedError)
+
+    async def open_channel(
+        self, address: str
+    ) -> Result[ServerChannel, OSError]:
+        """Open a connection; return the error if none could be made in time."""
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
         connecting = asyncio.ensure_future(
@@ -105,16 +126,14 @@
                 transport, channel = await asyncio.shield(connecting)
         except (TimeoutError, OSError) as error:
             connecting.add_done_callback(close_unused)
-            detail = f'cannot connect to {address}: {error!r}'
-            return Error(Failure(ErrorKind.NO_CAPACITY, detail))
+            return Error(error)
         except asyncio.CancelledError:
             connecting.add_done_callback(close_unused)
             raise
         tcp_socket = transport.get_extra_info('socket')
         if tcp_socket is None:
             # The server closed it before this task ran again.
-            detail = f'connection to {address} was closed at once'
-            return Error(Failure(ErrorKind.NO_CAPACITY, detail))
+            return Error(ConnectionResetError('closed at once'))
         set_socket_options(tcp_socket)
         return Ok(channel)
 
--- a/src/pollenloom/observability/event_name.py
+++ b/src/pollenloom/observability/event_name.py
@@ -83,6 +83,12 @@
         ATTEMPT_FAILED: An attempt at a request on a backend server failed.
             Subject request: server, reason, run, entry_version, entry_age_ms,
             answered_ms, parts.
+        SERVER_CHECKED: A backend server closed connections before it had
+            answered, and refuses new ones if it has crashed. Subject server:
+            is_crashed, unanswered.
+        PROMPT_BLOCKED: Prompts with these parts are refused from now on,
+            since servers crashed under them; without accounts, those of all.
+            Subject prompt parts: service, accounts, crashes, origin.
         LINES_DROPPED: Lines of requests that were rejected for load were not
             written, to bound the log. Subject error kind: lines.
         PROCESS_STATE: The process starts, is ready, reads its settings again
@@ -123,6 +129,8 @@
     REQUEST_ENDED = 'request_ended'
     CAPACITY_SHORT = 'capacity_short'
     ATTEMPT_FAILED = 'attempt_failed'
+    SERVER_CHECKED = 'server_checked'
+    PROMPT_BLOCKED = 'prompt_blocked'
     LINES_DROPPED = 'lines_left_out'
     PROCESS_STATE = 'process_state'
     LOG_RECORDS_MISSED = 'log_records_missed'
--- a/src/pollenloom/routing/service_load.py
+++ b/src/pollenloom/routing/service_load.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import TypeVar
 
-from pollenloom.core.ids import AccountId, ResponseClass, ServerId
+from pollenloom.core.ids import AccountId, ResponseClass, ServerId, ServiceId
 
 KeyT = TypeVar('KeyT', bound=str)
 Amounts = Mapping[KeyT, float]
@@ -20,6 +20,7 @@
         usage: Recent cost that was served, by client account.
         refused: Recent cost that was refused, by client account.
         responses: Responses since a version move was ordered, by class.
+        answers: Decaying count of answers that began, by service.
     """
 
     unread: Mapping[ServerId, float] = field(default_factory=dict)
@@ -27,6 +28,7 @@
     usage: Mapping[AccountId, float] = field(default_factory=dict)
     refused: Mapping[AccountId, float] = field(default_factory=dict)
     responses: Mapping[ResponseClass, float] = field(default_factory=dict)
+    answers: Mapping[ServiceId, float] = field(default_factory=dict)
 
     def minus(self, part: 'ServiceLoad') -> 'ServiceLoad':
         """Return the load without the part of one router."""
@@ -36,6 +38,7 @@
             usage=subtract(self.usage, part.usage),
             refused=subtract(self.refused, part.refused),
             responses=subtract(self.responses, part.responses),
+            answers=subtract(self.answers, part.answers),
         )
 
     def scaled(self, scale: float) -> 'ServiceLoad':
@@ -48,6 +51,7 @@
             usage=multiply(self.usage, scale),
             refused=multiply(self.refused, scale),
             responses=self.responses,
+            answers=self.answers,
         )
 
 
@@ -60,6 +64,7 @@
         usage=add_up(parts, lambda load: load.usage),
         refused=add_up(parts, lambda load: load.refused),
         responses=add_up(parts, lambda load: load.responses),
+        answers=add_up(parts, lambda load: load.answers),
     )
 
 
--- a/tests/catalogue/conftest.py
+++ b/tests/catalogue/conftest.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from pollenloom.catalogue.fact_exchange import FactExchange
 from pollenloom.catalogue.fleet_directory import FleetDirectory
 from pollenloom.catalogue.load_exchange import LoadExchange
 from pollenloom.catalogue.store_catalogue import StoreCatalogue
@@ -100,6 +101,7 @@
             StaticFleetDirectory(self.fleet_routers),
             StoreCatalogue(kernel),
             exchange,
+            FactExchange(kernel, settings.vm),
         ):
             kernel.register(service)
         await kernel.start()
--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -3,6 +3,11 @@
 import asyncio
 from dataclasses import dataclass, field
 
+from pollenloom.core.ids import PromptPartId, ServiceId
+from pollenloom.gateway.prompt_guard import PromptGuard
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.routing.fleet_facts import block_key
+from pollenloom.routing.prompt_facts import PromptBlock
 from pollenloom_standins.worker.responses import LAST_CHUNK, chunk
 from pollenloom_standins.worker.scripted_backend import (
     ReceivedRequest,
@@ -18,6 +23,8 @@
 SERVER_COUNT = 14
 # Servers may crash until the part is proven; the users allow five crashes.
 MAX_CRASHES = 5
+# Other requests between two that crash a server.
+SOUND_REQUESTS = 6
 COMMON_PART = 'c0'
 CRASHING_PART = 'bad'
 
@@ -95,7 +102,7 @@
     for number in range(SERVER_COUNT - 2):
         response = await ask(environment, f'bad{number}', CRASHING_PART)
         statuses.append(response.status)
-        for other in range(2):
+        for other in range(SOUND_REQUESTS):
             name = f'ok{number}-{other}'
             served = await ask(environment, name, f'rare{number % 3}')
             assert served.status == 200
@@ -105,3 +112,59 @@
     assert refused.status == 400
     assert 'retry-after' not in refused.headers
     assert 400 not in statuses[:3]
+
+
+async def test_lost_connections_of_a_running_server_block_nothing(
+    environment: RouterEnvironment,
+) -> None:
+    """Guards against taking every reset for a crash.
+
+    A server that still accepts connections has not crashed.
+    """
+
+    async def close(_: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        """Close the connection instead of an answer."""
+        writer.close()
+        await writer.wait_closed()
+
+    await environment.add_server(close)
+    await environment.ready(1)
+    for number in range(8):
+        response = await ask(environment, f'a{number}', CRASHING_PART)
+        assert response.status in {502, 503}
+        await asyncio.sleep(0.12)
+    guard = environment.kernel.find(KernelServiceName.PROMPT_GUARD, PromptGuard)
+    assert not guard.quarantine.facts.crashes.facts
+
+
+async def test_prompt_that_is_blocked_while_it_waits_is_not_sent(
+    environment: RouterEnvironment,
+) -> None:
+    """Guards against a crash by a request that waited for its server."""
+    guard = environment.kernel.find(KernelServiceName.PROMPT_GUARD, PromptGuard)
+    is_held = asyncio.Event()
+    sent: list[str] = []
+
+    async def respond(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer when the test says so."""
+        sent.append(request.headers['x-pollenloom-prompt-prefix'])
+        await is_held.wait()
+        writer.write(stream_head(request) + chunk(event(1)) + LAST_CHUNK)
+        await writer.drain()
+
+    await environment.add_server(respond, slots=1)
+    await environment.ready(1)
+    first = asyncio.create_task(ask(environment, 'first', 'rare'))
+    await environment.wait_for(lambda: bool(sent))
+    waiting = asyncio.create_task(ask(environment, 'bad', CRASHING_PART))
+    await asyncio.sleep(0.05)
+    facts = guard.quarantine.facts
+    block = PromptBlock(ServiceId('app'), (PromptPartId(CRASHING_PART),), (), 3)
+    now = environment.kernel.clock.monotonic()
+    facts.blocks.put(facts.make_fact(block_key(block), block, now), now)
+    is_held.set()
+    assert (await first).status == 200
+    assert (await waiting).status == 400
+    assert len(sent) == 1
