Keep blocked prompts in the store for a fleet that restarts as a whole

A herd kill made all routers forget which prompts crash servers, since they learn it from each other only, and it took further crashes to learn it anew. The router that decides on a block writes it to a topic of its own, and each router reads the topic once at its start; nothing waits for the store. A block all of whose parts were answered is removed, by its writer and by the first router of the fleet, in case the writer has failed.

--- /dev/null
+++ b/src/pollenloom/catalogue/block_store.py
@@ -0,0 +1,130 @@
+"""Blocked prompts in the platform's store, for fleets that restart."""
+
+import asyncio
+from typing import ClassVar, Final
+
+import msgspec
+import xxhash
+from absl import logging
+
+from pollenloom.catalogue.fact_exchange import FactExchange
+from pollenloom.catalogue.keyed_record import KeyedRecord
+from pollenloom.catalogue.keyed_store import KeyedStore
+from pollenloom.catalogue.store_topic import StoreTopic
+from pollenloom.kernel.kernel import Kernel
+from pollenloom.kernel.kernel_service import KernelService
+from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.routing.fleet_facts import block_key
+from pollenloom.routing.prompt_facts import PromptBlock
+from pollenloom.routing.shared_fact import SharedFact
+
+RETRY_SECONDS: Final = 0.5
+# Changes that wait while the store is down; the oldest are dropped.
+MAX_PENDING: Final = 64
+REMOVED: Final = b''
+
+
+class BlockRecord(msgspec.Struct, frozen=True):
+    """Record of a block.
+
+    Attributes:
+        block: The block.
+        fact_id: Unique id of the decision.
+        decided_at: Wall time of the latest crash that proves it, in seconds.
+    """
+
+    block: PromptBlock
+    fact_id: str
+    decided_at: float
+
+
+class BlockStore(KernelService):
+    """Reads the blocks at the start, and writes those of this router.
+
+    Routers that run learn blocks from each other. The store is for the case
+    that all of them restart, so nothing waits for it.
+
+    Attributes:
+        pending: Payloads to write, by key; empty ones remove the key.
+        has_pending: Set while there are any.
+    """
+
+    name: ClassVar[KernelServiceName] = KernelServiceName.BLOCK_STORE
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+        self.pending: dict[str, bytes] = {}
+        self.has_pending = asyncio.Event()
+
+    async def start(self) -> None:
+        """Start to read and write."""
+        self.store = self.kernel.find(KernelServiceName.KEYED_STORE, KeyedStore)
+        self.facts = self.kernel.find(
+            KernelServiceName.FACT_EXCHANGE, FactExchange
+        ).facts
+        self.kernel.spawn('blocks-read', self.read())
+        self.kernel.spawn('blocks-write', self.write())
+
+    async def stop(self) -> None:
+        """Do nothing; the kernel ends the tasks."""
+
+    def save(self, fact: SharedFact[PromptBlock]) -> None:
+        """Write a block as soon as the store takes it."""
+        now = self.kernel.clock.monotonic()
+        decided_at = self.kernel.clock.wall() - (now - fact.observed_at)
+        record = BlockRecord(fact.content, fact.fact_id, decided_at)
+        self.put(fact.content, msgspec.json.encode(record))
+
+    def remove(self, block: PromptBlock) -> None:
+        """Remove a block as soon as the store takes the change."""
+        self.put(block, REMOVED)
+
+    def put(self, block: PromptBlock, payload: bytes) -> None:
+        """Keep a change until it is written."""
+        if len(self.pending) >= MAX_PENDING:
+            self.pending.pop(next(iter(self.pending)))
+        # Keys of the store are short.
+        key = xxhash.xxh3_64_hexdigest(block_key(block).encode())
+        self.pending[key] = payload
+        self.has_pending.set()
+
+    async def read(self) -> None:
+        """Read all blocks once; repeat until it succeeds."""
+        while True:
+            listing = await self.store.newest(StoreTopic.BLOCKS)
+            if listing.is_ok():
+                for record in listing.ok.records:
+                    self.apply(record)
+                return
+            await asyncio.sleep(RETRY_SECONDS)
+
+    def apply(self, record: KeyedRecord) -> None:
+        """Take over a block; expired ones are ignored."""
+        if not record.payload:
+            return
+        try:
+            stored = msgspec.json.decode(record.payload, type=BlockRecord)
+        except msgspec.DecodeError as error:
+            logging.warning('block_record_rejected %s: %s', record.key, error)
+            return
+        now = self.kernel.clock.monotonic()
+        age = max(0, self.kernel.clock.wall() - stored.decided_at)
+        key = block_key(stored.block)
+        fact = SharedFact(stored.fact_id, key, now - age, stored.block)
+        self.facts.blocks.put(fact, now)
+
+    async def write(self) -> None:
+        """Write changes one after the other; repeat failed writes."""
+        while True:
+            await self.has_pending.wait()
+            for key, payload in tuple(self.pending.items()):
+                written = await self.store.put(StoreTopic.BLOCKS, key, payload)
+                if written.is_error():
+                    logging.warning(
+                        'block_not_written %s', written.error.detail
+                    )
+                    await asyncio.sleep(RETRY_SECONDS)
+                elif self.pending.get(key) == payload:
+                    self.pending.pop(key)
+            if not self.pending:
+                self.has_pending.clear()
--- a/src/pollenloom/catalogue/store_topic.py
+++ b/src/pollenloom/catalogue/store_topic.py
@@ -13,5 +13,7 @@
     SERVERS = 'servers'
     # Written by the routers about themselves.
     NODES = 'nodes'
+    # Written by the routers about prompts that crash backend servers.
+    BLOCKS = 'blocks'
     # Written by the routers about version moves, read by operators.
     MOVES = 'moves'
--- a/src/pollenloom/console/node_process.py
+++ b/src/pollenloom/console/node_process.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from pollenloom.admission.local_admission import LocalAdmission
+from pollenloom.catalogue.block_store import BlockStore
 from pollenloom.catalogue.fact_exchange import FactExchange
 from pollenloom.catalogue.load_exchange import LoadExchange
 from pollenloom.catalogue.store_catalogue import StoreCatalogue
@@ -61,6 +62,7 @@
         StoreCatalogue(kernel),
         LoadExchange(kernel, settings),
         FactExchange(kernel, settings.vm),
+        BlockStore(kernel),
         ServerConnectionPool(kernel, header_codec),
         StoreMoves(kernel, settings),
         PromptGuard(kernel),
--- a/src/pollenloom/gateway/prompt_guard.py
+++ b/src/pollenloom/gateway/prompt_guard.py
@@ -5,7 +5,9 @@
 from typing import ClassVar, Final
 
 from pollenloom.admission.grant import Grant
+from pollenloom.catalogue.block_store import BlockStore
 from pollenloom.catalogue.fact_exchange import FactExchange
+from pollenloom.catalogue.fleet_directory import FleetDirectory
 from pollenloom.catalogue.load_exchange import LoadExchange
 from pollenloom.core.backend_server import BackendServer
 from pollenloom.core.error_kind import ErrorKind
@@ -24,6 +26,7 @@
     BegunAnswer,
     PromptQuarantine,
 )
+from pollenloom.routing.shared_fact import SharedFact
 
 EVALUATION_SECONDS: Final = 0.1
 NO_ACCOUNT: Final = AccountId('')
@@ -42,7 +45,7 @@
         quarantine: Evidence and decisions.
         lost: Requests whose connection was lost, with the time of the loss in
             monotonic seconds, by the server that is being checked.
-        logged_blocks: Keys of the blocks that were recorded.
+        recorded_blocks: Keys of the blocks that were recorded and hold.
     """
 
     name: ClassVar[KernelServiceName] = KernelServiceName.PROMPT_GUARD
@@ -50,7 +53,7 @@
     def __init__(self, kernel: Kernel) -> None:
         self.kernel = kernel
         self.lost: dict[ServerId, LostRequests] = defaultdict(list)
-        self.logged_blocks: set[str] = set()
+        self.recorded_blocks: set[str] = set()
 
     async def start(self) -> None:
         """Start to evaluate the evidence."""
@@ -59,6 +62,13 @@
             KernelServiceName.SERVER_CONNECTION_POOL,
             ServerConnectionPool,
         )
+        self.fleet_directory = self.kernel.find(
+            KernelServiceName.FLEET_DIRECTORY,
+            FleetDirectory,
+        )
+        self.block_store = self.kernel.find(
+            KernelServiceName.BLOCK_STORE, BlockStore
+        )
         facts = self.kernel.find(
             KernelServiceName.FACT_EXCHANGE, FactExchange
         ).facts
@@ -167,26 +177,41 @@
                 count = load.answers.get(service, 0)
                 self.quarantine.observe_answers(service, count, now)
             self.quarantine.settle(now)
-            self.quarantine.decide(now)
+            for block in self.quarantine.decide(now):
+                self.block_store.save(block)
             self.record_blocks()
 
     def record_blocks(self) -> None:
-        """Record blocks that are new here, also those of other routers."""
+        """Record blocks and their ends, also those of other routers."""
         blocks = self.quarantine.facts.blocks.facts
-        self.logged_blocks &= blocks.keys()
-        for key, fact in blocks.items():
-            if key in self.logged_blocks:
-                continue
-            self.logged_blocks.add(key)
-            self.record_block(fact.content, fact.fact_id)
-
-    def record_block(self, block: PromptBlock, fact_id: str) -> None:
-        """Record a block and which router decided on it."""
+        released = self.quarantine.released_blocks()
+        for key in blocks.keys() - released.keys() - self.recorded_blocks:
+            self.record_block(EventName.PROMPT_BLOCKED, blocks[key])
+        for key in released.keys() & self.recorded_blocks:
+            self.record_block(EventName.PROMPT_RELEASED, released[key])
+            if self.is_responsible(released[key]):
+                self.block_store.remove(released[key].content)
+        self.recorded_blocks = blocks.keys() - released.keys()
+
+    def is_responsible(self, block: SharedFact[PromptBlock]) -> bool:
+        """Whether this router removes a block from the store.
+
+        The router that wrote it does, and another one in case that it failed.
+        """
+        position = self.fleet_directory.position()
+        is_first = position is not None and position.rank == 0
+        return is_first or self.quarantine.facts.is_own(block)
+
+    def record_block(
+        self, event: EventName, fact: SharedFact[PromptBlock]
+    ) -> None:
+        """Record a block or its end, and which router decided on it."""
+        block = fact.content
         self.events.record(
-            EventName.PROMPT_BLOCKED,
+            event,
             ','.join(block.parts),
             service=block.service,
             accounts=','.join(block.accounts),
             crashes=block.crashes,
-            origin=fact_id,
+            origin=fact.fact_id,
         )
--- a/src/pollenloom/kernel/kernel_service_name.py
+++ b/src/pollenloom/kernel/kernel_service_name.py
@@ -8,6 +8,7 @@
     """Name of a service in the kernel's registry."""
 
     ADMISSION = 'admission'
+    BLOCK_STORE = 'block_store'
     CATALOGUE = 'catalogue'
     CONFIGURATION = 'configuration'
     DISPATCH = 'dispatch'
--- a/src/pollenloom/observability/event_name.py
+++ b/src/pollenloom/observability/event_name.py
@@ -89,6 +89,9 @@
         PROMPT_BLOCKED: Prompts with these parts are refused from now on,
             since servers crashed under them; without accounts, those of all.
             Subject prompt parts: service, accounts, crashes, origin.
+        PROMPT_RELEASED: Prompts with these parts are no longer refused, since
+            one of each part was answered. Subject prompt parts: service,
+            accounts, crashes, origin.
         LINES_DROPPED: Lines of requests that were rejected for load were not
             written, to bound the log. Subject error kind: lines.
         PROCESS_STATE: The process starts, is ready, reads its settings again
@@ -131,6 +134,7 @@
     ATTEMPT_FAILED = 'attempt_failed'
     SERVER_CHECKED = 'server_checked'
     PROMPT_BLOCKED = 'prompt_blocked'
+    PROMPT_RELEASED = 'prompt_released'
     LINES_DROPPED = 'lines_left_out'
     PROCESS_STATE = 'process_state'
     LOG_RECORDS_MISSED = 'log_records_missed'
--- a/src/pollenloom/platform/store_client.py
+++ b/src/pollenloom/platform/store_client.py
@@ -44,6 +44,7 @@
         StoreTopic.OPERATOR: wire_names.OPERATOR_TOPIC,
         StoreTopic.SERVERS: wire_names.SERVERS_TOPIC,
         StoreTopic.NODES: wire_names.NODES_TOPIC,
+        StoreTopic.BLOCKS: wire_names.BLOCKS_TOPIC,
         StoreTopic.MOVES: wire_names.STATUS_TOPIC,
     }
 )
--- a/src/pollenloom/platform/wire_names.py
+++ b/src/pollenloom/platform/wire_names.py
@@ -44,6 +44,8 @@
 SERVERS_TOPIC: Final = 'keyed.servers'
 # Entries that routers write about themselves; the platform calls VMs nodes.
 NODES_TOPIC: Final = 'keyed.nodes'
+# Entries that routers write about blocked prompts.
+BLOCKS_TOPIC: Final = 'keyed.blocks'
 STATUS_TOPIC: Final = 'keyed.status'
 CONFIGURATION_KEY: Final = 'config'
 # Followed by a data centre; a record with a value takes it out of service.
--- a/src/pollenloom/routing/fleet_facts.py
+++ b/src/pollenloom/routing/fleet_facts.py
@@ -53,6 +53,10 @@
         fact_id = f'{self.id_prefix}{next(self.numbers)}'
         return SharedFact(fact_id, key or fact_id, observed_at, content)
 
+    def is_own(self, fact: SharedFact[ContentT]) -> bool:
+        """Whether this process observed a fact."""
+        return fact.fact_id.startswith(self.id_prefix)
+
 
 def part_key(service: ServiceId, part: PromptPartId) -> str:
     """Return the key of facts about a part at a service."""
--- a/src/pollenloom/routing/prompt_quarantine.py
+++ b/src/pollenloom/routing/prompt_quarantine.py
@@ -190,7 +190,15 @@
         """Whether a part is in a crash and no answer has cleared it since."""
         return any(part_key(service, part) in self.suspects for part in parts)
 
-    def decide(self, now: float) -> list[PromptBlock]:
+    def released_blocks(self) -> dict[str, BlockFact]:
+        """Return the blocks whose parts were all answered since, by key."""
+        return {
+            key: fact
+            for key, fact in self.facts.blocks.facts.items()
+            if not self.evidence.remaining_parts(fact)
+        }
+
+    def decide(self, now: float) -> list[BlockFact]:
         """Evaluate the evidence; return the new blocks.
 
         Does nothing while no fact has changed and all crashes are mature.
@@ -204,13 +212,13 @@
             self.changed_at = now
         if now > self.changed_at + MATURITY_SECONDS + SURVIVAL_SECONDS:
             return []
-        found: list[PromptBlock] = []
+        found: list[BlockFact] = []
         crashes = self.mature_crashes(now)
         for _ in range(MAX_NEW_BLOCKS):
             fact = self.widened_block(now) or self.next_block(crashes, now)
             if fact is None or not self.facts.blocks.put(fact, now):
                 break
-            found.append(fact.content)
+            found.append(fact)
             crashes = self.mature_crashes(now)
         self.suspects = frozenset(crashes_by_part(crashes))
         return found
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -85,10 +85,15 @@
 
 @dataclass(slots=True)
 class RouterEnvironment:
-    """A running router with its store and backend servers."""
+    """A running router with its store and backend servers.
+
+    Attributes:
+        store_address: Address of the store, `host:port`.
+    """
 
     kernel: Kernel
     store: KeyedStoreService
+    store_address: str
     stack: AsyncExitStack
     servers: list[ScriptedBackend] = field(default_factory=list)
 
@@ -218,7 +223,7 @@
             kernel.register(service)
         await kernel.start()
         stack.push_async_callback(kernel.stop)
-        running = RouterEnvironment(kernel, store, stack)
+        running = RouterEnvironment(kernel, store, address, stack)
         await running.configure(make_configuration())
         yield running
 
--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -2,17 +2,22 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from pathlib import Path
 
-from pollenloom.core.ids import PromptPartId, ServiceId
+from pollenloom.console.node_process import make_services
+from pollenloom.core.ids import PromptPartId, ServerId, ServiceId
 from pollenloom.gateway.prompt_guard import PromptGuard
+from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.routing.fleet_facts import block_key
 from pollenloom.routing.prompt_facts import PromptBlock
+from pollenloom.routing.prompt_quarantine import BegunAnswer
 from pollenloom_standins.worker.responses import LAST_CHUNK, chunk
 from pollenloom_standins.worker.scripted_backend import (
     ReceivedRequest,
     ScriptedBackend,
 )
+from tests.fakes.router_fixtures import make_settings
 from tests.gateway.conftest import (
     CallerResponse,
     RouterEnvironment,
@@ -89,6 +94,16 @@
     )
 
 
+def find_guard(kernel: Kernel) -> PromptGuard:
+    """Return the prompt guard of a router."""
+    return kernel.find(KernelServiceName.PROMPT_GUARD, PromptGuard)
+
+
+def make_block(part: str) -> PromptBlock:
+    """Return a block of one part for all accounts."""
+    return PromptBlock(ServiceId('app'), (PromptPartId(part),), (), 3)
+
+
 async def test_prompt_part_that_crashes_servers_is_refused(
     environment: RouterEnvironment,
 ) -> None:
@@ -168,3 +183,41 @@
     assert (await first).status == 200
     assert (await waiting).status == 400
     assert len(sent) == 1
+
+
+async def test_restarted_fleet_knows_blocked_prompts(
+    environment: RouterEnvironment, tmp_path: Path
+) -> None:
+    """Guards against crashes anew after all routers have restarted at once.
+
+    A part that was answered meanwhile is not blocked again.
+    """
+    guard = find_guard(environment.kernel)
+    for part in ('kept', 'answered'):
+        block = make_block(part)
+        now = environment.kernel.clock.monotonic()
+        facts = guard.quarantine.facts
+        fact = facts.make_fact(block_key(block), block, now)
+        facts.blocks.put(fact, now)
+        guard.block_store.save(fact)
+    await environment.wait_for(lambda: len(guard.recorded_blocks) == 2)
+    await environment.wait_for(lambda: not guard.block_store.pending)
+    guard.quarantine.answer_began(
+        BegunAnswer(
+            ServerId('i-0'),
+            ServiceId('app'),
+            (PromptPartId('answered'),),
+            environment.kernel.clock.monotonic(),
+        )
+    )
+    await environment.wait_for(lambda: len(guard.recorded_blocks) == 1)
+    await environment.wait_for(lambda: not guard.block_store.pending)
+    settings = make_settings('edge-2', store_address=environment.store_address)
+    kernel = Kernel()
+    for service in make_services(kernel, tmp_path / 'node.toml', settings):
+        kernel.register(service)
+    await kernel.start()
+    environment.stack.push_async_callback(kernel.stop)
+    restarted = find_guard(kernel)
+    await environment.wait_for(lambda: bool(restarted.recorded_blocks))
+    assert restarted.recorded_blocks == {block_key(make_block('kept'))}
