Record the limits that backend servers name

The logs did not say that a server had named a limit; each router records now when one is new, changes or ends. Nothing is decided on it yet. The loop that records shortages moved to the module of its record, to make room.

--- a/src/pollenloom/admission/admission.py
+++ b/src/pollenloom/admission/admission.py
@@ -55,6 +55,13 @@
         Policies that only evaluate complete responses do nothing.
         """
 
+    def observe_rate_limit(self, grant: Grant, rate: float | None) -> None:
+        """Record the requests a second that a server named in its response.
+
+        `rate` is for all routers together; None if the server named none.
+        Policies of services whose servers name no limits do nothing.
+        """
+
     @abstractmethod
     def status(self, now: float) -> AdmissionStatus:
         """Return queues, pools and shares as known to this router."""
--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -14,11 +14,10 @@
 from pollenloom.admission.local_backlog import WaitingTicket
 from pollenloom.admission.local_pool import LocalPool
 from pollenloom.admission.placement import Placement
-from pollenloom.admission.pool_activity import PoolActivity
 from pollenloom.admission.selection_context import SelectionContext
 from pollenloom.admission.server_health_update import update_server_health
 from pollenloom.admission.settlement import Settlement
-from pollenloom.admission.shortage_record import record_shortage
+from pollenloom.admission.shortage_record import record_shortages
 from pollenloom.admission.ticket import Ticket
 from pollenloom.admission.version_credit import VersionCredit
 from pollenloom.admission.version_move_shares import VersionMoveShares
@@ -28,13 +27,14 @@
 from pollenloom.core.backend_server import BackendServer
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
-from pollenloom.core.ids import GrantId, PoolId, ServiceId
+from pollenloom.core.ids import GrantId, PoolId, ServerId, ServiceId
 from pollenloom.core.states import Outcome
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.moves.fleet_moves import FleetMoves
 from pollenloom.moves.response_report import ResponseReport
 from pollenloom.observability.event_log import EventLog
+from pollenloom.observability.event_name import EventName
 from pollenloom.routing.cold_server_turn import (
     CLOSED_TURN,
     ColdServerTurn,
@@ -46,8 +46,6 @@
 # Limits on cold servers and queue windows ease with time, without an event.
 RECHECK_SECONDS: Final = 0.05
 MIN_RETRY_SECONDS: Final = 0.3
-# Interval of the records about services that are short of capacity.
-RECORD_INTERVAL_SECONDS: Final = 1.0
 
 GrantFuture = asyncio.Future[Grant]
 
@@ -63,6 +61,7 @@
         pools: Backlog and servers of each service.
         grant_futures: Futures of the requests that wait for a grant.
         held: Placements of the grants that are not settled.
+        rate_limits: Requests a second that servers take from the fleet.
         has_waiting: Set while requests may be waiting.
     """
 
@@ -71,6 +70,7 @@
         self.pools: dict[ServiceId, LocalPool] = {}
         self.grant_futures: dict[WaitingTicket, GrantFuture] = {}
         self.held: dict[GrantId, HeldGrant] = {}
+        self.rate_limits: dict[ServerId, float] = {}
         self.grant_numbers = count(1)
         self.has_waiting = asyncio.Event()
 
@@ -93,7 +93,12 @@
         self.exchange.local_loads = self.local_loads
         self.catalogue.watch(self.grant_all_waiting)
         self.kernel.spawn('admission-recheck', self.recheck())
-        self.kernel.spawn('admission-record', self.record_shortages())
+        self.kernel.spawn(
+            'admission-record',
+            record_shortages(
+                self.kernel.clock, self.events, self.exchange, self.pools
+            ),
+        )
 
     def pool(self, service: ServiceId) -> LocalPool:
         """Return the pool of a service; create it if needed."""
@@ -255,6 +260,20 @@
         load.health.observe_latency(seconds, now)
         self.grant_waiting(grant.server.service)
 
+    def observe_rate_limit(self, grant: Grant, rate: float | None) -> None:
+        """Record a limit that is new, has changed or has ended."""
+        server = grant.server.server
+        before = self.rate_limits.get(server)
+        if rate == before:
+            return
+        if rate is None:
+            self.rate_limits.pop(server)
+        else:
+            self.rate_limits[server] = rate
+        self.events.record(
+            EventName.SERVER_LIMITED, server, rate=rate, before=before
+        )
+
     def settle(self, settlement: Settlement) -> None:
         """Release what the request held and update the server's health."""
         grant = settlement.grant
@@ -293,18 +312,6 @@
             if not any(pool.backlog.queues for pool in self.pools.values()):
                 self.has_waiting.clear()
 
-    async def record_shortages(self) -> None:
-        """Record the decisions about services that are short of capacity."""
-        while True:
-            await asyncio.sleep(RECORD_INTERVAL_SECONDS)
-            now = self.kernel.clock.monotonic()
-            for service, pool in self.pools.items():
-                if pool.activity.has_shortage:
-                    record_shortage(
-                        self.events, service, pool, self.exchange, now
-                    )
-                pool.activity = PoolActivity()
-
     def status(self, now: float) -> AdmissionStatus:
         """Return how many requests wait."""
         waiting = sum(
--- a/src/pollenloom/gateway/header_codec.py
+++ b/src/pollenloom/gateway/header_codec.py
@@ -60,6 +60,13 @@
     def cold_seconds(self, head: ResponseHead) -> float:
         """Return how many seconds the server stays cold; 0 if not stated."""
 
+    @abstractmethod
+    def request_limit(self, head: ResponseHead) -> float | None:
+        """Return the requests a second that the server takes from the fleet.
+
+        None if the response names no limit.
+        """
+
     @abstractmethod
     def rejection_headers(self, retry_after: float | None) -> Iterable[Header]:
         """Return the headers of a rejection by the router.
--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -128,7 +128,12 @@
         if not isinstance(event, ResponseHead):
             return self.fail_response('no response', event)
         self.is_cold = self.header_codec.cold_seconds(event) > 0
-        if self.header_codec.is_not_run(event):
+        is_rejection = self.header_codec.is_not_run(event)
+        rate_limit = self.header_codec.request_limit(event)
+        # Only a server that runs requests can be known to name no limit.
+        if rate_limit is not None or not is_rejection:
+            self.admission.observe_rate_limit(self.grant, rate_limit)
+        if is_rejection:
             return await self.handle_rejection(event, channel)
         return await self.handle_response(event, channel)
 
--- a/src/pollenloom/observability/event_name.py
+++ b/src/pollenloom/observability/event_name.py
@@ -83,6 +83,9 @@
         ATTEMPT_FAILED: An attempt at a request on a backend server failed.
             Subject request: server, reason, run, entry_version, entry_age_ms,
             answered_ms, parts.
+        SERVER_LIMITED: A backend server named a new limit on the requests that
+            it takes from the fleet in a second, or no longer names one.
+            Subject server: rate, before.
         SERVER_CHECKED: A backend server closed connections before it had
             answered, and refuses new ones if it has crashed. Subject server:
             is_crashed, unanswered.
@@ -132,6 +135,7 @@
     REQUEST_ENDED = 'request_ended'
     CAPACITY_SHORT = 'capacity_short'
     ATTEMPT_FAILED = 'attempt_failed'
+    SERVER_LIMITED = 'server_limited'
     SERVER_CHECKED = 'server_checked'
     PROMPT_BLOCKED = 'prompt_blocked'
     PROMPT_RELEASED = 'prompt_released'
--- a/src/pollenloom/platform/platform_header_codec.py
+++ b/src/pollenloom/platform/platform_header_codec.py
@@ -100,6 +100,10 @@
         cold = parse_number(find_header(head.headers, wire_names.COLD_MS))
         return 0 if cold is None else cold / MILLISECONDS_PER_SECOND
 
+    def request_limit(self, head: ResponseHead) -> float | None:
+        """Requests a second that the server takes; None if not limited."""
+        return parse_number(find_header(head.headers, wire_names.SERVER_LIMIT))
+
     def rejection_headers(self, retry_after: float | None) -> Iterable[Header]:
         """Return the headers of a response that rejects a request.
 
--- a/src/pollenloom/platform/wire_names.py
+++ b/src/pollenloom/platform/wire_names.py
@@ -23,6 +23,8 @@
 RESPONSE_SEAL: Final = b'x-pollenloom-response-seal'
 NOT_EXECUTED: Final = b'x-pollenloom-not-executed'
 COLD_MS: Final = b'x-pollenloom-cold-ms'
+# Requests a second that the server takes from all routers together.
+SERVER_LIMIT: Final = b'server-limit'
 # Headers that only a router may set; those of callers are removed.
 ROUTER_HEADERS: Final = frozenset(
     (
--- a/tests/platform/test_platform_header_codec.py
+++ b/tests/platform/test_platform_header_codec.py
@@ -5,6 +5,7 @@
 from pollenloom.core.ids import AccountId, ServerId
 from pollenloom.gateway.headers import Header
 from pollenloom.gateway.raw_request import RawRequest
+from pollenloom.gateway.server_event import ResponseHead
 from pollenloom.platform.platform_header_codec import PlatformHeaderCodec
 
 
@@ -103,3 +104,15 @@
         )
     )
     assert metadata.prompt_tokens >= 0
+
+
+@pytest.mark.parametrize(
+    ('text', 'rate'), [(b'6.25', 6.25), (b'0', 0), (b'x', None), (None, None)]
+)
+def test_request_limit_is_decoded(
+    header_codec: PlatformHeaderCodec, text: bytes | None, rate: float | None
+) -> None:
+    """Guards against a limit of a server that is missed or misread."""
+    headers = () if text is None else ((b'server-limit', text),)
+    head = ResponseHead(200, headers, is_framed=True)
+    assert header_codec.request_limit(head) == rate
