Reproduce routers that ignore the limit of a server

Routers with local admission, in simulated time, keep sending to servers that name a limit: 80 to 85 requests in 4 s from 7 routers and 270 from 71 at a limit of 6.5 a second, where the users allow 44.

--- a/tests/admission/local_fleet.py
+++ b/tests/admission/local_fleet.py
@@ -166,9 +166,19 @@
 
 @dataclass(slots=True)
 class Engine:
-    """Reads prompts in order of arrival; generates for many at a time."""
+    """Reads prompts in order of arrival; generates for many at a time.
+
+    Attributes:
+        read_until: When all prompts that arrived are read, in loop time.
+        rate_limit: Requests a second that it names in its responses, if any.
+        arrivals: Time and router of each request, in loop time.
+        told_at: When each router first passed on a response with a limit.
+    """
 
     read_until: float = 0
+    rate_limit: float | None = None
+    arrivals: list[tuple[float, VmId]] = field(default_factory=list)
+    told_at: dict[VmId, float] = field(default_factory=dict)
 
     async def read(self, tokens: float) -> None:
         """Wait until the prompt is read."""
@@ -336,14 +346,21 @@
         """Run a request on the engine of its grant."""
         sent_at = asyncio.get_running_loop().time()
         server = grant.server.server
+        engine = self.engines[server]
+        vm = admission.exchange.vm
+        engine.arrivals.append((sent_at, vm))
         prefix = (server, ticket.prefix_hashes[0])
         is_cached = prefix in self.cached
         self.cached.add(prefix)
-        await self.engines[server].read(
+        await engine.read(
             ticket.unshared_tokens if is_cached else ticket.prompt_tokens
         )
         self.seconds[ticket.account].begun[self.second()] += ticket.cost_hint
-        first_byte = asyncio.get_running_loop().time() - sent_at
+        now = asyncio.get_running_loop().time()
+        first_byte = now - sent_at
+        admission.observe_rate_limit(grant, engine.rate_limit)
+        if engine.rate_limit is not None:
+            engine.told_at.setdefault(vm, now)
         admission.observe_first_byte(grant, first_byte)
         await asyncio.sleep(shape.output * SECONDS_PER_OUTPUT_TOKEN)
         admission.settle(
