Do not write another response behind the events of a stream

A stream had begun and broke off, and the next server answered with an error, a rejection or no event stream: callers found its head and text behind the events, or the stream ended as if it were complete.

Cause: the response of a later attempt was written without asking whether an earlier one had begun to relay a stream, and the bytes after the last whole event were relayed at the end as if they were one. Such an attempt fails now, so that the stream is resumed elsewhere or aborted.

Tests: five kinds of responses of the second server, and a stream that ends inside an event; all six failed before.

--- a/src/pollenloom/gateway/headers.py
+++ b/src/pollenloom/gateway/headers.py
@@ -8,6 +8,7 @@
 
 CONNECTION: Final = b'connection'
 CONTENT_LENGTH: Final = b'content-length'
+CONTENT_TYPE: Final = b'content-type'
 TRANSFER_ENCODING: Final = b'transfer-encoding'
 KEEP_ALIVE: Final = b'keep-alive'
 # Headers that apply to a single connection and are not forwarded.
--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -21,6 +21,7 @@
 from pollenloom.gateway.header_codec import HeaderCodec
 from pollenloom.gateway.headers import (
     CONTENT_LENGTH,
+    CONTENT_TYPE,
     Header,
     find_header,
     render,
@@ -38,6 +39,7 @@
 from pollenloom.kernel.clock import Clock
 
 HEAD_METHOD: Final = b'HEAD'
+EVENT_STREAM: Final = b'text/event-stream'
 FIRST_SERVER_ERROR_STATUS: Final = 500
 # A response that is not a stream is held in memory until it is complete.
 MAX_BODY_BYTES: Final = 8_388_608
@@ -174,7 +176,10 @@
         except TimeoutError:
             # The connection is closed, as the response has not ended.
             self.body.clear()
-        if head.status == HTTPStatus.BAD_REQUEST:
+        if (
+            head.status == HTTPStatus.BAD_REQUEST
+            and not self.writer.has_started
+        ):
             await self.writer.write_response(head, b''.join(self.body))
             return AttemptEnd(AttemptState.ANSWERED, status=head.status)
         detail = (
@@ -193,6 +198,10 @@
     ) -> AttemptEnd:
         """Relay the response to a request that ran."""
         is_success = head.status < HTTPStatus.MULTIPLE_CHOICES
+        if self.writer.has_started and not is_success:
+            # An earlier attempt has relayed a part of a stream, behind which
+            # no other response may be written.
+            return self.fail_attempt(f'status {head.status} instead of events')
         if is_success and not self.header_codec.is_sealed(head):
             return self.fail_attempt(
                 f'status {head.status} without response seal'
@@ -246,15 +255,31 @@
                 if self.splitter.is_too_long:
                     return self.fail_stream(ChannelEnd.TOO_LONG)
             elif event is ChannelEnd.COMPLETE:
-                await self.write_events(head, self.splitter.partial)
-                if not self.writer.has_started:
-                    await self.writer.start(head)
-                self.outcome = Outcome.SERVED
-                await self.writer.finish()
-                return AttemptEnd(AttemptState.ANSWERED, status=head.status)
+                return await self.end_stream(head)
             else:
                 return self.fail_stream(event)
 
+    async def end_stream(self, head: ResponseHead) -> AttemptEnd:
+        """Complete the response to the caller, unless it was broken off."""
+        if self.ends_inside_event(head):
+            return self.fail_stream(ChannelEnd.CLOSED)
+        await self.write_events(head, self.splitter.partial)
+        if not self.writer.has_started:
+            await self.writer.start(head)
+        self.outcome = Outcome.SERVED
+        await self.writer.finish()
+        return AttemptEnd(AttemptState.ANSWERED, status=head.status)
+
+    def ends_inside_event(self, head: ResponseHead) -> bool:
+        """Whether a response that has ended breaks off within an event.
+
+        A complete response that is no event stream has no events, but it
+        cannot continue one.
+        """
+        if not self.splitter.partial:
+            return False
+        return self.writer.has_started or is_event_stream(head)
+
     def fail_stream(self, event: ServerEvent) -> AttemptEnd:
         """Fail a stream that ended or is to be closed before its last event."""
         self.splitter.drop_partial()
@@ -339,3 +364,9 @@
     if isinstance(event, ChannelEnd):
         return event.value
     return 'used for unexpected bytes'
+
+
+def is_event_stream(head: ResponseHead) -> bool:
+    """Whether the body of a response is an event stream."""
+    content_type = find_header(head.headers, CONTENT_TYPE) or b''
+    return content_type.partition(b';')[0].strip().lower() == EVENT_STREAM
