Take a stream without framing for complete only at the end of an event

A stream may come without length or chunks and end with its connection. If the server stopped before the first event or inside one, callers got a chunked response that was complete.

Change: such a stream fails, and is resumed where its kind allows it.

--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -274,8 +274,12 @@
         """Whether a response that has ended breaks off within an event.
 
         A complete response that is no event stream has no events, but it
-        cannot continue one.
+        cannot continue one. Where only the closed connection marks the end, a
+        server that crashes looks like one that is done, and one that has sent
+        no event has broken off.
         """
+        if not head.is_framed:
+            return bool(self.splitter.partial) or not self.streamed_bytes
         if not self.splitter.partial:
             return False
         return self.writer.has_started or is_event_stream(head)
