Do not take a repeated refusal for that of a later request

A faulty server wrote an earlier refusal once more on a kept connection; callers were told "not run" for orders that the server ran, or the order was sent to a second server. Reported by other operators; it happens here.

Cause: a response without an id counted as that of the request in progress, and a connection that had carried a refusal was used again.

Change: on a connection that carried a request before, a response must have the id of the request, and not one that was refused there before.

The fourth report, a server that stops in the head of its response, cannot happen here: 35 cases of partial heads, after interim and skipped responses, by end of file and by reset, and on a kept connection, pass on the old code as well and are held by tests now.

--- /dev/null
+++ b/src/pollenloom/gateway/connection_history.py
@@ -0,0 +1,38 @@
+"""Requests that a connection to a backend server has carried."""
+
+
+class ConnectionHistory:
+    """Tells responses to the request in progress from repeated ones.
+
+    A server may write an earlier response once more on a kept connection.
+
+    Attributes:
+        request_id: Id of the request in progress; None before the first one.
+        is_reused: Whether the connection carried a request before it.
+        refused_ids: Ids of the requests that the server refused.
+    """
+
+    def __init__(self) -> None:
+        self.request_id: bytes | None = None
+        self.is_reused = False
+        self.refused_ids: set[bytes] = set()
+
+    def begin(self, request_id: bytes) -> None:
+        """Record that a request is sent."""
+        self.is_reused = self.request_id is not None
+        self.request_id = request_id
+
+    def mark_refused(self) -> None:
+        """Record that the server has refused the request in progress."""
+        if self.request_id is not None:
+            self.refused_ids.add(self.request_id)
+
+    def is_answer(self, response_id: bytes | None) -> bool:
+        """Whether a response is proved to answer the request in progress.
+
+        On a kept connection it must have the id of a request that was not
+        refused before.
+        """
+        if response_id is None:
+            return not self.is_reused
+        return response_id not in self.refused_ids
--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -129,6 +129,12 @@
         event = await channel.next_event()
         if not isinstance(event, ResponseHead):
             return self.fail_response('no response', event)
+        response_id = find_header(event.headers, channel.id_header)
+        if not channel.history.is_answer(response_id):
+            self.first_byte_seconds = self.clock.monotonic() - self.sent_at
+            return self.fail_attempt(
+                f'status {event.status} may answer an earlier request'
+            )
         self.is_cold = self.header_codec.cold_seconds(event) > 0
         is_rejection = self.header_codec.is_not_run(event)
         rate_limit = self.header_codec.request_limit(event)
@@ -166,6 +172,7 @@
 
         After any other rejection the request may be sent to another server.
         """
+        channel.history.mark_refused()
         self.outcome = Outcome.REFUSED
         self.call.may_have_run = self.may_have_run_before
         self.is_misdirected = self.header_codec.is_misdirected(head)
--- a/src/pollenloom/gateway/server_channel.py
+++ b/src/pollenloom/gateway/server_channel.py
@@ -8,6 +8,7 @@
 
 import httptools
 
+from pollenloom.gateway.connection_history import ConnectionHistory
 from pollenloom.gateway.expected_response import ExpectedResponse
 from pollenloom.gateway.headers import (
     CONTENT_LENGTH,
@@ -46,6 +47,7 @@
         is_skipping: Whether the response being parsed is discarded.
         is_framed: Whether the response marks its own end.
         request: What is known of the request in progress or the last one.
+        history: Requests that the connection has carried.
     """
 
     def __init__(self, id_header: bytes) -> None:
@@ -58,6 +60,7 @@
         self.idle_timeout_seconds: float | None = None
         self.idle_since: float = 0
         self.request = ExpectedResponse()
+        self.history = ConnectionHistory()
         self.response_ended = True
         self.is_skipping = False
         self.is_framed = True
@@ -73,6 +76,7 @@
         self, request_id: bytes, *, is_head_request: bool
     ) -> None:
         """Prepare for the response to a request."""
+        self.history.begin(request_id)
         self.request = ExpectedResponse(
             request_id, is_head_request=is_head_request
         )
--- a/tests/gateway/test_server_channel.py
+++ b/tests/gateway/test_server_channel.py
@@ -124,3 +124,43 @@
     channel.data_received(OTHER)
     assert not channel.is_reusable
     assert cast('Any', channel.transport).is_aborted
+
+
+PARTIAL_HEADS = [
+    b'HTTP/1.1 2',
+    b'HTTP/1.1 200 OK\r\n',
+    b'HTTP/1.1 200 OK\r\nX-Id: a1\r\n',
+    b'HTTP/1.1 200 OK\r\nX-Id: a1\r\nContent-Length: 4\r\n',
+    b'HTTP/1.1 200 OK\r\nX-Id: a1\r\nContent-Length: 4\r\n\r',
+]
+
+
+@pytest.mark.parametrize('before', [b'', INTERIM, OTHER])
+@pytest.mark.parametrize('head', PARTIAL_HEADS)
+@pytest.mark.parametrize('is_reset', [False, True])
+def test_partial_head_is_no_response(
+    before: bytes, head: bytes, is_reset: bool
+) -> None:
+    """Guards against an empty success of a server that stopped in the head.
+
+    Reported by other operators.
+    """
+    channel = open_channel(errno.ECONNRESET if is_reset else 0)
+    channel.data_received(before)
+    channel.data_received(head)
+    if not is_reset:
+        channel.eof_received()
+    channel.connection_lost(None)
+    assert not any(isinstance(entry, ResponseHead) for entry in channel.events)
+    assert list(channel.events)[-1] in {ChannelEnd.CLOSED, ChannelEnd.RESET}
+
+
+@pytest.mark.parametrize('head', PARTIAL_HEADS)
+def test_partial_head_on_a_kept_connection_is_no_response(head: bytes) -> None:
+    """Guards against state of an earlier response on the connection."""
+    channel = open_channel()
+    channel.data_received(FRAMED)
+    channel.expect_response(REQUEST_ID, is_head_request=False)
+    channel.data_received(head)
+    channel.eof_received()
+    assert list(channel.events) == [ChannelEnd.CLOSED]
