Ignore infinite numbers in headers

An infinite token count of a caller raised OverflowError in the task of its connection, and an infinite limit of a server would make its quota no number.

--- a/src/pollenloom/platform/platform_header_codec.py
+++ b/src/pollenloom/platform/platform_header_codec.py
@@ -1,5 +1,6 @@
 """Encoding and decoding of the platform's HTTP headers."""
 
+import math
 from collections.abc import Iterable
 from http import HTTPStatus
 
@@ -128,10 +129,13 @@
     if text is None:
         return None
     try:
-        return max(0, float(text))
+        number = float(text)
     except ValueError:
+        number = math.nan
+    if not math.isfinite(number):
         logging.warning('header_ignored, not a number: %r', text[:40])
         return None
+    return max(0, number)
 
 
 def parse_token_usage(text: bytes | None) -> tuple[int, int]:
--- a/tests/platform/test_platform_header_codec.py
+++ b/tests/platform/test_platform_header_codec.py
@@ -90,7 +90,10 @@
     assert metadata.cost == 1620
 
 
-@pytest.mark.parametrize('text', [b'', b'x', b',,', b'1', b'-5,3', b'nan,1'])
+@pytest.mark.parametrize(
+    'text',
+    [b'', b'x', b',,', b'1', b'-5,3', b'nan,1', b'inf,1', b'aa:inf', b'1e999'],
+)
 def test_malformed_numbers_are_ignored(
     header_codec: PlatformHeaderCodec,
     text: bytes,
@@ -107,7 +110,8 @@
 
 
 @pytest.mark.parametrize(
-    ('text', 'rate'), [(b'6.25', 6.25), (b'0', 0), (b'x', None), (None, None)]
+    ('text', 'rate'),
+    [(b'6.25', 6.25), (b'0', 0), (b'x', None), (b'inf', None), (None, None)],
 )
 def test_request_limit_is_decoded(
     header_codec: PlatformHeaderCodec, text: bytes | None, rate: float | None
