Let a server name a limit in each round of the node soak

The soak checked nothing of the limits that servers name. In each round one server names four requests a second for seven to eleven seconds, beside the other faults, which the seeds draw as before; a ninth promise counts what it gets. Two tests break and keep the check.

--- a/src/pollenloom_standins/node_soak/backend_faults.py
+++ b/src/pollenloom_standins/node_soak/backend_faults.py
@@ -14,6 +14,9 @@
 
 # A leaving server serves for at least this time after its announcement.
 MIN_LEAVING_SECONDS = 3.0
+# Requests a second; a server gets several times as many.
+RATE_LIMIT = 4.0
+MIN_LIMIT_SECONDS = 7.0
 
 
 class BackendResponseFault(InjectedBackendFault):
@@ -35,6 +38,23 @@
         backend.fault = ResponseFault.NONE
 
 
+class BackendLimit(InjectedBackendFault):
+    """Makes a server name a limit on the requests that it takes."""
+
+    kind = NodeFaultKind.BACKEND_LIMITED
+
+    async def inject(
+        self,
+        _environment: NodeRoundEnvironment,
+        backend: SoakBackend,
+        seconds: float,
+    ) -> None:
+        """Name the limit for long enough that the nodes must keep to it."""
+        backend.rate_limit = RATE_LIMIT
+        await asyncio.sleep(MIN_LIMIT_SECONDS + seconds)
+        backend.rate_limit = None
+
+
 class LeavingBackendFault(InjectedBackendFault):
     """Lets a server leave and starts another one."""
 
--- a/src/pollenloom_standins/node_soak/node_fault_record.py
+++ b/src/pollenloom_standins/node_soak/node_fault_record.py
@@ -24,6 +24,7 @@
     BACKEND_SILENT = 'worker-silent'
     BACKEND_LEAVES = 'worker-leaves'
     BACKEND_CRASH = 'worker-crash'
+    BACKEND_LIMITED = 'worker-limited'
 
 
 class NodeFaultRecord(FaultSpan, kw_only=True):
--- a/src/pollenloom_standins/node_soak/node_promises.py
+++ b/src/pollenloom_standins/node_soak/node_promises.py
@@ -13,6 +13,7 @@
     NodeRefusalChecker,
 )
 from pollenloom_standins.node_soak.node_stop_checker import NodeStopChecker
+from pollenloom_standins.node_soak.rate_limit_checker import RateLimitChecker
 from pollenloom_standins.node_soak.recovery_checker import RecoveryChecker
 from pollenloom_standins.node_soak.request_checker import RequestChecker
 from pollenloom_standins.node_soak.revoked_key_checker import RevokedKeyChecker
@@ -26,4 +27,5 @@
     RevokedKeyChecker(),
     NodeStopChecker(),
     RecoveryChecker(),
+    RateLimitChecker(),
 )
--- a/src/pollenloom_standins/node_soak/node_round.py
+++ b/src/pollenloom_standins/node_soak/node_round.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Final
 
+from pollenloom_standins.node_soak.backend_faults import BackendLimit
 from pollenloom_standins.node_soak.fault_table import FAULTS
 from pollenloom_standins.node_soak.injected_fault import InjectedFault
 from pollenloom_standins.node_soak.node_history import (
@@ -19,6 +20,8 @@
 
 FIRST_FAULT_SECONDS: Final = 1.0
 ROUND_SECONDS: Final = 14.0
+# A limit lasts for about half of a round.
+LAST_LIMIT_SECONDS: Final = 7.0
 MIN_FAULTS: Final = 4
 MAX_FAULTS: Final = 9
 MIN_FAULT_SECONDS: Final = 0.2
@@ -46,7 +49,14 @@
     """Return random faults, which may overlap."""
     random_source = random.Random(f'plan {seed}')
     count = random_source.randint(MIN_FAULTS, MAX_FAULTS)
-    return tuple(
+    # Has its own source, so that the seeds draw the other faults as before.
+    limit_source = random.Random(f'limit {seed}')
+    limit = PlannedNodeFault(
+        BackendLimit(),
+        limit_source.uniform(FIRST_FAULT_SECONDS, LAST_LIMIT_SECONDS),
+        limit_source.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS),
+    )
+    return limit, *(
         PlannedNodeFault(
             random_source.choice(FAULTS),
             random_source.uniform(FIRST_FAULT_SECONDS, ROUND_SECONDS),
--- a/src/pollenloom_standins/node_soak/node_run.py
+++ b/src/pollenloom_standins/node_soak/node_run.py
@@ -14,6 +14,7 @@
         has_key: Whether the request had an API key.
         is_run: Whether the server began to run it.
         is_sealed: Whether the server sent a complete response.
+        rate_limit: Limit that the server named then, in requests a second.
     """
 
     request_id: str
@@ -25,3 +26,4 @@
     body: bytes
     is_run: bool = True
     is_sealed: bool = False
+    rate_limit: float | None = None
--- a/src/pollenloom_standins/node_soak/soak_backend.py
+++ b/src/pollenloom_standins/node_soak/soak_backend.py
@@ -49,6 +49,8 @@
     Attributes:
         server: Id, which no other start of a server has.
         fault: Fault of its responses.
+        rate_limit: Requests a second that it says it takes; None if it names
+            no limit.
         listed_address: Address in its store entry.
         scripted_backend: Listener that calls `serve` for each request.
     """
@@ -63,6 +65,7 @@
         self.data_centre = data_centre
         self.history = history
         self.fault = ResponseFault.NONE
+        self.rate_limit: float | None = None
         self.listed_address = ''
         self.scripted_backend = ScriptedBackend(self.serve)
 
@@ -126,6 +129,7 @@
             account=headers.get('x-pollenloom-tenant', ''),
             has_key='api-key' in headers,
             body=request.body,
+            rate_limit=self.rate_limit,
         )
         self.history.runs.append(run)
         return run
@@ -144,7 +148,7 @@
                 writer, sealed_response(run.request_id, b'failed', '500 Error')
             )
             return
-        response = sealed_response(run.request_id, body)
+        response = name_limit(run, sealed_response(run.request_id, body))
         if fault is ResponseFault.CUT:
             await send(writer, response[:-3])
             writer.transport.abort()
@@ -162,7 +166,7 @@
         fault: ResponseFault,
     ) -> None:
         """Respond with events after the last one that the caller has."""
-        await send(writer, sealed_stream_head(run.request_id))
+        await send(writer, name_limit(run, sealed_stream_head(run.request_id)))
         first = int(request.headers.get('last-event-id') or 0) + 1
         for number in range(first, EVENT_COUNT + 1):
             await asyncio.sleep(EVENT_INTERVAL_SECONDS)
@@ -176,6 +180,14 @@
         run.is_sealed = True
 
 
+def name_limit(run: NodeRun, response: bytes) -> bytes:
+    """Add the server's limit, if it has one, to the head of a response."""
+    if run.rate_limit is None:
+        return response
+    line = b'\r\n%b: %.2f\r\n' % (wire_names.SERVER_LIMIT, run.rate_limit)
+    return response.replace(b'\r\n', line, 1)
+
+
 def make_event(request_id: str, number: int) -> bytes:
     """Return an event; the data of the last one ends with `end`."""
     last = ' end' if number == EVENT_COUNT else ''
--- a/tests/standins/node_soak/test_node_checkers.py
+++ b/tests/standins/node_soak/test_node_checkers.py
@@ -210,3 +210,30 @@
     )
     history.faults.append(cut)
     assert not broken_promises(history) & {'drain', 'revoked'}
+
+
+def test_requests_beyond_a_named_limit_are_reported(
+    history: NodeHistory,
+) -> None:
+    """Guards against a check that no fleet can break."""
+    for number in range(100):
+        call = make_call(f'limited-{number}', at=START + number * 0.1)
+        run = make_run(call)
+        run.rate_limit = 1.0
+        history.calls.append(call)
+        history.runs.append(run)
+    assert broken_promises(history) == {'limit'}
+
+
+def test_requests_within_a_named_limit_are_allowed(
+    history: NodeHistory,
+) -> None:
+    """Guards against a limit that counts what nodes could not know."""
+    for number in range(100):
+        at = START + number * (0.1 if number < 30 else 0.5)
+        call = make_call(f'limited-{number}', at=at)
+        run = make_run(call)
+        run.rate_limit = 2.0
+        history.calls.append(call)
+        history.runs.append(run)
+    assert not broken_promises(history)
