Send old evidence of crashes to others every five seconds only

Blocks and limits, which a router must keep to, are still sent each second; crashes and answers every five seconds, and at once when the fleet has a new router. Changes are sent as before, three times each.

--- a/src/pollenloom/catalogue/fact_exchange.py
+++ b/src/pollenloom/catalogue/fact_exchange.py
@@ -3,6 +3,8 @@
 import asyncio
 from typing import ClassVar, Final
 
+import msgspec
+
 from pollenloom.catalogue.fact_message import (
     FactsMessage,
     decode_facts,
@@ -18,10 +20,12 @@
 SEND_INTERVAL_SECONDS: Final = 0.1
 # Each change is sent in three datagrams, so that a lost one does not matter.
 RESEND_SECONDS: Final = 0.25
-# Interval at which known facts are sent to routers that have just started.
+# Intervals at which known facts are sent to routers that have just started:
+# what they must keep to, and the larger and less urgent evidence for it.
 REFRESH_SECONDS: Final = 1.0
+EVIDENCE_REFRESH_SECONDS: Final = 5.0
 # Facts of each kind in one refresh, the latest ones.
-MAX_REFRESHED_FACTS: Final = 48
+MAX_REFRESHED_FACTS: Final = 32
 # Facts of each kind in one datagram; a fact has about 150 bytes.
 MAX_SENT_FACTS: Final = 100
 
@@ -34,7 +38,9 @@
 
     Attributes:
         facts: Facts of this router and others.
-        refreshed_at: When all facts were sent last, monotonic seconds.
+        refreshed_at: When blocks and limits were sent last, monotonic seconds.
+        evidence_sent_at: When all facts were sent last, monotonic seconds.
+        routers: Routers of the fleet at the latest message.
     """
 
     name: ClassVar[KernelServiceName] = KernelServiceName.FACT_EXCHANGE
@@ -44,6 +50,8 @@
         self.vm = vm
         self.facts = FleetFacts(vm, kernel.clock.wall())
         self.refreshed_at = float('-inf')
+        self.evidence_sent_at = float('-inf')
+        self.routers: frozenset[VmId] = frozenset()
 
     async def start(self) -> None:
         """Start to send and to receive facts."""
@@ -75,11 +83,28 @@
             await asyncio.sleep(SEND_INTERVAL_SECONDS)
             now = self.kernel.clock.monotonic()
             self.facts.drop_expired(now)
-            if now - self.refreshed_at >= REFRESH_SECONDS:
-                self.refreshed_at = now
-                self.send(self.latest_facts(now), now)
-            else:
-                self.send(self.changed_facts(now), now)
+            self.send(self.next_message(now), now)
+
+    def next_message(self, now: float) -> FactsMessage:
+        """Return what is to be sent now: changes, or known facts as well."""
+        routers = frozenset(
+            router.vm for router in self.exchange.fleet_directory.routers()
+        )
+        has_new_router = bool(routers - self.routers)
+        self.routers = routers
+        evidence_age = now - self.evidence_sent_at
+        if has_new_router or evidence_age >= EVIDENCE_REFRESH_SECONDS:
+            self.evidence_sent_at = now
+            self.refreshed_at = now
+            return self.latest_facts(now)
+        changes = self.changed_facts(now)
+        if now - self.refreshed_at < REFRESH_SECONDS:
+            return changes
+        self.refreshed_at = now
+        latest = self.latest_facts(now)
+        return msgspec.structs.replace(
+            changes, blocks=latest.blocks, limits=latest.limits
+        )
 
     def changed_facts(self, now: float) -> FactsMessage:
         """Return the facts that were learned lately."""
--- a/tests/admission/local_fleet.py
+++ b/tests/admission/local_fleet.py
@@ -159,6 +159,7 @@
         self.table = LoadTable(vm)
         self.local_loads = dict
         self.remote = ServiceLoad()
+        self.fleet_directory = FakeFleetDirectory(1)
         self.relay_handlers = {}
         self.others: list[DelayedExchange] = []
 
--- a/tests/catalogue/test_fact_exchange.py
+++ b/tests/catalogue/test_fact_exchange.py
@@ -86,3 +86,16 @@
     message = find_exchange(stranger).changed_facts(stranger.clock.monotonic())
     fleet.exchange(known).handle_relayed(message, ('127.0.0.1', 9))
     assert known_parts(known) == set()
+
+
+async def test_old_evidence_is_sent_rarely(fleet: CatalogueFleet) -> None:
+    """Guards against evidence of past crashes that fills the links.
+
+    It was sent each second for ten minutes: 80 KB/s from each router.
+    """
+    await fleet.add(2)
+    observe_crash(fleet.kernels[0], 'old')
+    exchange = find_exchange(fleet.kernels[0])
+    now = fleet.kernels[0].clock.monotonic() + 60
+    messages = [exchange.next_message(now + tick / 10) for tick in range(100)]
+    assert sum(bool(message.crashes) for message in messages) <= 3
