--- a/tests/gateway/test_repeated_refusals.py
+++ b/tests/gateway/test_repeated_refusals.py
@@ -86,19 +86,19 @@
     assert response.status == 502
 
 
+async def refuse(
+    request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Refuse a request with its id."""
+    writer.write(refusal(request.headers['x-pollenloom-attempt-id']))
+    await writer.drain()
+
+
 async def test_own_refusal_is_not_taken_for_that_of_a_later_attempt(
     environment: RouterEnvironment,
 ) -> None:
     """Guards against a refusal that comes again for the same request id."""
-
-    async def respond(
-        request: ReceivedRequest, writer: asyncio.StreamWriter
-    ) -> None:
-        """Refuse with the id, each time."""
-        writer.write(refusal(request.headers['x-pollenloom-attempt-id']))
-        await writer.drain()
-
-    await environment.add_server(respond)
+    await environment.add_server(refuse)
     await environment.ready(1)
     caller = await environment.connect()
     statuses = [
@@ -112,15 +112,7 @@
     environment: RouterEnvironment,
 ) -> None:
     """Guards against orders reported as unknown that were never run."""
-
-    async def respond(
-        request: ReceivedRequest, writer: asyncio.StreamWriter
-    ) -> None:
-        """Refuse with the id of the request."""
-        writer.write(refusal(request.headers['x-pollenloom-attempt-id']))
-        await writer.drain()
-
-    await environment.add_server(respond)
+    await environment.add_server(refuse)
     await environment.ready(1)
     caller = await environment.connect()
     for number in range(4):
