--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -4,13 +4,15 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+import pytest
+
 from pollenloom.console.node_process import make_services
-from pollenloom.core.ids import PromptPartId, ServerId, ServiceId
+from pollenloom.core.ids import AccountId, PromptPartId, ServerId, ServiceId
 from pollenloom.gateway.prompt_guard import PromptGuard
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.routing.fleet_facts import block_key
-from pollenloom.routing.prompt_facts import PromptBlock
+from pollenloom.routing.prompt_facts import PromptBlock, PromptCrash
 from pollenloom.routing.prompt_quarantine import BegunAnswer
 from pollenloom_standins.worker.responses import LAST_CHUNK, chunk
 from pollenloom_standins.worker.scripted_backend import (
@@ -82,12 +84,15 @@
 
 
 async def ask(
-    environment: RouterEnvironment, name: str, part: str
+    environment: RouterEnvironment,
+    name: str,
+    part: str,
+    path: str = '/stream/',
 ) -> CallerResponse:
     """Send a request whose prompt has the common part, `part` and its own."""
     caller = await environment.connect()
     return await caller.fetch(
-        '/stream/',
+        path,
         request_id=name,
         x_pollenloom_token_usage='40,8',
         x_pollenloom_prompt_prefix=f'{COMMON_PART}:10,{part}:10,{name}:20',
@@ -152,6 +157,37 @@
     assert not guard.quarantine.facts.crashes.facts
 
 
+@pytest.mark.parametrize(
+    ('part', 'attempts'), [(CRASHING_PART, 1), ('sound', 2)]
+)
+async def test_suspect_is_not_sent_to_a_second_server(
+    environment: RouterEnvironment, part: str, attempts: int
+) -> None:
+    """Guards against one request that ends several servers.
+
+    Other requests that may run twice are sent again.
+    """
+
+    async def close(_: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        """Close the connection instead of an answer."""
+        writer.close()
+        await writer.wait_closed()
+
+    servers = [await environment.add_server(close) for _ in range(2)]
+    await environment.ready(2)
+    quarantine = find_guard(environment.kernel).quarantine
+    crash = PromptCrash(
+        ServerId('i-gone'),
+        ServiceId('app'),
+        AccountId('shop'),
+        (PromptPartId(CRASHING_PART),),
+    )
+    quarantine.record_crash(crash, environment.kernel.clock.monotonic())
+    await environment.wait_for(lambda: bool(quarantine.suspects))
+    await ask(environment, 'a1', part, '/resume/')
+    assert sum(len(server.requests) for server in servers) == attempts
+
+
 async def test_prompt_that_is_blocked_while_it_waits_is_not_sent(
     environment: RouterEnvironment,
 ) -> None:
