Give accounts the same share at all routers

Cause: routers raced for the room of the servers. Each compared accounts with a level, but what a request got was decided by its place in the race, and a router that lost expected longer waits by its own send rate, refused more and lost again. The level took what was sent for capacity, so that requests that overfill engines raised it.

Change: every router computes the same max-min level from the demand of the accounts and from what began over the fleet, and takes on the same part of an account's requests. What is beyond the share may use idle room up to half a share and is otherwise refused at once. A router's expected wait uses the rate that is due to it. Load reports carry the cost that began; the reported demand counts requests within their shares only.

--- /dev/null
+++ b/src/pollenloom/admission/account_shares.py
@@ -0,0 +1,158 @@
+"""Which requests of client accounts are within the shares of the accounts."""
+
+import math
+from typing import Final
+
+from pollenloom.admission.share_class import ShareClass
+from pollenloom.core.ids import AccountId, VmId
+from pollenloom.routing.account_usage import DECAY_SECONDS, AccountUsage
+from pollenloom.routing.decaying_count import DecayingCount
+from pollenloom.routing.fair_level import fair_level
+from pollenloom.routing.router_phase import router_phase
+
+# Load reports come every 0.1 s.
+LEVEL_SECONDS: Final = 0.1
+# Requests are taken on for so much more than what begins, so that the estimate
+# of the capacity can grow, and requests that find no room leave no gap.
+CAPACITY_MARGIN: Final = 0.15
+# An account may use idle room for this part of its share beyond it. Without a
+# bound the account that asks most would get all idle room.
+SURPLUS_SHARE: Final = 0.5
+# If less than this part of the demand begins, the servers have only come back,
+# and what began says nothing about their capacity.
+MIN_BEGUN_PART: Final = 0.02
+# An account beyond its share has less demand left after at most this time.
+MAX_RETRY_SECONDS: Final = 2.0
+
+
+class AccountShares:
+    """Divides the capacity of a service among accounts, alike on all routers.
+
+    All routers know the same sums: what each account asked for lately, and
+    what began over the fleet. From these follows the part of an account's
+    requests that is within its share. Each router takes on this part of the
+    requests that come in there, so that an account gets the same share
+    whichever routers its callers use.
+
+    Attributes:
+        vm: This router.
+        usage: Cost of the requests that were sent, by account.
+        refused: Cost of the requests that were refused, by account.
+        begun: Cost of the requests that began to be answered on this router.
+        level: Demand up to which an account is within its share; None while
+            no account takes capacity from another.
+        level_expires_at: When the level is computed again, monotonic seconds.
+        local_rate: Cost per second of the requests on this router that are
+            within the shares of their accounts.
+        within_credit: Part of a request within the share that an account has
+            saved up, by account beyond the level.
+        surplus_credit: The same for surplus requests.
+    """
+
+    def __init__(
+        self, vm: VmId, usage: AccountUsage, refused: AccountUsage
+    ) -> None:
+        self.vm = vm
+        self.usage = usage
+        self.refused = refused
+        self.begun = DecayingCount(DECAY_SECONDS)
+        self.level: float | None = None
+        self.level_expires_at = float('-inf')
+        self.local_rate: float = 0
+        self.within_credit: dict[AccountId, float] = {}
+        self.surplus_credit: dict[AccountId, float] = {}
+
+    def update(self, remote_begun: float, now: float) -> None:
+        """Compute the level again if it is older than a load report.
+
+        Args:
+            remote_begun: Recent cost that began on the other routers.
+            now: Monotonic seconds.
+        """
+        if now < self.level_expires_at:
+            return
+        self.level_expires_at = now + LEVEL_SECONDS
+        usage = self.usage.totals(now)
+        refused = self.refused.totals(now)
+        begun = self.begun.at(now) + remote_begun
+        demand = sum(usage.values()) + sum(refused.values())
+        self.level = None
+        if begun >= MIN_BEGUN_PART * demand:
+            capacity = begun * (1 + CAPACITY_MARGIN)
+            self.level = fair_level(usage, refused, capacity)
+        accounts = {**self.usage.local, **self.refused.local}
+        self.local_rate = (
+            sum(
+                self.local_demand(account) * self.part_within(account)
+                for account in accounts
+            )
+            / DECAY_SECONDS
+        )
+
+    def demand(self, account: AccountId) -> float:
+        """Return the recent demand of an account over the fleet, in cost."""
+        return self.usage.total(account) + self.refused.total(account)
+
+    def local_demand(self, account: AccountId) -> float:
+        """Return the recent demand of an account on this router, in cost."""
+        sent = self.usage.local.get(account, 0)
+        return sent + self.refused.local.get(account, 0)
+
+    def part_within(self, account: AccountId) -> float:
+        """Return the part of an account's requests within its share, 0 to 1."""
+        if self.level is None:
+            return 1
+        demand = self.demand(account)
+        return 1 if demand <= self.level else self.level / demand
+
+    def classify(self, account: AccountId) -> ShareClass:
+        """Return the class of a new request of an account.
+
+        Requests are counted, not weighed, so that large ones are not refused
+        more often than small ones.
+        """
+        part = self.part_within(account)
+        if part >= 1:
+            self.within_credit.pop(account, None)
+            self.surplus_credit.pop(account, None)
+            return ShareClass.WITHIN
+        if self.spend(self.within_credit, account, part):
+            return ShareClass.WITHIN
+        surplus = min(1, part * SURPLUS_SHARE / (1 - part))
+        if self.spend(self.surplus_credit, account, surplus):
+            return ShareClass.SURPLUS
+        return ShareClass.BEYOND
+
+    def spend(
+        self, saved: dict[AccountId, float], account: AccountId, part: float
+    ) -> bool:
+        """Add a part of a request to a credit; whether it covers a request.
+
+        The first credit differs between routers, as all of them would
+        otherwise refuse the first requests of an account with many callers.
+        """
+        credit = saved.get(account)
+        if credit is None:
+            credit = router_phase(self.vm, account)
+        credit += part
+        is_covered = credit >= 1
+        saved[account] = credit - 1 if is_covered else credit
+        return is_covered
+
+    def describe_excess(self, account: AccountId) -> str:
+        """Return why a request beyond the share of its account is refused."""
+        demand = self.demand(account)
+        return (
+            f'account asks for {demand:.0f}, its share is {self.level or 0:.0f}'
+        )
+
+    def retry_seconds(self, account: AccountId) -> float:
+        """Return after which time an account would be within its share.
+
+        This holds if it asks for nothing until then, since demand decays.
+        """
+        if not self.level:
+            return 0
+        excess = self.demand(account) / self.level
+        seconds = DECAY_SECONDS * math.log(max(1, excess))
+        return min(MAX_RETRY_SECONDS, seconds)
--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -18,6 +18,7 @@
 from pollenloom.admission.selection_context import SelectionContext
 from pollenloom.admission.server_health_update import update_server_health
 from pollenloom.admission.settlement import Settlement
+from pollenloom.admission.share_class import ShareClass
 from pollenloom.admission.shortage_record import record_shortages
 from pollenloom.admission.ticket import Ticket
 from pollenloom.admission.version_credit import VersionCredit
@@ -104,7 +105,7 @@
         pool = self.pools.get(service)
         if pool is None:
             shares = VersionMoveShares(self.moves)
-            pool = LocalPool(VersionCredit(service, shares))
+            pool = LocalPool(VersionCredit(service, shares), self.exchange.vm)
             self.pools[service] = pool
         return pool
 
@@ -120,15 +121,25 @@
             reason = 'no server is registered'
             return Error(self.reject(ticket, reason, 0))
         pool = self.pool(ticket.service)
-        waiting = WaitingTicket(ticket, now)
+        pool.apply_remote_load(
+            self.exchange.remote_load(ticket.service, now), now
+        )
+        share_class = pool.classify(ticket)
+        waiting = WaitingTicket(ticket, now, share_class)
         grant_future: GrantFuture = asyncio.get_running_loop().create_future()
         self.grant_futures[waiting] = grant_future
-        pool.put(waiting)
         with ExitStack() as stack:
             stack.callback(self.withdraw, waiting)
-            self.grant_waiting(ticket.service)
+            if share_class is not ShareClass.BEYOND:
+                pool.put(waiting)
+                self.grant_waiting(ticket.service)
             if grant_future.done():
                 return Ok(grant_future.result())
+            if share_class is not ShareClass.WITHIN:
+                pool.activity.beyond_share += 1
+                reason = pool.shares.describe_excess(ticket.account)
+                seconds = pool.shares.retry_seconds(ticket.account)
+                return Error(self.reject(ticket, reason, seconds))
             expected = pool.expected_wait(waiting, now)
             limit = pool.max_wait(ticket)
             if expected > limit:
@@ -250,6 +261,7 @@
         now = self.kernel.clock.monotonic()
         cost = held.placement.cost
         self.pool(grant.server.service).answers.add(now)
+        self.pool(grant.server.service).shares.begun.add(now, grant.charged)
         load = self.pool(grant.server.service).servers.server_load(
             grant.server.server,
             now,
--- a/src/pollenloom/admission/local_backlog.py
+++ b/src/pollenloom/admission/local_backlog.py
@@ -4,18 +4,25 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from pollenloom.admission.share_class import ShareClass
 from pollenloom.admission.ticket import Ticket
 from pollenloom.core.ids import AccountId
 from pollenloom.routing.account_usage import AccountUsage
-from pollenloom.routing.fair_level import fair_level
 
 
 @dataclass(eq=False, slots=True)
 class WaitingTicket:
-    """A ticket with the time since which it waits, monotonic seconds."""
+    """A ticket that waits for room.
+
+    Attributes:
+        ticket: The ticket.
+        since: When it came in, monotonic seconds.
+        share_class: Class by the share of its account.
+    """
 
     ticket: Ticket
     since: float
+    share_class: ShareClass = ShareClass.WITHIN
 
 
 @dataclass(slots=True)
@@ -57,10 +64,6 @@
         for account in sorted(self.queues, key=self.usage.total):
             yield self.queues[account][0]
 
-    def fair_level(self, now: float) -> float | None:
-        """Usage within an account's share; None if nothing was refused."""
-        return fair_level(self.usage.totals(now), self.refused.totals(now))
-
     def cost_ahead(self, waiting: WaitingTicket) -> float:
         """Cost of the queued requests that go before one of this backlog.
 
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -4,15 +4,17 @@
 from collections.abc import Iterator, Mapping
 from typing import Final
 
+from pollenloom.admission.account_shares import AccountShares
 from pollenloom.admission.local_backlog import LocalBacklog, WaitingTicket
 from pollenloom.admission.local_servers import LocalServers
 from pollenloom.admission.placement import Placement
 from pollenloom.admission.pool_activity import PoolActivity
 from pollenloom.admission.selection_context import SelectionContext
 from pollenloom.admission.server_candidates import ServerCandidates
+from pollenloom.admission.share_class import ShareClass
 from pollenloom.admission.ticket import Ticket
 from pollenloom.admission.version_credit import VersionCredit
-from pollenloom.core.ids import AccountId, ResponseClass, VersionId
+from pollenloom.core.ids import ResponseClass, VersionId, VmId
 from pollenloom.routing.decaying_count import DecayingCount
 from pollenloom.routing.send_window import (
     PREFILL_TOKENS_PER_SECOND,
@@ -31,13 +33,6 @@
 # queueing time as prompts that take just this share, so that prompt sizes are
 # treated alike.
 MAX_PREFILL_SHARE: Final = 0.4
-# Load reports come every 0.1 s.
-LEVEL_SECONDS: Final = 0.1
-# Lead in usage that an account may have over its share: load reports are late,
-# and requests differ in size. The cost is in the unit of the service's
-# resource.
-MAX_LEAD_SHARE: Final = 0.2
-MAX_LEAD_COST: Final = 20_000.0
 
 
 class LocalPool:
@@ -48,21 +43,23 @@
         recent_sends: Time and cost hint of the requests sent within the rate
             window.
         recent_cost: Sum of these cost hints.
-        demand: Requests that came in lately.
+        shares: Decides which requests are within the shares of their accounts.
+        demand: Requests within the shares of their accounts that came in
+            lately.
         answers: Answers that began lately.
         tightest_objective: Shortest objective of any request so far, in
             seconds.
         activity: What was decided since it was last recorded.
         versions: Versions of the usable servers.
         remote_load: Latest load of the other routers.
-        level: Usage up to which an account is within its share; None while
-            no account takes capacity from another.
-        level_expires_at: When the level is computed again, monotonic seconds.
     """
 
-    def __init__(self, credit: VersionCredit) -> None:
+    def __init__(self, credit: VersionCredit, vm: VmId) -> None:
         self.credit = credit
         self.backlog = LocalBacklog()
+        self.shares = AccountShares(
+            vm, self.backlog.usage, self.backlog.refused
+        )
         self.servers = LocalServers()
         self.activity = PoolActivity()
         self.recent_sends: deque[tuple[float, float]] = deque()
@@ -71,8 +68,6 @@
         self.answers = DecayingCount()
         self.versions: set[VersionId] = set()
         self.remote_load = ServiceLoad()
-        self.level: float | None = None
-        self.level_expires_at = float('-inf')
         self.tightest_objective = float('inf')
 
     def put(self, waiting: WaitingTicket) -> None:
@@ -80,7 +75,8 @@
         objective = waiting.ticket.objective
         if objective:
             self.tightest_objective = min(self.tightest_objective, objective)
-        self.demand.add(waiting.since)
+        if waiting.share_class is ShareClass.WITHIN:
+            self.demand.add(waiting.since)
         self.servers.record_resource(waiting.ticket)
         self.backlog.put(waiting)
 
@@ -108,15 +104,28 @@
             yield found
 
     def apply_remote_load(self, load: ServiceLoad, now: float) -> None:
-        """Use the load of other routers, and the share that follows from it."""
-        if load is self.remote_load and now < self.level_expires_at:
-            return
+        """Use the load of other routers, and the shares that follow from it."""
         self.remote_load = load
         self.backlog.usage.remote = load.usage
         self.backlog.refused.remote = load.refused
-        if now >= self.level_expires_at:
-            self.level = self.backlog.fair_level(now)
-            self.level_expires_at = now + LEVEL_SECONDS
+        self.shares.update(self.remote_begun(), now)
+
+    def classify(self, ticket: Ticket) -> ShareClass:
+        """Return the class of a new request by the share of its account.
+
+        A request that was sent before stays within the share.
+        """
+        if ticket.retry:
+            return ShareClass.WITHIN
+        return self.shares.classify(ticket.account)
+
+    def remote_begun(self) -> float:
+        """Return the recent cost that began on the other routers."""
+        return self.remote_load.begun.get(self.credit.service, 0)
+
+    def begun(self, now: float) -> float:
+        """Return the recent cost that began over the fleet."""
+        return self.shares.begun.at(now) + self.remote_begun()
 
     def next_placement(
         self,
@@ -124,17 +133,13 @@
     ) -> tuple[WaitingTicket, Placement] | None:
         """Return the next request that may be sent, with its server.
 
-        None if no request has a server with room, or if the next account is
-        ahead of one that waits at another router.
+        None if no request has a server with room.
         """
         for waiting in self.backlog.heads():
-            is_ahead = self.is_ahead(waiting.ticket.account)
-            placement = self.servers.place(
-                waiting, candidates, is_ahead=is_ahead
-            )
+            placement = self.servers.place(waiting, candidates)
             if placement is not None:
                 return waiting, placement
-            if is_ahead:
+            if waiting.share_class is not ShareClass.WITHIN:
                 self.activity.held_back += 1
         self.activity.without_room += 1
         return None
@@ -170,6 +175,9 @@
         """Expected seconds until a request of the backlog would be sent.
 
         0 if nothing was sent lately, since there is no rate to predict from.
+        The rate is at least the one that is due to this router: with its own
+        send rate alone, a router that lost requests once would expect longer
+        waits, refuse more and lose again.
         """
         while (
             self.recent_sends
@@ -178,7 +186,10 @@
             self.recent_cost -= self.recent_sends.popleft()[1]
         if not self.recent_sends:
             return 0
-        rate = max(self.recent_cost, 1) / RATE_WINDOW_SECONDS
+        rate = max(
+            max(self.recent_cost, 1) / RATE_WINDOW_SECONDS,
+            self.shares.local_rate,
+        )
         return self.backlog.cost_ahead(waiting) / rate
 
     def max_wait(self, ticket: Ticket) -> float:
@@ -200,13 +211,6 @@
         """Count a request that is refused for lack of capacity."""
         self.backlog.refused.charge(ticket.account, ticket.cost_hint, now)
 
-    def is_ahead(self, account: AccountId) -> bool:
-        """Whether an account got more than its share while others need it."""
-        if self.level is None:
-            return False
-        allowed = self.level * (1 + MAX_LEAD_SHARE) + MAX_LEAD_COST
-        return self.backlog.usage.total(account) > allowed
-
     def service_load(
         self, now: float, responses: Mapping[ResponseClass, float]
     ) -> ServiceLoad:
@@ -231,5 +235,6 @@
             refused=self.backlog.refused.largest_usages(now),
             responses=responses,
             demand={self.credit.service: round(self.demand.at(now), 1)},
+            begun={self.credit.service: round(self.shares.begun.at(now))},
             answers={self.credit.service: round(self.answers.at(now), 1)},
         )
--- a/src/pollenloom/admission/local_servers.py
+++ b/src/pollenloom/admission/local_servers.py
@@ -12,6 +12,7 @@
     ServerCandidates,
 )
 from pollenloom.admission.server_load import ServerLoad
+from pollenloom.admission.share_class import ShareClass
 from pollenloom.admission.ticket import Ticket
 from pollenloom.core.ids import ServerId
 from pollenloom.core.states import Resource
@@ -89,13 +90,10 @@
         self,
         waiting: WaitingTicket,
         candidates: ServerCandidates,
-        *,
-        is_ahead: bool = False,
     ) -> Placement | None:
         """Return a server with room for the request, if there is one.
 
-        A request of an account that is ahead of its share only gets spare
-        room.
+        A request beyond the share of its account only gets idle room.
 
         Chooses the lowest sum of the expected delay and the expected time to
         read the prompt, in which a repeated read of the shared prefix has
@@ -110,12 +108,13 @@
             cost = expected_cost(ticket, miss_probability)
             return Placement(trial_server.known, cost, trial_server.load)
         preferred_servers = self.preferred_servers(ticket, candidates)
+        needs_idle_room = waiting.share_class is not ShareClass.WITHIN
         best: Placement | None = None
         best_score = float('inf')
         for rank, server in self.eligible_servers(
             waiting, candidates, preferred_servers
         ):
-            if is_ahead and not server.has_spare_room:
+            if needs_idle_room and not server.has_spare_room:
                 continue
             miss_probability = MISS_PROBABILITIES[rank]
             repeated_prefill = (
--- a/src/pollenloom/admission/pool_activity.py
+++ b/src/pollenloom/admission/pool_activity.py
@@ -11,8 +11,10 @@
         sent: Requests that were sent.
         refused: Requests that were refused at once.
         timed_out: Requests that were refused after they had waited.
-        held_back: Choices in which a request found no spare room, since its
-            account was beyond its share.
+        beyond_share: Requests that were refused because their account was
+            beyond its share.
+        held_back: Choices in which a request beyond the share of its account
+            found no idle room.
         without_room: Choices in which no waiting request had a server with
             room.
     """
@@ -20,15 +22,19 @@
     sent: int = 0
     refused: int = 0
     timed_out: int = 0
+    beyond_share: int = 0
     held_back: int = 0
     without_room: int = 0
 
     @property
     def has_shortage(self) -> bool:
         """Whether a request was refused or had to wait."""
-        return bool(
-            self.refused
-            or self.timed_out
-            or self.held_back
-            or self.without_room
+        return any(
+            (
+                self.refused,
+                self.timed_out,
+                self.beyond_share,
+                self.held_back,
+                self.without_room,
+            )
         )
--- a/src/pollenloom/admission/rate_limits.py
+++ b/src/pollenloom/admission/rate_limits.py
@@ -4,18 +4,17 @@
 from functools import partial
 from typing import Final
 
-import xxhash
-
 from pollenloom.catalogue.fact_exchange import FactExchange
 from pollenloom.catalogue.fleet_directory import FleetDirectory
 from pollenloom.catalogue.load_exchange import LoadExchange
-from pollenloom.core.ids import ServerId, ServiceId
+from pollenloom.core.ids import ServiceId
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.observability.event_log import EventLog
 from pollenloom.observability.event_name import EventName
 from pollenloom.routing.named_limit import NamedLimit
 from pollenloom.routing.rate_bucket import RateQuota
+from pollenloom.routing.router_phase import router_phase
 from pollenloom.routing.server_directory import KnownServer
 
 # Part of a limit that the routers share out: their parts come from reports of
@@ -26,7 +25,6 @@
 # At least so many requests a second are tried, since a server that gets none
 # cannot say that its limit has ended.
 MIN_RATE: Final = 0.2
-HASH_RANGE: Final = 2**64
 
 QuotaLookup = Callable[[KnownServer], RateQuota | None]
 
@@ -34,9 +32,9 @@
 class RateLimits:
     """Named limits, known to all routers, and this router's part of them.
 
-    A router's part is its part of the requests that come in for the service:
-    most routers of a fleet may get few, and equal parts would waste most of a
-    limit of a few requests a second.
+    A router's part is its part of the requests for the service that are within
+    the shares of their accounts: most routers of a fleet may get few, and equal
+    parts would waste most of a limit of a few requests a second.
     """
 
     def __init__(self, kernel: Kernel) -> None:
@@ -82,7 +80,7 @@
 
         Args:
             service: Service of the servers.
-            demand: Requests that came in here lately.
+            demand: Requests within their shares that came in here lately.
             now: Monotonic seconds.
         """
         return partial(self.quota, self.share(service, demand, now))
@@ -94,7 +92,7 @@
             return None
         return RateQuota(
             max(rate * USED_SHARE, MIN_RATE) * share,
-            self.phase(known.entry.server),
+            router_phase(self.exchange.vm, known.entry.server),
         )
 
     def share(self, service: ServiceId, demand: float, now: float) -> float:
@@ -107,8 +105,3 @@
         if others is None:
             return 1 / self.fleet_directory.size(now)
         return demand / max(1, demand + others)
-
-    def phase(self, server: ServerId) -> float:
-        """Return a number, 0 to 1, that differs between routers."""
-        text = f'{self.exchange.vm} {server}'
-        return xxhash.xxh3_64_intdigest(text.encode()) / HASH_RANGE
--- a/src/pollenloom/admission/server_candidates.py
+++ b/src/pollenloom/admission/server_candidates.py
@@ -18,8 +18,9 @@
 # it responded later.
 FAILURE_PENALTY_SECONDS: Final = 2.0
 
-# Share of a server's room that accounts ahead of their share may fill. The rest
-# is for the others, so that they need not wait until a request ends.
+# Share of a server's room that requests beyond the share of their account may
+# fill. The rest is for the others, so that they need not wait until a request
+# ends.
 SPARE_SHARE: Final = 0.5
 
 LoadLookup = Callable[[ServerId, float], ServerLoad]
@@ -32,8 +33,8 @@
     Attributes:
         known: The server.
         delay_seconds: Expected seconds before a new request is started.
-        has_spare_room: Whether it also has room for accounts that are ahead
-            of their share.
+        has_spare_room: Whether it also has room for requests beyond the share
+            of their account.
         load: Load of the server.
     """
 
@@ -135,13 +136,19 @@
         return AvailableServer(
             known,
             self.estimate_delay(load, server),
-            has_spare_room=(
-                load_before.running < load_before.slots * SPARE_SHARE
-                and load_before.unread < load.window.limit * SPARE_SHARE
-            ),
+            has_spare_room=self.is_idle(known, load, load_before),
             load=load_before,
         )
 
+    def is_idle(
+        self, known: KnownServer, load: ServerLoad, before: LoadBefore
+    ) -> bool:
+        """Whether requests beyond the share of their account may be sent."""
+        return (
+            before.running < before.slots * SPARE_SHARE
+            and before.unread < load.window.limit * SPARE_SHARE
+        )
+
     def rank(self) -> None:
         """Sort the available servers by expected delay."""
         self.ranked = sorted(self.available.values(), key=by_delay)
--- a/src/pollenloom/admission/shortage_record.py
+++ b/src/pollenloom/admission/shortage_record.py
@@ -55,10 +55,12 @@
         sent=pool.activity.sent,
         refused=pool.activity.refused,
         timed_out=pool.activity.timed_out,
+        beyond_share=pool.activity.beyond_share,
         held_back=pool.activity.held_back,
         without_room=pool.activity.without_room,
         waiting_accounts=len(pool.backlog.queues),
-        fair_level=pool.level,
+        fair_level=pool.shares.level,
+        begun=round(pool.begun(now)),
         sum_age_ms=None
         if age is None
         else round(age * MILLISECONDS_PER_SECOND),
--- a/src/pollenloom/routing/service_load.py
+++ b/src/pollenloom/routing/service_load.py
@@ -20,7 +20,10 @@
         usage: Recent cost that was served, by client account.
         refused: Recent cost that was refused, by client account.
         responses: Responses since a version move was ordered, by class.
-        demand: Decaying count of requests that came in, by service.
+        demand: Decaying count of requests that came in and were within the
+            shares of their accounts, by service.
+        begun: Recent cost of the requests that began to be answered, by
+            service.
         answers: Decaying count of answers that began, by service.
     """
 
@@ -30,6 +33,7 @@
     refused: Mapping[AccountId, float] = field(default_factory=dict)
     responses: Mapping[ResponseClass, float] = field(default_factory=dict)
     demand: Mapping[ServiceId, float] = field(default_factory=dict)
+    begun: Mapping[ServiceId, float] = field(default_factory=dict)
     answers: Mapping[ServiceId, float] = field(default_factory=dict)
 
     def minus(self, part: 'ServiceLoad') -> 'ServiceLoad':
@@ -41,6 +45,7 @@
             refused=subtract(self.refused, part.refused),
             responses=subtract(self.responses, part.responses),
             demand=subtract(self.demand, part.demand),
+            begun=subtract(self.begun, part.begun),
             answers=subtract(self.answers, part.answers),
         )
 
@@ -55,6 +60,7 @@
             refused=multiply(self.refused, scale),
             responses=self.responses,
             demand=multiply(self.demand, scale),
+            begun=multiply(self.begun, scale),
             answers=self.answers,
         )
 
@@ -69,6 +75,7 @@
         refused=add_up(parts, lambda load: load.refused),
         responses=add_up(parts, lambda load: load.responses),
         demand=add_up(parts, lambda load: load.demand),
+        begun=add_up(parts, lambda load: load.begun),
         answers=add_up(parts, lambda load: load.answers),
     )
 
--- a/tests/admission/test_local_pool.py
+++ b/tests/admission/test_local_pool.py
@@ -1,13 +1,19 @@
 """Admission decided on one router, without I/O."""
 
+from collections import Counter
 from dataclasses import replace
 
 import pytest
 
+from pollenloom.admission.account_shares import (
+    CAPACITY_MARGIN,
+    SURPLUS_SHARE,
+)
 from pollenloom.admission.local_backlog import WaitingTicket
-from pollenloom.admission.local_pool import MAX_LEAD_COST, LocalPool
+from pollenloom.admission.local_pool import LocalPool
 from pollenloom.admission.selection_context import SelectionContext
 from pollenloom.admission.server_candidates import SPARE_SHARE
+from pollenloom.admission.share_class import ShareClass
 from pollenloom.admission.ticket import Ticket
 from pollenloom.admission.version_credit import VersionCredit
 from pollenloom.admission.version_shares import UnlimitedShares
@@ -19,6 +25,7 @@
     ServerId,
     ServiceId,
     VersionId,
+    VmId,
 )
 from pollenloom.core.states import Resource
 from pollenloom.routing.cold_server_turn import ColdServerTurn
@@ -93,7 +100,7 @@
 @pytest.fixture
 def pool() -> LocalPool:
     """An empty pool."""
-    return LocalPool(VersionCredit(SERVICE, UnlimitedShares()))
+    return LocalPool(VersionCredit(SERVICE, UnlimitedShares()), VmId('vm-1'))
 
 
 def test_accounts_take_turns(pool: LocalPool) -> None:
@@ -109,43 +116,113 @@
     assert accounts.count('small') >= accounts.count('flood') - 1
 
 
-def refused_elsewhere(unread: float) -> SelectionContext:
-    """Return a context in which another router refused an account.
+SHARE = 40_000.0
+
 
-    The only server has unread prompts of other routers, in tokens.
+def refused_elsewhere(unread: float = 0) -> ServiceLoad:
+    """Return the load of routers that refused an account within its share.
+
+    The capacity is the share of one account more than that account asks for.
+    The only server has unread prompts, in tokens.
     """
-    load = ServiceLoad(
+    behind = SHARE / 2
+    return ServiceLoad(
         unread={ServerId('i-1'): unread},
-        refused={AccountId('behind'): 9 * MAX_LEAD_COST},
+        refused={AccountId('behind'): behind},
+        begun={SERVICE: (SHARE + behind) / (1 + CAPACITY_MARGIN)},
     )
-    return context(load)
 
 
-def test_account_ahead_leaves_room_for_accounts_refused_elsewhere(
-    pool: LocalPool,
+def put_all(pool: LocalPool, account: str, number: int) -> Counter[ShareClass]:
+    """Put requests of an account, unless refused at once; return classes."""
+    counts: Counter[ShareClass] = Counter()
+    for _ in range(number):
+        ticket = make_ticket(account, 1)
+        share_class = pool.classify(ticket)
+        counts[share_class] += 1
+        if share_class is not ShareClass.BEYOND:
+            pool.put(WaitingTicket(ticket, NOW, share_class))
+    return counts
+
+
+@pytest.mark.parametrize('excess', [2, 5, 20])
+def test_part_of_requests_within_the_share_follows_from_fleet_sums(
+    pool: LocalPool, excess: float
 ) -> None:
     """Guards against shares that depend on the router of an account.
 
     Routers with little load kept sending while an account was refused at a
     busy router, where it did not wait for long enough to be reported.
     """
-    pool.backlog.usage.charge(AccountId('ahead'), 3 * MAX_LEAD_COST, NOW)
-    pool.put(WaitingTicket(make_ticket('ahead'), NOW))
-    half_full = refused_elsewhere(INITIAL_WINDOW_TOKENS * SPARE_SHARE)
+    load = replace(
+        refused_elsewhere(), usage={AccountId('ahead'): excess * SHARE}
+    )
+    pool.apply_remote_load(load, NOW)
+    counts = put_all(pool, 'ahead', 400)
+    within = counts[ShareClass.WITHIN]
+    assert within == pytest.approx(400 / excess, abs=2)
+    assert counts[ShareClass.SURPLUS] <= SURPLUS_SHARE * within + 2
+    assert put_all(pool, 'behind', 400) == {ShareClass.WITHIN: 400}
+
+
+def test_retry_of_an_accepted_request_is_within_the_share(
+    pool: LocalPool,
+) -> None:
+    """Guards against a request that a server rejected and that is lost."""
+    usage = {AccountId('ahead'): 50 * SHARE}
+    load = replace(refused_elsewhere(), usage=usage)
+    pool.apply_remote_load(load, NOW)
+    retry = replace(make_ticket('ahead'), retry=True)
+    assert all(pool.classify(retry) is ShareClass.WITHIN for _ in range(20))
+
+
+def test_nobody_is_refused_for_a_share_while_servers_come_back(
+    pool: LocalPool,
+) -> None:
+    """Guards against idle servers after an outage in which nothing began."""
+    load = replace(refused_elsewhere(), begun={})
+    pool.apply_remote_load(load, NOW)
+    assert put_all(pool, 'behind', 20) == {ShareClass.WITHIN: 20}
+
+
+def test_surplus_leaves_room_for_accounts_within_their_share(
+    pool: LocalPool,
+) -> None:
+    """Guards against requests that find no room though within their share."""
+    half_full = context(refused_elsewhere(INITIAL_WINDOW_TOKENS * SPARE_SHARE))
+    surplus = WaitingTicket(make_ticket('ahead'), NOW, ShareClass.SURPLUS)
+    pool.put(surplus)
     assert not send_all(pool, [make_server('i-1')], half_full)
     pool.put(WaitingTicket(make_ticket('behind'), NOW))
     sent = send_all(pool, [make_server('i-1')], half_full)
     assert sent == [('behind', 'i-1')]
 
 
-def test_account_ahead_gets_room_that_nobody_else_takes(
+def test_surplus_gets_room_that_nobody_else_takes(pool: LocalPool) -> None:
+    """Guards against idle servers while an account that is ahead asks."""
+    surplus = WaitingTicket(make_ticket('ahead'), NOW, ShareClass.SURPLUS)
+    pool.put(surplus)
+    idle = context(refused_elsewhere())
+    assert send_all(pool, [make_server('i-1')], idle) == [('ahead', 'i-1')]
+
+
+def test_expected_wait_is_not_longer_at_a_router_that_sent_little(
     pool: LocalPool,
 ) -> None:
-    """Guards against idle servers while an account that is ahead waits."""
-    pool.backlog.usage.charge(AccountId('ahead'), 3 * MAX_LEAD_COST, NOW)
-    pool.put(WaitingTicket(make_ticket('ahead'), NOW))
-    idle = refused_elsewhere(0)
-    assert send_all(pool, [make_server('i-1')], idle) == [('ahead', 'i-1')]
+    """Guards against routers that refuse because they have sent little.
+
+    Such a router expected longer waits, refused more and sent less again.
+    """
+    pool.put(WaitingTicket(make_ticket('shop', 10), NOW))
+    send_all(pool, [make_server('i-1')], context())
+    pool.backlog.refused.charge(AccountId('shop'), SHARE, NOW)
+    load = ServiceLoad(begun={SERVICE: 2 * SHARE})
+    pool.apply_remote_load(load, NOW + 1)
+    for _ in range(4):
+        pool.put(WaitingTicket(make_ticket('shop', 500), NOW))
+    last = WaitingTicket(make_ticket('shop', 500), NOW)
+    pool.put(last)
+    assert pool.expected_wait(last, NOW) < pool.max_wait(last.ticket)
 
 
 def test_unread_prompts_of_other_routers_hold_requests_back(
