Do not take free slots of limited servers for idle capacity

Accounts beyond their share kept using servers that limit their requests per second, since nearly all slots of such a server are free.

Change: a limited server is idle only if this router's next request there has been due for 0.2 s and nothing within its share has used it. The test fails without it.

--- a/src/pollenloom/admission/server_candidates.py
+++ b/src/pollenloom/admission/server_candidates.py
@@ -143,7 +143,14 @@
     def is_idle(
         self, known: KnownServer, load: ServerLoad, before: LoadBefore
     ) -> bool:
-        """Whether requests beyond the share of their account may be sent."""
+        """Whether requests beyond the share of their account may be sent.
+
+        Free slots show no idle capacity where a limit on requests binds.
+        """
+        if self.context.rate_quota(known) and not load.rate_bucket.is_idle(
+            self.context.now
+        ):
+            return False
         return (
             before.running < before.slots * SPARE_SHARE
             and before.unread < load.window.limit * SPARE_SHARE
@@ -153,6 +160,10 @@
         """Sort the available servers by expected delay."""
         self.ranked = sorted(self.available.values(), key=by_delay)
 
+    def is_limited(self, server: ServerId) -> bool:
+        """Whether a healthy server has named a limit on its requests."""
+        return self.context.rate_quota(self.healthy[server]) is not None
+
     def is_exhausted(self, excluded: Collection[ServerId]) -> bool:
         """Whether no server can have room for a request.
 
--- a/src/pollenloom/routing/rate_bucket.py
+++ b/src/pollenloom/routing/rate_bucket.py
@@ -9,6 +9,8 @@
 # A permission that nothing has used for this long lapses: all routers of a
 # large fleet could otherwise use theirs at the same moment.
 LAPSE_SECONDS: Final = 0.5
+# A permission that requests within their shares leave for this long is idle.
+IDLE_SECONDS: Final = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +60,13 @@
         self.credit = credit
         return credit >= 1
 
+    def is_idle(self, now: float) -> bool:
+        """Whether nothing has used the credit for a while."""
+        return (
+            self.full_since is not None
+            and now - self.full_since >= IDLE_SECONDS
+        )
+
     def mark_sent(self) -> None:
         """Use the credit of one request."""
         self.credit = (self.credit or 0) - 1
--- a/tests/admission/test_local_pool.py
+++ b/tests/admission/test_local_pool.py
@@ -29,6 +29,7 @@
 )
 from pollenloom.core.states import Resource
 from pollenloom.routing.cold_server_turn import ColdServerTurn
+from pollenloom.routing.rate_bucket import IDLE_SECONDS, RateQuota
 from pollenloom.routing.send_window import INITIAL_WINDOW_TOKENS
 from pollenloom.routing.server_directory import KnownServer
 from pollenloom.routing.server_entry import ServerEntry
@@ -206,6 +207,24 @@
     assert send_all(pool, [make_server('i-1')], idle) == [('ahead', 'i-1')]
 
 
+def test_surplus_does_not_use_the_limit_of_a_server_at_once(
+    pool: LocalPool,
+) -> None:
+    """Guards against free slots that are taken for idle capacity.
+
+    Where a server limits the rate of requests, nearly all its slots are free
+    while requests within their share wait for its next turn.
+    """
+    limited = SelectionContext(
+        NOW, None, ServiceLoad(), find_quota=lambda _: RateQuota(10, 1)
+    )
+    surplus = WaitingTicket(make_ticket('ahead'), NOW, ShareClass.SURPLUS)
+    pool.put(surplus)
+    assert not send_all(pool, [make_server('i-1')], limited)
+    later = replace(limited, now=NOW + IDLE_SECONDS)
+    assert send_all(pool, [make_server('i-1')], later) == [('ahead', 'i-1')]
+
+
 def test_expected_wait_is_not_longer_at_a_router_that_sent_little(
     pool: LocalPool,
 ) -> None:
