Do not let long prompts wait for servers that limit their requests

Prompts with a long shared prefix waited for their two preferred servers only, for longer than they may wait at all, also if these had named a limit and had no turn for seconds. They were refused with room at other servers.

Change: if a preferred server is limited, a long prompt may go to others.

--- a/src/pollenloom/admission/local_servers.py
+++ b/src/pollenloom/admission/local_servers.py
@@ -163,7 +163,8 @@
             available = candidates.available.get(server)
             if available is not None:
                 yield rank, available
-        if is_sticky(waiting, candidates.context.now):
+        is_limited = any(map(candidates.is_limited, preferred_servers))
+        if not is_limited and is_sticky(waiting, candidates.context.now):
             return
         for other in candidates.ranked_for(excluded):
             if other.known.entry.server not in preferred_servers:
