Do not let long prompts hold up other requests of their account

Cause: only the first request of an account's queue was looked at. A long prompt waits for its two preferred servers, and what came after it neither was sent nor was expected to be sent in time. An account at 70 routers has 70 such queues, one at a single router has one.

Change: requests that wait for preferred servers only don't hold up those behind them, and don't count in their expected wait. The test fails without it (nothing is sent).

--- a/src/pollenloom/admission/local_backlog.py
+++ b/src/pollenloom/admission/local_backlog.py
@@ -3,12 +3,19 @@
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from typing import Final
 
 from pollenloom.admission.share_class import ShareClass
 from pollenloom.admission.ticket import Ticket
 from pollenloom.core.ids import AccountId
 from pollenloom.routing.account_usage import AccountUsage
 
+# A prompt whose shared prefix has at least `LONG_PREFIX_TOKENS` waits only for
+# its preferred servers, which probably have the prefix cached, during
+# `STICKY_WAIT_SHARE` of its objective.
+LONG_PREFIX_TOKENS: Final = 1500
+STICKY_WAIT_SHARE: Final = 0.7
+
 
 @dataclass(eq=False, slots=True)
 class WaitingTicket:
@@ -24,6 +31,13 @@
     since: float
     share_class: ShareClass = ShareClass.WITHIN
 
+    def is_sticky(self, now: float) -> bool:
+        """Whether it still waits for its preferred servers only."""
+        is_long = self.ticket.shared_tokens >= LONG_PREFIX_TOKENS
+        return is_long and (
+            now - self.since < self.ticket.objective * STICKY_WAIT_SHARE
+        )
+
 
 @dataclass(slots=True)
 class LocalBacklog:
@@ -59,23 +73,33 @@
         if not queue:
             self.queues.pop(account)
 
-    def heads(self) -> Iterator[WaitingTicket]:
-        """Yield the first request of each account, least usage first."""
+    def heads(self, now: float) -> Iterator[WaitingTicket]:
+        """Yield the requests that may be sent next, least usage first.
+
+        These are the first request of each account that any server may get,
+        and those before it, which wait for their preferred servers only and
+        must not hold up the others.
+        """
         for account in sorted(self.queues, key=self.usage.total):
-            yield self.queues[account][0]
+            for waiting in tuple(self.queues[account]):
+                yield waiting
+                if not waiting.is_sticky(now):
+                    break
 
-    def cost_ahead(self, waiting: WaitingTicket) -> float:
+    def cost_ahead(self, waiting: WaitingTicket, now: float) -> float:
         """Cost of the queued requests that go before one of this backlog.
 
-        These are the requests before it in its own queue, and those of each
-        other account until its usage exceeds that of this account.
+        These are the requests before it in its own queue, except for those
+        that do not hold it up, and those of each other account until its usage
+        exceeds that of this account.
         """
         account = waiting.ticket.account
         own_cost: float = 0
         for earlier in self.queues.get(account, ()):
             if earlier is waiting:
                 break
-            own_cost += earlier.ticket.cost_hint
+            if not earlier.is_sticky(now):
+                own_cost += earlier.ticket.cost_hint
         usage = self.usage.total(account) + own_cost
         return own_cost + sum(
             min(self.queue_cost(other), usage - self.usage.total(other))
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -135,7 +135,7 @@
 
         None if no request has a server with room.
         """
-        for waiting in self.backlog.heads():
+        for waiting in self.backlog.heads(candidates.context.now):
             placement = self.servers.place(waiting, candidates)
             if placement is not None:
                 return waiting, placement
@@ -190,7 +190,7 @@
             max(self.recent_cost, 1) / RATE_WINDOW_SECONDS,
             self.shares.local_rate,
         )
-        return self.backlog.cost_ahead(waiting) / rate
+        return self.backlog.cost_ahead(waiting, now) / rate
 
     def max_wait(self, ticket: Ticket) -> float:
         """Longest wait here, in seconds, that still meets the objective."""
--- a/src/pollenloom/admission/local_servers.py
+++ b/src/pollenloom/admission/local_servers.py
@@ -26,12 +26,7 @@
 # Reading a shared prefix again takes engine time from all other requests, so it
 # weighs this many times its own duration against a shorter queue.
 REPEATED_PREFILL_WEIGHT: Final = 5.0
-# A prompt whose shared prefix has at least `LONG_PREFIX_TOKENS` waits only for
-# its preferred servers, which probably have the prefix cached, during
-# `STICKY_WAIT_SHARE` of its objective.
-LONG_PREFIX_TOKENS: Final = 1500
 PREFERRED_RANKS: Final = 2
-STICKY_WAIT_SHARE: Final = 0.7
 
 
 class LocalServers:
@@ -164,7 +159,7 @@
             if available is not None:
                 yield rank, available
         is_limited = any(map(candidates.is_limited, preferred_servers))
-        if not is_limited and is_sticky(waiting, candidates.context.now):
+        if not is_limited and waiting.is_sticky(candidates.context.now):
             return
         for other in candidates.ranked_for(excluded):
             if other.known.entry.server not in preferred_servers:
@@ -179,12 +174,3 @@
     return (
         max(1, ticket.unshared_tokens) + miss_probability * ticket.shared_tokens
     )
-
-
-def is_sticky(waiting: WaitingTicket, now: float) -> bool:
-    """Whether a request still waits for its preferred servers only."""
-    ticket = waiting.ticket
-    is_long = ticket.shared_tokens >= LONG_PREFIX_TOKENS
-    return is_long and (
-        now - waiting.since < ticket.objective * STICKY_WAIT_SHARE
-    )
--- a/tests/admission/test_local_pool.py
+++ b/tests/admission/test_local_pool.py
@@ -11,6 +11,8 @@
 )
 from pollenloom.admission.local_backlog import WaitingTicket
 from pollenloom.admission.local_pool import LocalPool
+from pollenloom.admission.local_servers import PREFERRED_RANKS
+from pollenloom.admission.prefix_ranking import PrefixRanking
 from pollenloom.admission.selection_context import SelectionContext
 from pollenloom.admission.server_candidates import SPARE_SHARE
 from pollenloom.admission.share_class import ShareClass
@@ -283,6 +285,28 @@
     assert len(used) == 1
 
 
+def test_long_prompt_does_not_hold_up_other_requests_of_its_account(
+    pool: LocalPool,
+) -> None:
+    """Guards against an account that is refused for its own long prompts.
+
+    A long prompt waits for its preferred servers. An account whose callers use
+    one router got nothing else sent there meanwhile.
+    """
+    servers = [make_server(f'i-{number}') for number in range(6)]
+    names = tuple(known.entry.server for known in servers)
+    preferred = PrefixRanking(names).first(77, PREFERRED_RANKS, names, ())
+    busy = context(ServiceLoad(running=dict.fromkeys(preferred, 100)))
+    long_prompt = make_ticket('shop', 6000, 5000, session=77)
+    pool.put(WaitingTicket(long_prompt, NOW))
+    pool.put(WaitingTicket(make_ticket('shop', 100), NOW))
+    sent = send_all(pool, servers, busy)
+    assert [server in preferred for _, server in sent] == [False]
+    short = WaitingTicket(make_ticket('shop', 100), NOW)
+    pool.put(short)
+    assert not pool.expected_wait(short, NOW)
+
+
 def test_cold_server_gets_one_request_per_turn(pool: LocalPool) -> None:
     """Guards against a cold server that all routers together overload."""
     server = make_server('i-1', cold_until=NOW + 3)
