Record what each account asked, sent and began in a second

Change: each router writes one line a second for each service with requests of accounts: asked, sent and begun cost, refused and late requests and the largest request, of at most 32 accounts. Seconds are those of the wall clock, so that lines of routers add up. capacity_short lines come at the end of these seconds, too. No decision reads any of it.

Without the new counts there is no such event, and without the count of requests that end unanswered test_request_that_its_caller_gave_up_is_late fails.

--- a/src/pollenloom/admission/held_grant.py
+++ b/src/pollenloom/admission/held_grant.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from pollenloom.admission.local_backlog import WaitingTicket
 from pollenloom.admission.placement import Placement
 
 
@@ -10,6 +11,7 @@
     """An unsettled grant.
 
     Attributes:
+        waiting: The request.
         placement: Server and cost of the grant.
         granted_at: Monotonic seconds.
         has_first_byte: Whether the first byte of the response arrived; from
@@ -17,6 +19,7 @@
             window.
     """
 
+    waiting: WaitingTicket
     placement: Placement
     granted_at: float
     has_first_byte: bool = False
--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -7,6 +7,7 @@
 
 from expression import Error, Ok, Result
 
+from pollenloom.admission.activity_record import record_activity
 from pollenloom.admission.admission import Admission
 from pollenloom.admission.admission_status import AdmissionStatus
 from pollenloom.admission.grant import Grant
@@ -18,7 +19,6 @@
 from pollenloom.admission.selection_context import SelectionContext
 from pollenloom.admission.server_health_update import update_server_health
 from pollenloom.admission.settlement import Settlement
-from pollenloom.admission.shortage_record import record_shortages
 from pollenloom.admission.ticket import Ticket
 from pollenloom.admission.version_credit import VersionCredit
 from pollenloom.admission.version_move_shares import VersionMoveShares
@@ -94,7 +94,7 @@
         self.kernel.spawn('admission-recheck', self.recheck())
         self.kernel.spawn(
             'admission-record',
-            record_shortages(
+            record_activity(
                 self.kernel.clock, self.events, self.exchange, self.pools
             ),
         )
@@ -165,6 +165,11 @@
                     outcome=Outcome.UNUSED,
                 )
                 self.settle(unused)
+            else:
+                self.pool(ticket.service).activity.accounts.record_waited(
+                    ticket.account,
+                    is_late=waiting.is_late(self.kernel.clock.monotonic()),
+                )
             raise
         if grant_future.done():
             return Ok(grant_future.result())
@@ -234,7 +239,7 @@
         for waiting, placement in pool.send(servers, context):
             grant_id = GrantId(str(next(self.grant_numbers)))
             grant = make_grant(grant_id, waiting.ticket, placement, now)
-            self.held[grant_id] = HeldGrant(placement, now)
+            self.held[grant_id] = HeldGrant(waiting, placement, now)
             grant_future = self.grant_futures.get(waiting)
             if grant_future is None or grant_future.done():
                 self.settle(Settlement(grant=grant, outcome=Outcome.UNUSED))
@@ -250,6 +255,9 @@
         now = self.kernel.clock.monotonic()
         cost = held.placement.cost
         self.pool(grant.server.service).answers.add(now)
+        self.pool(grant.server.service).activity.accounts.record_begun(
+            grant.account, grant.charged, is_late=held.waiting.is_late(now)
+        )
         load = self.pool(grant.server.service).servers.server_load(
             grant.server.server,
             now,
@@ -278,6 +286,9 @@
         load.in_flight -= 1
         if not held.has_first_byte:
             load.window.released(held.placement.cost)
+            pool.activity.accounts.record_waited(
+                grant.account, is_late=held.waiting.is_late(now)
+            )
             if settlement.outcome is not Outcome.CANCELLED:
                 # A request that its caller gave up used the server's time.
                 pool.backlog.usage.refund(
--- a/src/pollenloom/admission/local_backlog.py
+++ b/src/pollenloom/admission/local_backlog.py
@@ -17,6 +17,11 @@
     ticket: Ticket
     since: float
 
+    def is_late(self, now: float) -> bool:
+        """Whether it has waited longer than its objective, if it has one."""
+        objective = self.ticket.objective
+        return objective > 0 and now - self.since > objective
+
 
 @dataclass(slots=True)
 class LocalBacklog:
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -82,6 +82,7 @@
             self.tightest_objective = min(self.tightest_objective, objective)
         self.demand.add(waiting.since)
         self.servers.record_resource(waiting.ticket)
+        self.activity.accounts.record_asked(waiting.ticket)
         self.backlog.put(waiting)
 
     def send(
@@ -148,6 +149,7 @@
         """Count a request that is sent."""
         now = context.now
         self.activity.sent += 1
+        self.activity.accounts.record_sent(waiting.ticket)
         self.backlog.remove(waiting)
         self.backlog.usage.charge(
             waiting.ticket.account,
@@ -199,6 +201,7 @@
     def record_refusal(self, ticket: Ticket, now: float) -> None:
         """Count a request that is refused for lack of capacity."""
         self.backlog.refused.charge(ticket.account, ticket.cost_hint, now)
+        self.activity.accounts.record_refused(ticket.account)
 
     def is_ahead(self, account: AccountId) -> bool:
         """Whether an account got more than its share while others need it."""
--- a/src/pollenloom/admission/pool_activity.py
+++ b/src/pollenloom/admission/pool_activity.py
@@ -1,6 +1,8 @@
 """Counts of what admission to one service decided within a period."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from pollenloom.admission.account_activities import AccountActivities
 
 
 @dataclass(slots=True)
@@ -15,6 +17,7 @@
             account was beyond its share.
         without_room: Choices in which no waiting request had a server with
             room.
+        accounts: What the client accounts asked and got.
     """
 
     sent: int = 0
@@ -22,6 +25,7 @@
     timed_out: int = 0
     held_back: int = 0
     without_room: int = 0
+    accounts: AccountActivities = field(default_factory=AccountActivities)
 
     @property
     def has_shortage(self) -> bool:
--- a/src/pollenloom/admission/shortage_record.py
+++ b/src/pollenloom/admission/shortage_record.py
@@ -1,36 +1,12 @@
 """Event records about services that are short of capacity."""
 
-import asyncio
-from collections.abc import Mapping
-from typing import Final
-
 from pollenloom.admission.local_pool import LocalPool
-from pollenloom.admission.pool_activity import PoolActivity
 from pollenloom.catalogue.load_exchange import LoadExchange
 from pollenloom.core.ids import ServiceId
 from pollenloom.core.units import MILLISECONDS_PER_SECOND
-from pollenloom.kernel.clock import Clock
 from pollenloom.observability.event_log import EventLog
 from pollenloom.observability.event_name import EventName
 
-RECORD_INTERVAL_SECONDS: Final = 1.0
-
-
-async def record_shortages(
-    clock: Clock,
-    events: EventLog,
-    exchange: LoadExchange,
-    pools: Mapping[ServiceId, LocalPool],
-) -> None:
-    """Record the decisions about services that are short of capacity."""
-    while True:
-        await asyncio.sleep(RECORD_INTERVAL_SECONDS)
-        now = clock.monotonic()
-        for service, pool in pools.items():
-            if pool.activity.has_shortage:
-                record_shortage(events, service, pool, exchange, now)
-            pool.activity = PoolActivity()
-
 
 def record_shortage(
     events: EventLog,
--- a/src/pollenloom/observability/event_name.py
+++ b/src/pollenloom/observability/event_name.py
@@ -80,6 +80,11 @@
             the last second; usages are decayed costs over the fleet. Subject
             service: sent, refused, timed_out, held_back, without_room,
             waiting_accounts, fair_level, sum_age_ms, sum_routers.
+        ACCOUNT_SHARES: What client accounts asked and got of a service within
+            a second, at this router: lists of the same length, costs as
+            callers expect them, and the number of refused and late requests.
+            Subject service: second, accounts, asked, sent, begun, refused,
+            late, largest, left_out.
         ATTEMPT_FAILED: An attempt at a request on a backend server failed.
             Subject request: server, reason, run, entry_version, entry_age_ms,
             answered_ms, parts.
@@ -134,6 +139,7 @@
     FLEET_SIZE = 'fleet_size'
     REQUEST_ENDED = 'request_ended'
     CAPACITY_SHORT = 'capacity_short'
+    ACCOUNT_SHARES = 'account_shares'
     ATTEMPT_FAILED = 'attempt_failed'
     SERVER_LIMITED = 'server_limited'
     SERVER_CHECKED = 'server_checked'
