--- /dev/null
+++ b/src/pollenloom_standins/shares/__init__.py
@@ -0,0 +1,1 @@
+"""Shares of client accounts, measured from the logs of a fleet."""
--- /dev/null
+++ b/tests/standins/shares/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the shares measured from logs."""
