Tell repeats by a fifth of a second that their callers have spent

Cause: callers state the time that they have left when they send a request, so that first requests have some milliseconds less than their route's timeout, too.

Change: a request is a repeat if its caller has spent 0.2 s; a refusal asks for a pause of 0.3 s at least.

--- a/src/pollenloom/gateway/call_factory.py
+++ b/src/pollenloom/gateway/call_factory.py
@@ -25,6 +25,10 @@
 # because the routers' counts cover slightly different periods.
 RETRY_BUDGET_SHARE: Final = 0.8
 PUBLIC_ACCOUNT: Final = AccountId('')
+# Callers state the time that they have left when they send a request, which is
+# some milliseconds less than they had. A refusal asks for a pause of 0.3 s at
+# least, so that those who ask again have spent more than this.
+MIN_SPENT_SECONDS: Final = 0.2
 HASH_RANGE: Final = 2**64
 
 
@@ -117,13 +121,13 @@
 
 
 def has_spent_time(metadata: RequestMetadata, route: Route) -> bool:
-    """Whether a caller has less time left than its route allows.
+    """Whether a caller has spent some of the time that its route allows.
 
     Callers that ask again after a refusal have used some of their time. One
     that always allows less looks the same, so this only serves records.
     """
     seconds = metadata.timeout_seconds
-    return seconds is not None and seconds < route.timeout
+    return seconds is not None and seconds < route.timeout - MIN_SPENT_SECONDS
 
 
 def requires_api_key(route: Route, configuration: RoutingConfiguration) -> bool:
