--- a/src/pollenloom/admission/local_backlog.py
+++ b/src/pollenloom/admission/local_backlog.py
@@ -38,6 +38,11 @@
             now - self.since < self.ticket.objective * STICKY_WAIT_SHARE
         )
 
+    def is_late(self, now: float) -> bool:
+        """Whether it has waited longer than its objective, if it has one."""
+        objective = self.ticket.objective
+        return objective > 0 and now - self.since > objective
+
 
 @dataclass(slots=True)
 class LocalBacklog:
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -153,6 +153,7 @@
         """Count a request that is sent."""
         now = context.now
         self.activity.sent += 1
+        self.activity.accounts.record_sent(waiting.ticket)
         self.backlog.remove(waiting)
         self.backlog.usage.charge(
             waiting.ticket.account,
@@ -210,6 +211,7 @@
     def record_refusal(self, ticket: Ticket, now: float) -> None:
         """Count a request that is refused for lack of capacity."""
         self.backlog.refused.charge(ticket.account, ticket.cost_hint, now)
+        self.activity.accounts.record_refused(ticket.account)
 
     def service_load(
         self, now: float, responses: Mapping[ResponseClass, float]
--- a/src/pollenloom/admission/pool_activity.py
+++ b/src/pollenloom/admission/pool_activity.py
@@ -1,6 +1,8 @@
 """Counts of what admission to one service decided within a period."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from pollenloom.admission.account_activities import AccountActivities
 
 
 @dataclass(slots=True)
@@ -17,6 +19,7 @@
             found no idle room.
         without_room: Choices in which no waiting request had a server with
             room.
+        accounts: What the client accounts asked and got.
     """
 
     sent: int = 0
@@ -25,6 +28,7 @@
     beyond_share: int = 0
     held_back: int = 0
     without_room: int = 0
+    accounts: AccountActivities = field(default_factory=AccountActivities)
 
     @property
     def has_shortage(self) -> bool:
