Accept all waiting connections in each iteration of the event loop

Cause: libuv 1.45 and later (uvloop 0.22.1) accepts one connection in an iteration of the event loop. On a router that is out of processor time an iteration takes 28 to 66 ms, so that it accepted 24 to 59 connections a second while 200 or more came. They waited in the queue of the system, up to the backlog of 512, where the delay of the loop does not show them: the smoothed delay stayed under 60 ms and the router said that it was ready.

Change: the listeners of callers and probes are polled by the event loop, and each time all waiting connections are accepted.

--- a/src/pollenloom/gateway/caller_channel.py
+++ b/src/pollenloom/gateway/caller_channel.py
@@ -1,6 +1,7 @@
 """Connection of a caller, which yields complete requests."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import Final, cast
 
@@ -21,7 +22,6 @@
     """Receives requests and reports when the caller disconnects.
 
     Attributes:
-        on_open: Called when the connection is open.
         on_disconnect: Called once when the caller disconnects.
         is_disconnected: Whether the connection is closed, or the sending side
             of the caller.
@@ -33,10 +33,8 @@
         self,
         clock: Clock,
         limits: Callable[[], CallerLimits],
-        on_open: 'Callable[[CallerChannel], None]',
     ) -> None:
         self.parser = RequestParser(clock, limits)
-        self.on_open = on_open
         self.on_disconnect: Callable[[], object] = do_nothing
         self.is_disconnected = False
         self.state_changed = asyncio.Event()
@@ -48,12 +46,18 @@
         """Why no further request can be read; None while parsing works."""
         return self.parser.failure
 
+    async def open(self, connection: socket.socket) -> None:
+        """Serve an accepted, non-blocking socket with this channel."""
+        await asyncio.get_running_loop().connect_accepted_socket(
+            lambda: self,
+            connection,
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Start the task of the connection."""
+        """Keep the transport of the connection."""
         # uvloop's transports do not derive from asyncio.Transport.
         self.transport = cast('asyncio.Transport', transport)
         self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        self.on_open(self)
 
     def connection_lost(self, _error: Exception | None) -> None:
         """Report that the caller has disconnected."""
--- a/src/pollenloom/gateway/gateway_server.py
+++ b/src/pollenloom/gateway/gateway_server.py
@@ -1,6 +1,7 @@
 """HTTP server for callers, with one task for each connection."""
 
 import asyncio
+import socket
 from contextlib import ExitStack
 from typing import ClassVar, Final
 
@@ -17,6 +18,7 @@
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.routing.caller_limits import CallerLimits
+from pollenloom.transport.connection_acceptor import ConnectionAcceptor
 from pollenloom.transport.listening import open_listener
 
 BACKLOG: Final = 512
@@ -44,7 +46,7 @@
         self.address = address
         self.drain_barrier = DrainBarrier()
         self.idle: set[CallerChannel] = set()
-        self.server: asyncio.Server | None = None
+        self.acceptor: ConnectionAcceptor | None = None
 
     async def start(self) -> None:
         """Listen for callers and report readiness."""
@@ -57,15 +59,8 @@
         self.detector = monitor.detector
         listener, address = open_listener(self.address, BACKLOG)
         self.address = address
-        self.server = await asyncio.get_running_loop().create_server(
-            lambda: CallerChannel(
-                self.kernel.clock,
-                self.limits,
-                self.on_connection,
-            ),
-            sock=listener,
-            backlog=BACKLOG,
-        )
+        self.acceptor = ConnectionAcceptor(listener, self.on_connection)
+        self.acceptor.start()
         self.drain_barrier.ready = True
 
     @property
@@ -91,8 +86,8 @@
 
     async def stop(self) -> None:
         """Stop listening."""
-        if self.server is not None:
-            self.server.close()
+        if self.acceptor is not None:
+            self.acceptor.close()
 
     def limits(self) -> CallerLimits:
         """Return the configured limits, or the defaults without any."""
@@ -101,13 +96,19 @@
             return CallerLimits()
         return configuration.limits
 
-    def on_connection(self, channel: CallerChannel) -> None:
+    def on_connection(self, connection: socket.socket) -> None:
         """Start the task of a connection; it is cancelled on disconnect."""
-        task = self.kernel.spawn('caller', self.serve(channel))
+        channel = CallerChannel(self.kernel.clock, self.limits)
+        task = self.kernel.spawn('caller', self.serve(channel, connection))
         channel.on_disconnect = task.cancel
 
-    async def serve(self, channel: CallerChannel) -> None:
+    async def serve(
+        self,
+        channel: CallerChannel,
+        connection: socket.socket,
+    ) -> None:
         """Serve the requests of one connection in order."""
+        await channel.open(connection)
         with ExitStack() as stack:
             stack.callback(channel.close)
             stack.callback(self.idle.discard, channel)
--- a/src/pollenloom/gateway/probe_server.py
+++ b/src/pollenloom/gateway/probe_server.py
@@ -1,6 +1,6 @@
 """HTTP endpoints for readiness probes and metrics."""
 
-import asyncio
+import socket
 from contextlib import closing
 from http import HTTPStatus
 from typing import ClassVar, Final
@@ -18,6 +18,7 @@
 from pollenloom.observability.metrics import Metrics
 from pollenloom.routing.caller_limits import CallerLimits
 from pollenloom.settings.node_settings import ListenSettings
+from pollenloom.transport.connection_acceptor import ConnectionAcceptor
 from pollenloom.transport.listening import open_listener
 
 READINESS_PATH: Final = '/readyz'
@@ -30,7 +31,7 @@
     """Serves readiness and metrics on two addresses.
 
     Attributes:
-        servers: Listeners for readiness and metrics, in this order.
+        acceptors: Listeners for readiness and metrics, in this order.
     """
 
     name: ClassVar[KernelServiceName] = KernelServiceName.PROBES
@@ -38,37 +39,34 @@
     def __init__(self, kernel: Kernel, listen: ListenSettings) -> None:
         self.kernel = kernel
         self.listen = listen
-        self.servers: list[asyncio.Server] = []
+        self.acceptors: list[ConnectionAcceptor] = []
 
     async def start(self) -> None:
         """Listen on both addresses; readiness is served from now on."""
         self.metrics = self.kernel.find(KernelServiceName.METRICS, Metrics)
         for address in (self.listen.readiness, self.listen.metrics):
             listener, _ = open_listener(address, BACKLOG)
-            server = await asyncio.get_running_loop().create_server(
-                self.make_channel,
-                sock=listener,
-                backlog=BACKLOG,
-            )
-            self.servers.append(server)
+            acceptor = ConnectionAcceptor(listener, self.on_connection)
+            acceptor.start()
+            self.acceptors.append(acceptor)
 
     async def stop(self) -> None:
         """Close both listeners."""
-        for server in self.servers:
-            server.close()
+        for acceptor in self.acceptors:
+            acceptor.close()
 
-    def make_channel(self) -> CallerChannel:
-        """Return the protocol of a new connection."""
-        return CallerChannel(
-            self.kernel.clock, CallerLimits, self.on_connection
-        )
-
-    def on_connection(self, channel: CallerChannel) -> None:
+    def on_connection(self, connection: socket.socket) -> None:
         """Start the task of a connection."""
-        self.kernel.spawn('probe', self.serve(channel))
-
-    async def serve(self, channel: CallerChannel) -> None:
+        channel = CallerChannel(self.kernel.clock, CallerLimits)
+        self.kernel.spawn('probe', self.serve(channel, connection))
+
+    async def serve(
+        self,
+        channel: CallerChannel,
+        connection: socket.socket,
+    ) -> None:
         """Serve the requests of one connection until it is closed or idle."""
+        await channel.open(connection)
         with closing(channel):
             while True:
                 request = await channel.next_request(IDLE_TIMEOUT_SECONDS)
--- a/tests/gateway/test_probe_server.py
+++ b/tests/gateway/test_probe_server.py
@@ -12,7 +12,7 @@
 ) -> tuple[int, bytes]:
     """Send a GET request to a listener; return status and body."""
     probes = environment.kernel.find(KernelServiceName.PROBES, ProbeServer)
-    host, port = probes.servers[listener].sockets[0].getsockname()
+    host, port = probes.acceptors[listener].listener.getsockname()
     reader, writer = await asyncio.open_connection(host, port)
     environment.stack.callback(writer.close)
     response = await CallerConnection(reader, writer).fetch(
