Record the seconds in which the event loop is late

The log told only when the smoothed delay of the event loop crosses 60 ms. It could not tell how late single iterations are, nor how many connections came and waited, so that what kept connections out of a busy router stayed unknown.

`loop_delayed` states, once a second while the loop is over 20 ms late, the largest and the smoothed delay, the accepted connections, the largest number that waited at once, and the running requests.

--- a/src/pollenloom/gateway/gateway_server.py
+++ b/src/pollenloom/gateway/gateway_server.py
@@ -8,6 +8,7 @@
 from pollenloom.catalogue.catalogue import Catalogue
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
+from pollenloom.core.units import MILLISECONDS_PER_SECOND
 from pollenloom.frontend.drain_barrier import DrainBarrier
 from pollenloom.gateway.caller_channel import CallerChannel
 from pollenloom.gateway.loop_monitor import LoopMonitor
@@ -17,6 +18,8 @@
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.observability.event_log import EventLog
+from pollenloom.observability.event_name import EventName
 from pollenloom.routing.caller_limits import CallerLimits
 from pollenloom.transport.connection_acceptor import ConnectionAcceptor
 from pollenloom.transport.listening import open_listener
@@ -30,6 +33,9 @@
 # Idle connections are kept slightly longer than configured, so that a request
 # sent within the limit does not arrive on a connection that is being closed.
 IDLE_MARGIN_SECONDS: Final = 1.0
+RECORD_INTERVAL_SECONDS: Final = 1.0
+# Largest delay of the event loop in a second that is not worth a record.
+RECORDED_DELAY_SECONDS: Final = 0.02
 
 
 class GatewayServer(KernelService):
@@ -57,10 +63,14 @@
         self.relay = self.kernel.find(KernelServiceName.DISPATCH, Relay)
         monitor = self.kernel.find(KernelServiceName.LOOP_MONITOR, LoopMonitor)
         self.detector = monitor.detector
+        self.events = self.kernel.find(KernelServiceName.EVENTS, EventLog)
         listener, address = open_listener(self.address, BACKLOG)
         self.address = address
         self.acceptor = ConnectionAcceptor(listener, self.on_connection)
         self.acceptor.start()
+        self.kernel.spawn(
+            'gateway-record', self.record_delays(monitor, self.acceptor)
+        )
         self.drain_barrier.ready = True
 
     @property
@@ -70,6 +80,28 @@
             return False
         return self.drain_barrier.ready and self.catalogue.is_complete
 
+    async def record_delays(
+        self,
+        monitor: LoopMonitor,
+        acceptor: ConnectionAcceptor,
+    ) -> None:
+        """Record the seconds in which the event loop was late, and its load."""
+        while True:
+            await asyncio.sleep(RECORD_INTERVAL_SECONDS)
+            largest_delay = monitor.take_largest_delay()
+            accepted, largest_batch = acceptor.take_counts()
+            if largest_delay < RECORDED_DELAY_SECONDS:
+                continue
+            self.events.record(
+                EventName.LOOP_DELAYED,
+                monitor.vm,
+                largest_ms=round(largest_delay * MILLISECONDS_PER_SECOND),
+                average_ms=round(self.detector.delay * MILLISECONDS_PER_SECOND),
+                accepted=accepted,
+                largest_batch=largest_batch,
+                running=self.drain_barrier.running,
+            )
+
     async def drain(self) -> None:
         """Finish accepted requests and close idle connections."""
         self.drain_barrier.ready = False
--- a/src/pollenloom/gateway/loop_monitor.py
+++ b/src/pollenloom/gateway/loop_monitor.py
@@ -16,7 +16,11 @@
 
 
 class LoopMonitor(KernelService):
-    """Reports the delay of a periodic timer to the overload detector."""
+    """Reports the delay of a periodic timer to the overload detector.
+
+    Attributes:
+        largest_delay: Largest delay since it was last taken, seconds.
+    """
 
     name: ClassVar[KernelServiceName] = KernelServiceName.LOOP_MONITOR
 
@@ -24,6 +28,7 @@
         self.kernel = kernel
         self.vm = vm
         self.detector = OverloadDetector()
+        self.largest_delay: float = 0
 
     async def start(self) -> None:
         """Start the measuring task."""
@@ -39,9 +44,17 @@
         while True:
             due = clock.monotonic() + SAMPLE_INTERVAL_SECONDS
             await asyncio.sleep(SAMPLE_INTERVAL_SECONDS)
-            if self.detector.observe(max(0, clock.monotonic() - due)):
+            delay = max(0, clock.monotonic() - due)
+            self.largest_delay = max(self.largest_delay, delay)
+            if self.detector.observe(delay):
                 self.record_state()
 
+    def take_largest_delay(self) -> float:
+        """Return the largest delay since the last call, seconds."""
+        largest = self.largest_delay
+        self.largest_delay = 0
+        return largest
+
     def record_state(self) -> None:
         """Record that the router became overloaded, or recovered."""
         state = 'overloaded' if self.detector.is_overloaded else 'recovered'
--- a/src/pollenloom/observability/event_name.py
+++ b/src/pollenloom/observability/event_name.py
@@ -99,6 +99,10 @@
             written, to bound the log. Subject error kind: lines.
         PROCESS_STATE: The process starts, is ready, reads its settings again
             or stops. Subject router: state, detail.
+        LOOP_DELAYED: The event loop was late within the last second, at most by
+            `largest_ms`; `average_ms` decides on overload. `largest_batch` is
+            the most connections that waited at once. Subject router:
+            largest_ms, average_ms, accepted, largest_batch, running.
         LOG_RECORDS_MISSED: The log dropped records before they were read.
             Subject router: earliest.
     """
@@ -141,4 +145,5 @@
     PROMPT_RELEASED = 'prompt_released'
     LINES_DROPPED = 'lines_left_out'
     PROCESS_STATE = 'process_state'
+    LOOP_DELAYED = 'loop_delayed'
     LOG_RECORDS_MISSED = 'log_records_missed'
