Bound the time of new requests in a turn of the event loop

Cause: with all waiting connections accepted, a router that gets more requests than it has processor time for begins all of them in one iteration of the event loop. Only at a smoothed delay of 0.25 s were requests refused, then all of them.

Change: requests begin for 30 ms in an iteration; the others wait for the next one, in order, and are refused with 503 after 0.1 s, to be tried again after 0.05 s, which reaches another router. Their wait counts as delay for overload, so that readiness is withdrawn. One request begins in each iteration.

Without the bound (a turn of 1,000 s), test_busy_router_refuses_requests_that_would_wait fails: none of 100 requests is refused.

--- a/src/pollenloom/gateway/gateway_server.py
+++ b/src/pollenloom/gateway/gateway_server.py
@@ -34,6 +34,8 @@
 # sent within the limit does not arrive on a connection that is being closed.
 IDLE_MARGIN_SECONDS: Final = 1.0
 RECORD_INTERVAL_SECONDS: Final = 1.0
+# A caller that is refused by a busy router may try another one at once.
+BUSY_RETRY_SECONDS: Final = 0.05
 # Largest delay of the event loop in a second that is not worth a record.
 RECORDED_DELAY_SECONDS: Final = 0.02
 
@@ -63,6 +65,7 @@
         self.relay = self.kernel.find(KernelServiceName.DISPATCH, Relay)
         monitor = self.kernel.find(KernelServiceName.LOOP_MONITOR, LoopMonitor)
         self.detector = monitor.detector
+        self.intake = monitor.intake
         self.events = self.kernel.find(KernelServiceName.EVENTS, EventLog)
         listener, address = open_listener(self.address, BACKLOG)
         self.address = address
@@ -161,7 +164,23 @@
         # while the request waited, and then nothing must be sent.
         await asyncio.sleep(0)
         with self.drain_barrier:
-            return await self.serve_request(channel, request)
+            is_in_time = await self.wait_for_turn(request)
+            return await self.serve_request(
+                channel, request, is_in_time=is_in_time
+            )
+
+    async def wait_for_turn(self, request: RawRequest) -> bool:
+        """Wait until a request may begin; return False if that takes long."""
+        now = self.kernel.clock.monotonic()
+        while not self.intake.may_begin(now):
+            if self.intake.is_too_late(request.received_at, now):
+                return False
+            await asyncio.sleep(0)
+            now = self.kernel.clock.monotonic()
+        if self.intake.turn_started_at is None:
+            self.intake.begin_turn(now)
+            asyncio.get_running_loop().call_soon(self.intake.end_turn)
+        return True
 
     async def reject_unparsable(self, channel: CallerChannel) -> None:
         """Reject bytes that are not a valid request."""
@@ -173,6 +192,8 @@
         self,
         channel: CallerChannel,
         request: RawRequest,
+        *,
+        is_in_time: bool,
     ) -> bool:
         """Handle a request, or reject it while overloaded or stopping."""
         accepts_more_requests = (
@@ -181,8 +202,12 @@
         keeps_alive = request.keeps_alive and accepts_more_requests
         if self.drain_barrier.rejecting:
             failure = Failure(ErrorKind.SHUTTING_DOWN, 'stopping')
-        elif self.detector.is_severely_overloaded:
-            failure = Failure(ErrorKind.NO_CAPACITY, 'the router is overloaded')
+        elif self.detector.is_severely_overloaded or not is_in_time:
+            failure = Failure(
+                ErrorKind.NO_CAPACITY,
+                'the router is overloaded',
+                retry_after_seconds=BUSY_RETRY_SECONDS,
+            )
         else:
             return await self.relay.handle_request(
                 channel,
--- a/src/pollenloom/gateway/loop_monitor.py
+++ b/src/pollenloom/gateway/loop_monitor.py
@@ -5,6 +5,7 @@
 
 from pollenloom.core.ids import VmId
 from pollenloom.core.units import MILLISECONDS_PER_SECOND
+from pollenloom.gateway.request_intake import RequestIntake
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
@@ -16,9 +17,13 @@
 
 
 class LoopMonitor(KernelService):
-    """Reports the delay of a periodic timer to the overload detector.
+    """Reports delays to the overload detector.
+
+    These are the delay of a periodic timer and the wait of requests that did
+    not begin yet.
 
     Attributes:
+        intake: Requests that wait to begin.
         largest_delay: Largest delay since it was last taken, seconds.
     """
 
@@ -28,6 +33,7 @@
         self.kernel = kernel
         self.vm = vm
         self.detector = OverloadDetector()
+        self.intake = RequestIntake()
         self.largest_delay: float = 0
 
     async def start(self) -> None:
@@ -44,7 +50,8 @@
         while True:
             due = clock.monotonic() + SAMPLE_INTERVAL_SECONDS
             await asyncio.sleep(SAMPLE_INTERVAL_SECONDS)
-            delay = max(0, clock.monotonic() - due)
+            wait = self.intake.take_longest_wait()
+            delay = max(0, clock.monotonic() - due, wait)
             self.largest_delay = max(self.largest_delay, delay)
             if self.detector.observe(delay):
                 self.record_state()
