--- a/src/pollenloom/gateway/gateway_server.py
+++ b/src/pollenloom/gateway/gateway_server.py
@@ -1,12 +1,14 @@
 """HTTP server for callers, with one task for each connection."""
 
 import asyncio
+import socket
 from contextlib import ExitStack
 from typing import ClassVar, Final
 
 from pollenloom.catalogue.catalogue import Catalogue
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
+from pollenloom.core.units import MILLISECONDS_PER_SECOND
 from pollenloom.frontend.drain_barrier import DrainBarrier
 from pollenloom.gateway.caller_channel import CallerChannel
 from pollenloom.gateway.loop_monitor import LoopMonitor
@@ -16,7 +18,10 @@
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.observability.event_log import EventLog
+from pollenloom.observability.event_name import EventName
 from pollenloom.routing.caller_limits import CallerLimits
+from pollenloom.transport.connection_acceptor import ConnectionAcceptor
 from pollenloom.transport.listening import open_listener
 
 BACKLOG: Final = 512
@@ -28,6 +33,11 @@
 # Idle connections are kept slightly longer than configured, so that a request
 # sent within the limit does not arrive on a connection that is being closed.
 IDLE_MARGIN_SECONDS: Final = 1.0
+RECORD_INTERVAL_SECONDS: Final = 1.0
+# A caller that is refused by a busy router may try another one at once.
+BUSY_RETRY_SECONDS: Final = 0.05
+# Largest delay of the event loop in a second that is not worth a record.
+RECORDED_DELAY_SECONDS: Final = 0.02
 
 
 class GatewayServer(KernelService):
@@ -44,7 +54,7 @@
         self.address = address
         self.drain_barrier = DrainBarrier()
         self.idle: set[CallerChannel] = set()
-        self.server: asyncio.Server | None = None
+        self.acceptor: ConnectionAcceptor | None = None
 
     async def start(self) -> None:
         """Listen for callers and report readiness."""
@@ -55,16 +65,14 @@
         self.relay = self.kernel.find(KernelServiceName.DISPATCH, Relay)
         monitor = self.kernel.find(KernelServiceName.LOOP_MONITOR, LoopMonitor)
         self.detector = monitor.detector
+        self.intake = monitor.intake
+        self.events = self.kernel.find(KernelServiceName.EVENTS, EventLog)
         listener, address = open_listener(self.address, BACKLOG)
         self.address = address
-        self.server = await asyncio.get_running_loop().create_server(
-            lambda: CallerChannel(
-                self.kernel.clock,
-                self.limits,
-                self.on_connection,
-            ),
-            sock=listener,
-            backlog=BACKLOG,
+        self.acceptor = ConnectionAcceptor(listener, self.on_connection)
+        self.acceptor.start()
+        self.kernel.spawn(
+            'gateway-record', self.record_delays(monitor, self.acceptor)
         )
         self.drain_barrier.ready = True
 
@@ -75,6 +83,28 @@
             return False
         return self.drain_barrier.ready and self.catalogue.is_complete
 
+    async def record_delays(
+        self,
+        monitor: LoopMonitor,
+        acceptor: ConnectionAcceptor,
+    ) -> None:
+        """Record the seconds in which the event loop was late, and its load."""
+        while True:
+            await asyncio.sleep(RECORD_INTERVAL_SECONDS)
+            largest_delay = monitor.take_largest_delay()
+            accepted, largest_batch = acceptor.take_counts()
+            if largest_delay < RECORDED_DELAY_SECONDS:
+                continue
+            self.events.record(
+                EventName.LOOP_DELAYED,
+                monitor.vm,
+                largest_ms=round(largest_delay * MILLISECONDS_PER_SECOND),
+                average_ms=round(self.detector.delay * MILLISECONDS_PER_SECOND),
+                accepted=accepted,
+                largest_batch=largest_batch,
+                running=self.drain_barrier.running,
+            )
+
     async def drain(self) -> None:
         """Finish accepted requests and close idle connections."""
         self.drain_barrier.ready = False
@@ -91,8 +121,8 @@
 
     async def stop(self) -> None:
         """Stop listening."""
-        if self.server is not None:
-            self.server.close()
+        if self.acceptor is not None:
+            self.acceptor.close()
 
     def limits(self) -> CallerLimits:
         """Return the configured limits, or the defaults without any."""
@@ -101,13 +131,19 @@
             return CallerLimits()
         return configuration.limits
 
-    def on_connection(self, channel: CallerChannel) -> None:
+    def on_connection(self, connection: socket.socket) -> None:
         """Start the task of a connection; it is cancelled on disconnect."""
-        task = self.kernel.spawn('caller', self.serve(channel))
+        channel = CallerChannel(self.kernel.clock, self.limits)
+        task = self.kernel.spawn('caller', self.serve(channel, connection))
         channel.on_disconnect = task.cancel
 
-    async def serve(self, channel: CallerChannel) -> None:
+    async def serve(
+        self,
+        channel: CallerChannel,
+        connection: socket.socket,
+    ) -> None:
         """Serve the requests of one connection in order."""
+        await channel.open(connection)
         with ExitStack() as stack:
             stack.callback(channel.close)
             stack.callback(self.idle.discard, channel)
@@ -128,7 +164,23 @@
         # while the request waited, and then nothing must be sent.
         await asyncio.sleep(0)
         with self.drain_barrier:
-            return await self.serve_request(channel, request)
+            is_in_time = await self.wait_for_turn(request)
+            return await self.serve_request(
+                channel, request, is_in_time=is_in_time
+            )
+
+    async def wait_for_turn(self, request: RawRequest) -> bool:
+        """Wait until a request may begin; return False if that takes long."""
+        now = self.kernel.clock.monotonic()
+        while not self.intake.may_begin(now):
+            if self.intake.is_too_late(request.received_at, now):
+                return False
+            await asyncio.sleep(0)
+            now = self.kernel.clock.monotonic()
+        if self.intake.turn_started_at is None:
+            self.intake.begin_turn(now)
+            asyncio.get_running_loop().call_soon(self.intake.end_turn)
+        return True
 
     async def reject_unparsable(self, channel: CallerChannel) -> None:
         """Reject bytes that are not a valid request."""
@@ -140,6 +192,8 @@
         self,
         channel: CallerChannel,
         request: RawRequest,
+        *,
+        is_in_time: bool,
     ) -> bool:
         """Handle a request, or reject it while overloaded or stopping."""
         accepts_more_requests = (
@@ -148,8 +202,12 @@
         keeps_alive = request.keeps_alive and accepts_more_requests
         if self.drain_barrier.rejecting:
             failure = Failure(ErrorKind.SHUTTING_DOWN, 'stopping')
-        elif self.detector.is_severely_overloaded:
-            failure = Failure(ErrorKind.NO_CAPACITY, 'the router is overloaded')
+        elif self.detector.is_severely_overloaded or not is_in_time:
+            failure = Failure(
+                ErrorKind.NO_CAPACITY,
+                'the router is overloaded',
+                retry_after_seconds=BUSY_RETRY_SECONDS,
+            )
         else:
             return await self.relay.handle_request(
                 channel,
--- a/src/pollenloom/gateway/loop_monitor.py
+++ b/src/pollenloom/gateway/loop_monitor.py
@@ -5,6 +5,7 @@
 
 from pollenloom.core.ids import VmId
 from pollenloom.core.units import MILLISECONDS_PER_SECOND
+from pollenloom.gateway.request_intake import RequestIntake
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
@@ -16,7 +17,15 @@
 
 
 class LoopMonitor(KernelService):
-    """Reports the delay of a periodic timer to the overload detector."""
+    """Reports delays to the overload detector.
+
+    These are the delay of a periodic timer and the wait of requests that did
+    not begin yet.
+
+    Attributes:
+        intake: Requests that wait to begin.
+        largest_delay: Largest delay since it was last taken, seconds.
+    """
 
     name: ClassVar[KernelServiceName] = KernelServiceName.LOOP_MONITOR
 
@@ -24,6 +33,8 @@
         self.kernel = kernel
         self.vm = vm
         self.detector = OverloadDetector()
+        self.intake = RequestIntake()
+        self.largest_delay: float = 0
 
     async def start(self) -> None:
         """Start the measuring task."""
@@ -39,9 +50,18 @@
         while True:
             due = clock.monotonic() + SAMPLE_INTERVAL_SECONDS
             await asyncio.sleep(SAMPLE_INTERVAL_SECONDS)
-            if self.detector.observe(max(0, clock.monotonic() - due)):
+            wait = self.intake.take_longest_wait()
+            delay = max(0, clock.monotonic() - due, wait)
+            self.largest_delay = max(self.largest_delay, delay)
+            if self.detector.observe(delay):
                 self.record_state()
 
+    def take_largest_delay(self) -> float:
+        """Return the largest delay since the last call, seconds."""
+        largest = self.largest_delay
+        self.largest_delay = 0
+        return largest
+
     def record_state(self) -> None:
         """Record that the router became overloaded, or recovered."""
         state = 'overloaded' if self.detector.is_overloaded else 'recovered'
