Decode records of the store without escaping errors

Cause: the decoders of server entries, configurations, move orders and move states caught msgspec.DecodeError and UnicodeDecodeError only. A value nested 5,000 deep in a field that is skipped raises RecursionError, which ends the task that follows the topic: the kernel logs task_failed, and nothing follows the topic again.

--- a/src/pollenloom/platform/configuration_codec.py
+++ b/src/pollenloom/platform/configuration_codec.py
@@ -18,6 +18,7 @@
 from pollenloom.routing.route_kind import RouteKind
 from pollenloom.routing.routing_configuration import RoutingConfiguration
 from pollenloom.routing.service_profile import ServiceProfile
+from pollenloom.validation.untrusted_bytes import decode_json
 
 
 class WireWeight(msgspec.Struct, frozen=True):
@@ -95,10 +96,11 @@
         CONFIGURATION_INVALID: The payload is not valid JSON, or a field is
             missing or has another type.
     """
-    try:
-        wire = msgspec.json.decode(payload, type=WireConfiguration)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Error(Failure(ErrorKind.CONFIGURATION_INVALID, str(error)))
+    decoded = decode_json(payload, WireConfiguration)
+    if decoded.is_error():
+        detail = decoded.error.detail
+        return Error(Failure(ErrorKind.CONFIGURATION_INVALID, detail))
+    wire = decoded.ok
     by_host: dict[str, list[Route]] = defaultdict(list)
     for route in wire.routes:
         by_host[route.host.lower()].append(read_route(route))
--- a/src/pollenloom/platform/move_codec.py
+++ b/src/pollenloom/platform/move_codec.py
@@ -11,11 +11,11 @@
 
 from pollenloom.catalogue.move_status import MoveStatus
 from pollenloom.catalogue.operator_change import MoveOrder
-from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
 from pollenloom.core.ids import Offset, ServiceId, VersionId
 from pollenloom.core.states import MoveState
 from pollenloom.platform import wire_names
+from pollenloom.validation.untrusted_bytes import decode_json, unknown_state
 
 STATE_NAMES: Final = MappingProxyType(
     {
@@ -58,12 +58,11 @@
     """
     if not payload:
         return Ok(MoveOrder(service, None, 0, offset))
-    try:
-        wire = msgspec.json.decode(payload, type=WireRollout)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Error(Failure(ErrorKind.PROTOCOL_ERROR, str(error)))
-    target = VersionId(wire.target)
-    return Ok(MoveOrder(service, target, wire.duration_s, offset))
+    return decode_json(payload, WireRollout).map(
+        lambda wire: MoveOrder(
+            service, VersionId(wire.target), wire.duration_s, offset
+        )
+    )
 
 
 def decode_move_status(
@@ -74,15 +73,18 @@
     Errors:
         PROTOCOL_ERROR: The payload is not valid, or its state is unknown.
     """
-    try:
-        wire = msgspec.json.decode(payload, type=WireRolloutState)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Error(Failure(ErrorKind.PROTOCOL_ERROR, str(error)))
+    return decode_json(payload, WireRolloutState).bind(
+        lambda wire: read_status(service, wire)
+    )
+
+
+def read_status(
+    service: ServiceId, wire: WireRolloutState
+) -> Result[MoveStatus, Failure]:
+    """Return the state of a move; PROTOCOL_ERROR if it is unknown."""
     state = STATES.get(wire.state)
     if state is None:
-        return Error(
-            Failure(ErrorKind.PROTOCOL_ERROR, f'unknown state {wire.state}')
-        )
+        return Error(unknown_state(wire.state))
     return Ok(MoveStatus(service, VersionId(wire.target), state))
 
 
--- a/src/pollenloom/platform/server_entry_codec.py
+++ b/src/pollenloom/platform/server_entry_codec.py
@@ -5,12 +5,15 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
 from pollenloom.core.ids import DataCentreId, ServerId, ServiceId, VersionId
 from pollenloom.core.units import MILLISECONDS_PER_SECOND
 from pollenloom.platform import wire_names
 from pollenloom.routing.server_entry import ServerEntry
+from pollenloom.validation.untrusted_bytes import (
+    decode_json,
+    unknown_state,
+)
 
 STATES: Final = frozenset((wire_names.STATE_READY, wire_names.STATE_DRAINING))
 ADDRESS: Final = r'^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$'
@@ -49,14 +52,17 @@
         PROTOCOL_ERROR: The payload is not a valid entry, or its state is
             unknown.
     """
-    try:
-        wire = msgspec.json.decode(payload, type=WireServer)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Error(Failure(ErrorKind.PROTOCOL_ERROR, str(error)))
+    return decode_json(payload, WireServer).bind(
+        lambda wire: read_entry(server, wire)
+    )
+
+
+def read_entry(
+    server: ServerId, wire: WireServer
+) -> Result[ServerEntry, Failure]:
+    """Return the entry; PROTOCOL_ERROR if it is not valid."""
     if wire.state not in STATES:
-        return Error(
-            Failure(ErrorKind.PROTOCOL_ERROR, f'unknown state {wire.state}')
-        )
+        return Error(unknown_state(wire.state))
     return Ok(
         ServerEntry(
             server=server,
--- a/tests/platform/test_configuration_codec.py
+++ b/tests/platform/test_configuration_codec.py
@@ -8,6 +8,7 @@
 from pollenloom.platform.configuration_codec import decode_configuration
 from pollenloom.routing.route_kind import RouteKind
 from pollenloom.routing.routing_configuration import RoutingConfiguration
+from tests.fakes.odd_records import arbitrary_records, encode_record
 
 ROUTE = {
     'name': 'r-1',
@@ -90,7 +91,15 @@
     assert not found.is_repeatable
 
 
-@given(st.binary(max_size=300))
-def test_arbitrary_bytes_do_not_raise(payload: bytes) -> None:
-    """Guards against a malformed record that ends the reading task."""
-    decode_configuration(payload)
+@given(
+    st.one_of(
+        arbitrary_records(CONFIGURATION),
+        arbitrary_records(ROUTE).map(
+            lambda route: encode_record(CONFIGURATION, routes=b'[%b]' % route)
+        ),
+    )
+)
+def test_odd_configuration_is_read_or_an_error(payload: bytes) -> None:
+    """Guards against an odd record that ends the reading task."""
+    decoded = decode_configuration(payload)
+    assert decoded.is_ok() or decoded.error.detail
--- a/tests/platform/test_move_codec.py
+++ b/tests/platform/test_move_codec.py
@@ -2,7 +2,6 @@
 
 import msgspec
 from hypothesis import given
-from hypothesis import strategies as st
 
 from pollenloom.catalogue.move_status import MoveStatus
 from pollenloom.catalogue.operator_change import MoveOrder
@@ -13,6 +12,11 @@
     decode_move_status,
     encode_move_status,
 )
+from tests.fakes.odd_records import (
+    ODD_VALUES,
+    arbitrary_records,
+    encode_record,
+)
 
 SERVICE = ServiceId('app')
 OFFSET = Offset(7)
@@ -47,8 +51,22 @@
     assert decode_move_status(SERVICE, encode_move_status(status)).ok == status
 
 
-@given(st.binary(max_size=200))
-def test_arbitrary_bytes_do_not_raise(payload: bytes) -> None:
+@given(arbitrary_records({'service': 'app', 'target': 'v2', 'duration_s': 9}))
+def test_odd_order_is_an_order_or_an_error(payload: bytes) -> None:
+    """Guards against a record of another writer that ends a task."""
+    decoded = decode_move_order(SERVICE, payload, OFFSET)
+    assert decoded.is_ok() or decoded.error.detail
+
+
+@given(arbitrary_records({'target': 'v2', 'state': 'active'}))
+def test_odd_state_is_a_state_or_an_error(payload: bytes) -> None:
     """Guards against a record of another writer that ends a task."""
-    decode_move_order(SERVICE, payload, OFFSET)
-    decode_move_status(SERVICE, payload)
+    decoded = decode_move_status(SERVICE, payload)
+    assert decoded.is_ok() or decoded.error.detail
+
+
+def test_deep_state_is_rejected() -> None:
+    """Guards against a state whose nesting ends the reading task."""
+    fields = {'target': 'v2', 'state': 'active'}
+    payload = encode_record(fields, unknown=ODD_VALUES['deep map'])
+    assert decode_move_status(SERVICE, payload).is_error()
--- a/tests/platform/test_server_entry_codec.py
+++ b/tests/platform/test_server_entry_codec.py
@@ -7,6 +7,10 @@
 
 from pollenloom.core.ids import ServerId
 from pollenloom.platform.server_entry_codec import decode_server_entry
+from tests.fakes.odd_records import (
+    ODD_VALUES,
+    encode_record,
+)
 
 SERVER = ServerId('i-1')
 ENTRY = {
@@ -20,6 +24,7 @@
     'seq': 3,
     'born': 1_700_000_000_000,
 }
+DEEP_ENTRY = encode_record(ENTRY, unknown=ODD_VALUES['deep list'])
 
 
 def test_entry_is_read() -> None:
@@ -42,6 +47,12 @@
     decode_server_entry(SERVER, payload)
 
 
+@pytest.mark.parametrize('payload', [DEEP_ENTRY, b'[' * 5000])
+def test_deep_entry_is_rejected(payload: bytes) -> None:
+    """Guards against an entry whose nesting ends the reading task."""
+    assert decode_server_entry(SERVER, payload).is_error()
+
+
 @given(
     field=st.sampled_from(sorted(set(ENTRY) - {'born'})),
     invalid=st.sampled_from((None, [], {}, -1.5, 'x y')),
