Reject server entries with values out of range

Cause: the start of a server was divided without a bound, so that `born` of 400 digits raised OverflowError and ended the task that follows the entries. `slots` of 400 digits, a cold time of 1e308 ms, the ports 0 and 99999, 999.9.9.9, digits of other scripts and an address that ends with a line end were taken as valid and could raise or block the server later.

Change: ServerEntry validates address, slots, cold time and start when it is created; the bounds are constants with their reasons. split_remote_address takes IPv4 addresses of machines and ports that can be connected to.

--- a/src/pollenloom/platform/server_entry_codec.py
+++ b/src/pollenloom/platform/server_entry_codec.py
@@ -3,7 +3,7 @@
 from typing import Annotated, Final
 
 import msgspec
-from expression import Error, Ok, Result
+from expression import Error, Result
 
 from pollenloom.core.failure import Failure
 from pollenloom.core.ids import DataCentreId, ServerId, ServiceId, VersionId
@@ -11,18 +11,19 @@
 from pollenloom.platform import wire_names
 from pollenloom.routing.server_entry import ServerEntry
 from pollenloom.validation.untrusted_bytes import (
+    checked,
     decode_json,
     unknown_state,
 )
 
 STATES: Final = frozenset((wire_names.STATE_READY, wire_names.STATE_DRAINING))
-ADDRESS: Final = r'^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$'
 
 
 class WireServer(msgspec.Struct, frozen=True):
     """Entry of one backend server.
 
-    Other programs write to the same topic, so each field is validated.
+    Other programs write to the same topic, so the type of each field is
+    validated here, and the range of its value in `ServerEntry`.
 
     Attributes:
         zone: Data centre of the server.
@@ -32,12 +33,12 @@
     """
 
     service: Annotated[str, msgspec.Meta(min_length=1)]
-    address: Annotated[str, msgspec.Meta(pattern=ADDRESS)]
+    address: str
     zone: str
     version: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: int
     state: str
-    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)]
+    cold_remaining_ms: float
     seq: int
     born: int = 0
 
@@ -49,8 +50,8 @@
     """Decode an entry.
 
     Errors:
-        PROTOCOL_ERROR: The payload is not a valid entry, or its state is
-            unknown.
+        PROTOCOL_ERROR: The payload is not a valid entry, its state is
+            unknown, or a value is out of range.
     """
     return decode_json(payload, WireServer).bind(
         lambda wire: read_entry(server, wire)
@@ -63,8 +64,8 @@
     """Return the entry; PROTOCOL_ERROR if it is not valid."""
     if wire.state not in STATES:
         return Error(unknown_state(wire.state))
-    return Ok(
-        ServerEntry(
+    return checked(
+        lambda: ServerEntry(
             server=server,
             service=ServiceId(wire.service),
             address=wire.address,
--- a/src/pollenloom/routing/server_entry.py
+++ b/src/pollenloom/routing/server_entry.py
@@ -1,14 +1,28 @@
 """Registration of a backend server in the platform's store."""
 
 from dataclasses import dataclass
+from typing import Final
 
+from pollenloom.core.host_port import split_remote_address
 from pollenloom.core.ids import DataCentreId, ServerId, ServiceId, VersionId
 
+# Engines batch hundreds of requests. Each has a connection, and one machine
+# has at most so many ports for them.
+MAX_SLOTS: Final = 65_536
+# A day. Servers warm up in seconds to minutes; one that is cold for much longer
+# would hardly be used.
+MAX_COLD_SECONDS: Final = 86_400.0
+# The end of the year 9999, the last that calendars of the library have.
+LATEST_START: Final = 253_402_300_800.0
+
 
 @dataclass(frozen=True, slots=True)
 class ServerEntry:
     """One registration of a backend server.
 
+    Programs other than backend servers write entries too, so the values are
+    validated before any of them is used.
+
     Attributes:
         address: `host:port`.
         version: Version that the server runs.
@@ -17,6 +31,9 @@
         cold_seconds: How long it stays cold, from the time of the entry.
         started_at: Wall time of its start, seconds; distinguishes restarts
             under the same id; 0 if unknown.
+
+    Raises:
+        ValueError: If a value is out of range.
     """
 
     server: ServerId
@@ -28,3 +45,17 @@
     is_leaving: bool
     cold_seconds: float
     started_at: float
+
+    def __post_init__(self) -> None:
+        """Validate the values.
+
+        Raises:
+            ValueError: If one is out of range.
+        """
+        split_remote_address(self.address)
+        if not 1 <= self.slots <= MAX_SLOTS:
+            raise ValueError('slots out of range')
+        if not 0 <= self.cold_seconds <= MAX_COLD_SECONDS:
+            raise ValueError('cold time out of range')
+        if not 0 <= self.started_at < LATEST_START:
+            raise ValueError('start out of range')
--- a/tests/platform/test_server_entry_codec.py
+++ b/tests/platform/test_server_entry_codec.py
@@ -9,6 +9,7 @@
 from pollenloom.platform.server_entry_codec import decode_server_entry
 from tests.fakes.odd_records import (
     ODD_VALUES,
+    arbitrary_records,
     encode_record,
 )
 
@@ -41,10 +42,11 @@
     assert decode_server_entry(SERVER, payload).ok.is_leaving
 
 
-@given(st.binary(max_size=200))
-def test_arbitrary_bytes_do_not_raise(payload: bytes) -> None:
-    """Guards against a malformed record that ends the reading task."""
-    decode_server_entry(SERVER, payload)
+@given(arbitrary_records(ENTRY))
+def test_odd_entry_is_an_entry_or_an_error(payload: bytes) -> None:
+    """Guards against an odd entry that ends the reading task."""
+    decoded = decode_server_entry(SERVER, payload)
+    assert decoded.is_ok() or decoded.error.detail
 
 
 @pytest.mark.parametrize('payload', [DEEP_ENTRY, b'[' * 5000])
@@ -53,6 +55,57 @@
     assert decode_server_entry(SERVER, payload).is_error()
 
 
+@pytest.mark.parametrize(
+    ('field', 'value'),
+    [
+        ('slots', b'9' * 400),
+        ('slots', b'0'),
+        ('slots', b'65537'),
+        ('cold_remaining_ms', b'1e308'),
+        ('cold_remaining_ms', b'86400001'),
+        ('born', b'9' * 400),
+        ('born', b'-1'),
+        ('born', b'253402300800000'),
+        ('address', b'"10.0.0.1:99999"'),
+        ('address', b'"10.0.0.1:65536"'),
+        ('address', b'"10.0.0.1:0"'),
+        ('address', b'"10.0.0.1:00080"'),
+        ('address', b'"999.9.9.9:80"'),
+        ('address', b'"10.0.0.01:80"'),
+        ('address', rb'"10.0.0.1:80\n"'),
+        ('address', '"\u0661\u0660.0.0.1:80"'.encode()),
+        ('address', '"10.0.0.1:\u0668\u0660"'.encode()),
+        ('address', b'"0.0.0.0:80"'),
+        ('address', b'"224.0.0.1:80"'),
+        ('address', b'"255.255.255.255:80"'),
+    ],
+)
+def test_entry_with_a_value_out_of_range_is_rejected(
+    field: str, value: bytes
+) -> None:
+    """Guards against an entry that is taken as valid and raises later."""
+    payload = encode_record(ENTRY, **{field: value})
+    assert decode_server_entry(SERVER, payload).is_error()
+
+
+@pytest.mark.parametrize(
+    ('field', 'value'),
+    [
+        ('slots', b'65536'),
+        ('cold_remaining_ms', b'86400000'),
+        ('born', b'0'),
+        ('address', b'"10.0.0.1:1"'),
+        ('address', b'"127.0.0.1:65535"'),
+    ],
+)
+def test_entry_with_a_value_at_its_bound_is_read(
+    field: str, value: bytes
+) -> None:
+    """Guards against bounds that leave out a sound server."""
+    payload = encode_record(ENTRY, **{field: value})
+    assert decode_server_entry(SERVER, payload).is_ok()
+
+
 @given(
     field=st.sampled_from(sorted(set(ENTRY) - {'born'})),
     invalid=st.sampled_from((None, [], {}, -1.5, 'x y')),
