Reject server ids that cannot be header values

Cause: the key of an entry becomes the id of its server, which is a header value of each request to it. A key with a line end could add headers or a request, one with other characters made requests that no server accepts.

Change: ServerEntry takes ids of 1 to 255 printable ASCII characters.

--- a/src/pollenloom/routing/server_entry.py
+++ b/src/pollenloom/routing/server_entry.py
@@ -1,11 +1,14 @@
 """Registration of a backend server in the platform's store."""
 
+import re
 from dataclasses import dataclass
 from typing import Final
 
 from pollenloom.core.host_port import split_remote_address
 from pollenloom.core.ids import DataCentreId, ServerId, ServiceId, VersionId
 
+# An id is a header value, and a key of the store, which has at most 255 bytes.
+SERVER_ID: Final = re.compile(r'[!-~]{1,255}')
 # Engines batch hundreds of requests. Each has a connection, and one machine
 # has at most so many ports for them.
 MAX_SLOTS: Final = 65_536
@@ -24,6 +27,7 @@
     validated before any of them is used.
 
     Attributes:
+        server: Its id; printable ASCII without spaces.
         address: `host:port`.
         version: Version that the server runs.
         slots: Requests that the server runs at a time.
@@ -52,6 +56,8 @@
         Raises:
             ValueError: If one is out of range.
         """
+        if not SERVER_ID.fullmatch(self.server):
+            raise ValueError('the id is not printable ASCII')
         split_remote_address(self.address)
         if not 1 <= self.slots <= MAX_SLOTS:
             raise ValueError('slots out of range')
--- a/tests/catalogue/test_odd_entries.py
+++ b/tests/catalogue/test_odd_entries.py
@@ -29,6 +29,9 @@
         await fleet.store.write('keyed.servers', f'odd-{number}', payload)
     for key in ('', 'a\r\nb', 'a b', 'x' * 255):
         await fleet.store.write('keyed.servers', key, b'[' * 5000)
+    for key in ('', 'a\r\nb'):
+        entry = server_entry(ADDRESS, service=SERVICE)
+        await fleet.store.write('keyed.servers', key, entry)
 
 
 def knows(catalogue: StoreCatalogue, *, is_leaving: bool) -> bool:
