Reject configurations with numbers out of range

Cause: numbers of the configuration had no bounds. A version of 400 digits was put in force, after which no other version is newer; weights of 1e308 add up to infinity, so that a split sends everything to its last service.

Change: numbers of the configuration are 0 to 2**53, versions 0 to 2**63 - 1; a record with others is rejected and the configuration in force stays.

--- a/src/pollenloom/platform/configuration_codec.py
+++ b/src/pollenloom/platform/configuration_codec.py
@@ -4,6 +4,7 @@
 """
 
 from collections import defaultdict
+from typing import Annotated, Final
 
 import msgspec
 from expression import Error, Ok, Result
@@ -20,12 +21,21 @@
 from pollenloom.routing.service_profile import ServiceProfile
 from pollenloom.validation.untrusted_bytes import decode_json
 
+# Versions are counters or times, which have 64 bits. After a larger one, which
+# only a mistake can write, no other would be newer.
+MAX_VERSION: Final = 2**63 - 1
+# Integers up to here are exact in floating point, and products and sums of such
+# numbers stay finite.
+MAX_NUMBER: Final = 2**53
+Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
 
 class WireWeight(msgspec.Struct, frozen=True):
     """A service of a route with its share of the requests."""
 
     service: str
-    weight: float
+    weight: Amount
 
 
 class WireRoute(msgspec.Struct, frozen=True):
@@ -38,11 +48,11 @@
     host: str
     path_prefix: str
     route_type: str
-    timeout_ms: float
-    target_latency_ms: float = 0
+    timeout_ms: Amount
+    target_latency_ms: Amount = 0
     service: str = ''
     weighted_services: tuple[WireWeight, ...] = ()
-    max_attempts: int = 1
+    max_attempts: Annotated[int, msgspec.Meta(le=MAX_NUMBER)] = 1
     public: bool = False
     resumable: bool = False
 
@@ -57,17 +67,17 @@
     """
 
     name: str
-    cold_start_s: float = 0
-    cold_per_s: float = 0
+    cold_start_s: Amount = 0
+    cold_per_s: Amount = 0
 
 
 class WireLimits(msgspec.Struct, frozen=True):
     """Limits on the requests and connections of callers."""
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15_000
+    max_header_bytes: Count = 16_384
+    max_body_bytes: Count = 4_194_304
+    header_timeout_ms: Amount = 3000
+    idle_timeout_ms: Amount = 15_000
 
 
 class WireTenant(msgspec.Struct, frozen=True):
@@ -80,7 +90,7 @@
 class WireConfiguration(msgspec.Struct, frozen=True):
     """The whole configuration record."""
 
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
     routes: tuple[WireRoute, ...]
     services: tuple[WireService, ...] = ()
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
@@ -93,8 +103,8 @@
     """Decode the configuration record.
 
     Errors:
-        CONFIGURATION_INVALID: The payload is not valid JSON, or a field is
-            missing or has another type.
+        CONFIGURATION_INVALID: The payload is not valid JSON, a field is
+            missing or has another type, or a number is out of range.
     """
     decoded = decode_json(payload, WireConfiguration)
     if decoded.is_error():
--- a/tests/platform/test_configuration_codec.py
+++ b/tests/platform/test_configuration_codec.py
@@ -91,6 +91,33 @@
     assert not found.is_repeatable
 
 
+@pytest.mark.parametrize('value', [b'9' * 400, b'9223372036854775808', b'-1'])
+def test_version_out_of_range_is_rejected(value: bytes) -> None:
+    """Guards against a version after which no other is newer."""
+    payload = encode_record(CONFIGURATION, version=value)
+    assert decode_configuration(payload).is_error()
+
+
+@pytest.mark.parametrize('value', [b'1e308', b'-1'])
+@pytest.mark.parametrize('field', ['timeout_ms', 'target_latency_ms'])
+def test_time_out_of_range_is_rejected(field: str, value: bytes) -> None:
+    """Guards against times that overflow in the arithmetic of requests."""
+    route = encode_record(ROUTE, **{field: value})
+    payload = encode_record(CONFIGURATION, routes=b'[%b]' % route)
+    assert decode_configuration(payload).is_error()
+
+
+@pytest.mark.parametrize('value', [b'1e308', b'-1'])
+def test_weight_out_of_range_is_rejected(value: bytes) -> None:
+    """Guards against a split whose infinite sum sends all to one service."""
+    weight = encode_record({'service': 'a'}, weight=value)
+    route = encode_record(
+        ROUTE, weighted_services=b'[%b,%b]' % (weight, weight)
+    )
+    payload = encode_record(CONFIGURATION, routes=b'[%b]' % route)
+    assert decode_configuration(payload).is_error()
+
+
 @given(
     st.one_of(
         arbitrary_records(CONFIGURATION),
