Do not lose a listing of the store to one odd item

Cause: a page of the newest records was decoded as a whole, so that one item with a wrong type or an offset out of range made the page an error, which was read again every 0.4 s without an end. A deeply nested response raised RecursionError. A truncated page that repeats its last key was asked for again without a pause.

Change: items are decoded one by one; the log has their number and the first error of a page. A truncated page without progress is an error. Offsets are limited to 64 bits.

--- a/src/pollenloom/platform/store_client.py
+++ b/src/pollenloom/platform/store_client.py
@@ -3,10 +3,11 @@
 import base64
 from http import HTTPStatus
 from types import MappingProxyType
-from typing import TYPE_CHECKING, Final, Self
+from typing import TYPE_CHECKING, Annotated, Final, Self
 
 import aiohttp
 import msgspec
+from absl import logging
 from expression import Error, Ok, Result
 
 from pollenloom.catalogue.keyed_record import KeyedRecord, Listing
@@ -32,9 +33,10 @@
 )
 from pollenloom.platform.server_entry_codec import decode_server_entry
 from pollenloom.transport.shielded_connector import ShieldedConnector
+from pollenloom.validation.untrusted_bytes import decode_json
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
 
     from pollenloom.routing.server_entry import ServerEntry
     from pollenloom.settings.node_settings import StoreSettings
@@ -51,35 +53,41 @@
 # Keyed topics have a single partition.
 PARTITION: Final = 0
 MAX_RESPONSE_KB: Final = 1024
+# Offsets have 64 bits in the responses to reads.
+MAX_OFFSET: Final = 2**63 - 1
 # A reachable store accepts a connection within a few milliseconds.
 CONNECT_TIMEOUT_SECONDS: Final = 0.5
 
 
+WireOffset = Annotated[int, msgspec.Meta(ge=0, le=MAX_OFFSET)]
+
+
 class NewestItem(msgspec.Struct, frozen=True):
     """A record with its value in base64."""
 
     key: str
     value: str
-    offset: Offset
+    offset: WireOffset
 
 
 class NewestRecordsResponse(msgspec.Struct, frozen=True):
     """A page of the newest records of a topic.
 
     Attributes:
+        items: Encoded items, so that an invalid one does not cost the others.
         truncated: Whether more pages follow.
         end: End offset of the topic when the page was read.
     """
 
-    items: tuple[NewestItem, ...]
+    items: tuple[msgspec.Raw, ...]
     truncated: bool
-    end: Offset
+    end: WireOffset
 
 
 class StoreAppendResponse(msgspec.Struct, frozen=True):
     """Response to an append, with the offset of its first record."""
 
-    offset: Offset
+    offset: WireOffset
 
 
 class StoreClient(KeyedStore):
@@ -124,11 +132,14 @@
             if read.is_error():
                 return Error(read.error)
             page: NewestRecordsResponse = read.ok
-            records.extend(map(read_item, page.items))
-            end = page.end if end is None else end
-            if not page.truncated or not page.items:
+            found = read_items(page.items)
+            records.extend(found)
+            end = Offset(page.end) if end is None else end
+            if not page.truncated:
                 return Ok(Listing(tuple(records), end))
-            after = page.items[-1].key
+            if not found or found[-1].key == after:
+                return Error(unavailable_failure('log-newest: no progress'))
+            after = found[-1].key
 
     async def read_page(
         self,
@@ -141,12 +152,11 @@
         status, body = called.ok
         if status != HTTPStatus.OK:
             return Error(unavailable_failure(f'log-newest: status {status}'))
-        try:
-            return Ok(msgspec.json.decode(body, type=NewestRecordsResponse))
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return Error(
-                unavailable_failure(f'log-newest: invalid response: {error}')
+        return decode_json(body, NewestRecordsResponse).map_error(
+            lambda failure: unavailable_failure(
+                f'log-newest: invalid response: {failure.detail}'
             )
+        )
 
     async def changes(
         self,
@@ -220,13 +230,11 @@
         status, body = called.ok
         if status != HTTPStatus.OK:
             return Error(unavailable_failure(f'log-append: status {status}'))
-        try:
-            return Ok(
-                msgspec.json.decode(body, type=StoreAppendResponse).offset
-            )
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            detail = f'log-append: invalid response: {error}'
+        decoded = decode_json(body, StoreAppendResponse)
+        if decoded.is_error():
+            detail = f'log-append: invalid response: {decoded.error.detail}'
             return Error(Failure(ErrorKind.PLATFORM_UNKNOWN, detail))
+        return Ok(Offset(decoded.ok.offset))
 
     async def call(
         self,
@@ -306,13 +314,24 @@
         return decode_server_entry(ServerId(record.key), record.payload)
 
 
+def read_items(items: 'Iterable[msgspec.Raw]') -> list[KeyedRecord]:
+    """Return the records of a page; log the items that are not valid."""
+    decoded = [decode_json(bytes(item), NewestItem) for item in items]
+    rejected = [each.error.detail for each in decoded if each.is_error()]
+    if rejected:
+        logging.warning(
+            'store_items_rejected %d, first: %s', len(rejected), rejected[0]
+        )
+    return [read_item(each.ok) for each in decoded if each.is_ok()]
+
+
 def read_item(item: NewestItem) -> KeyedRecord:
     """Return the record of an item; a value not in base64 stays as it is."""
     try:
         payload = base64.b64decode(item.value, validate=True)
     except ValueError:
         payload = item.value.encode()
-    return KeyedRecord(item.key, payload, item.offset)
+    return KeyedRecord(item.key, payload, Offset(item.offset))
 
 
 def unavailable_failure(detail: str) -> Failure:
