Leave out routers with addresses that cannot be used

Cause: records of routers could state host names, 999.9.9.9, ports such as 65536 or -1 and digits of other scripts. uvloop raises ValueError when a datagram is sent to an address without an IPv4 host, which ends the task that sends all load reports (measured with uvloop alone: "socket family mismatch or a DNS lookup is required"). A deeply nested record raised RecursionError in the task that reads the records.

--- a/src/pollenloom/catalogue/store_fleet_directory.py
+++ b/src/pollenloom/catalogue/store_fleet_directory.py
@@ -1,17 +1,20 @@
 """Fleet directory from the records that routers write to the store."""
 
 import asyncio
-from typing import Final
+from functools import partial
+from typing import Annotated, Final
 
 import msgspec
 from absl import logging
+from expression import Result
 
 from pollenloom.catalogue.fleet_directory import FleetDirectory
 from pollenloom.catalogue.keyed_record import KeyedRecord, Listing
 from pollenloom.catalogue.keyed_store import KeyedStore
 from pollenloom.catalogue.store_topic import StoreTopic
 from pollenloom.catalogue.topic_follower import TopicFollower
-from pollenloom.core.host_port import split_address
+from pollenloom.core.failure import Failure
+from pollenloom.core.host_port import split_address, split_ipv4_address
 from pollenloom.core.ids import DataCentreId, VmId
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
@@ -20,6 +23,7 @@
 from pollenloom.routing.fleet_position import FleetPosition
 from pollenloom.routing.fleet_router import FleetRouter
 from pollenloom.settings.node_settings import NodeSettings
+from pollenloom.validation.untrusted_bytes import checked, decode_json
 
 # Writes cost money, and a router that is counted although it has failed only
 # makes the shares of the others too small.
@@ -38,6 +42,8 @@
 READ_PAUSE_SECONDS: Final = 6.0
 # Age up to which relayed records are used instead of a read of the store.
 MAX_AGE_SECONDS: Final = 20.0
+# Cores of the largest machines are some hundreds.
+MAX_CAPACITY: Final = 65_536
 
 
 class RouterRecord(msgspec.Struct, frozen=True):
@@ -52,10 +58,27 @@
 
     peers: str
     data_centre: DataCentreId
-    capacity: float
+    capacity: Annotated[float, msgspec.Meta(ge=0, le=MAX_CAPACITY)]
     is_leaving: bool = False
 
 
+def read_router(
+    vm: VmId, record: RouterRecord
+) -> Result[FleetRouter | None, Failure]:
+    """Return the router of a record; None if it is about to stop.
+
+    Errors:
+        PROTOCOL_ERROR: The address is not valid.
+    """
+    return checked(lambda: split_ipv4_address(record.peers)).map(
+        lambda address: (
+            None
+            if record.is_leaving
+            else FleetRouter(vm, record.data_centre, address, record.capacity)
+        )
+    )
+
+
 class StoreFleetDirectory(FleetDirectory):
     """Routers by their records, kept during an outage of the store.
 
@@ -178,23 +201,19 @@
 
     def apply_record(self, vm: VmId, payload: bytes, now: float) -> None:
         """Apply one record; remove the router if it leaves or it is invalid."""
-        try:
-            record = msgspec.json.decode(payload, type=RouterRecord)
-            address = split_address(record.peers)
-        except (msgspec.DecodeError, ValueError) as error:
-            logging.warning('census_record_rejected %s: %s', vm, error)
+        decoded = decode_json(payload, RouterRecord).bind(
+            partial(read_router, vm)
+        )
+        if decoded.is_error():
+            detail = decoded.error.detail
+            logging.warning('census_record_rejected %r: %s', vm, detail)
             self.remove(vm)
             return
-        if record.is_leaving:
+        if decoded.ok is None:
             self.remove(vm)
             return
         self.received_at[vm] = now
-        self.known_routers[vm] = FleetRouter(
-            vm,
-            record.data_centre,
-            address,
-            record.capacity,
-        )
+        self.known_routers[vm] = decoded.ok
 
     def remove(self, vm: VmId) -> None:
         """Remove a router; this one stays among the known routers."""
