Reject datagrams with numbers that raise or spread

Cause: amounts of load reports could be infinite or no number. `int` of such a load raises in the request that uses it, and sums and differences pass it on to the whole fleet. An update of a topic with an infinite negative age made its receiver believe that it need not read the store any more; facts with no number as age never expired, and were passed on as new.

Change: decode_message uses decode_cbor. Amounts, ages, offsets, report numbers, numbers of routers and named rates have bounds, constants with their reasons. A datagram beyond them is logged as rejected, as others that do not decode.

--- a/src/pollenloom/catalogue/fact_message.py
+++ b/src/pollenloom/catalogue/fact_message.py
@@ -1,7 +1,7 @@
 """Encoded form of the facts that routers share."""
 
 from collections.abc import Iterable
-from typing import Generic, TypeVar
+from typing import Annotated, Final, Generic, TypeVar
 
 import msgspec
 
@@ -10,6 +10,9 @@
 from pollenloom.routing.prompt_facts import PartAnswer, PromptBlock, PromptCrash
 from pollenloom.routing.shared_fact import SharedFact
 
+# All facts expire much earlier; see `FleetFacts`.
+MAX_AGE_SECONDS: Final = 1_000_000
+
 ContentT = TypeVar('ContentT')
 
 
@@ -25,7 +28,7 @@
 
     fact_id: str
     key: str
-    age: float
+    age: Annotated[float, msgspec.Meta(ge=0, le=MAX_AGE_SECONDS)]
     content: ContentT
 
 
--- a/src/pollenloom/catalogue/load_message.py
+++ b/src/pollenloom/catalogue/load_message.py
@@ -1,6 +1,6 @@
 """Datagrams in which routers exchange load reports, topic updates and facts."""
 
-from typing import Final
+from typing import Annotated, Final
 
 import cbor2
 import msgspec
@@ -14,6 +14,10 @@
 from pollenloom.core.ids import DataCentreId, ServiceId, VmId
 from pollenloom.routing.load_sum import LoadSum
 from pollenloom.routing.service_load import ServiceLoad
+from pollenloom.validation.untrusted_bytes import decode_cbor
+
+# Ten reports a second do not reach 64 bits.
+MAX_NUMBER: Final = 2**63 - 1
 
 
 class RouterLoadMessage(msgspec.Struct, frozen=True, tag='report'):
@@ -27,7 +31,7 @@
     """
 
     router: VmId
-    number: int
+    number: Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
     loads: dict[ServiceId, ServiceLoad]
     wants_sum: bool = False
 
@@ -72,13 +76,19 @@
 
 def decode_message(content: bytes) -> Result[LoadMessage, Failure]:
     """Decode a datagram from any sender; PROTOCOL_ERROR if it is invalid."""
-    try:
-        return Ok(
-            msgspec.convert(
-                cbor2.loads(content),
-                LoadMessage,
-                builtin_types=NATIVE_TYPES,
-            )
-        )
-    except (cbor2.CBORDecodeError, msgspec.ValidationError) as error:
-        return Error(Failure(ErrorKind.PROTOCOL_ERROR, repr(error)))
+    return decode_cbor(content, LoadMessage, NATIVE_TYPES).bind(check_loads)
+
+
+def check_loads(message: LoadMessage) -> Result[LoadMessage, Failure]:
+    """Return a message whose loads are valid, else PROTOCOL_ERROR."""
+    is_valid = True
+    if isinstance(message, RouterLoadMessage):
+        is_valid = all(load.is_valid for load in message.loads.values())
+    elif isinstance(message, DataCentreLoadMessage):
+        is_valid = message.part.is_valid
+    elif isinstance(message, FleetLoadMessage):
+        is_valid = message.total.is_valid
+    if is_valid:
+        return Ok(message)
+    detail = 'a load is not a number or out of range'
+    return Error(Failure(ErrorKind.PROTOCOL_ERROR, detail))
--- a/src/pollenloom/catalogue/topic_state.py
+++ b/src/pollenloom/catalogue/topic_state.py
@@ -2,7 +2,9 @@
 
 from collections import deque
 from dataclasses import dataclass
-from typing import Final
+from typing import Annotated, Final
+
+import msgspec
 
 from pollenloom.catalogue.keyed_record import KeyedRecord
 from pollenloom.core.ids import Offset
@@ -10,6 +12,10 @@
 # Each change is sent for this long, in ten datagrams, so that single lost
 # datagrams do not matter.
 RESEND_SECONDS: Final = 1.0
+# Offsets have 64 bits in the store.
+MAX_OFFSET: Final = 2**63 - 1
+# Topics are relayed for at most 20 s after a read; see `StoreFleetDirectory`.
+MAX_SENT_AGE_SECONDS: Final = 60
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,9 +47,9 @@
         records: Records from `start` on that changed something.
     """
 
-    start: Offset
-    next_offset: Offset
-    age: float
+    start: Annotated[Offset, msgspec.Meta(ge=0, le=MAX_OFFSET)]
+    next_offset: Annotated[Offset, msgspec.Meta(ge=0, le=MAX_OFFSET)]
+    age: Annotated[float, msgspec.Meta(ge=0, le=MAX_SENT_AGE_SECONDS)]
     records: tuple[KeyedRecord, ...]
 
 
--- a/src/pollenloom/platform/platform_header_codec.py
+++ b/src/pollenloom/platform/platform_header_codec.py
@@ -13,6 +13,7 @@
 from pollenloom.gateway.raw_request import RawRequest
 from pollenloom.gateway.server_event import ResponseHead
 from pollenloom.platform import wire_names
+from pollenloom.routing.named_limit import MAX_RATE
 from pollenloom.routing.request_metadata import PromptPart, RequestMetadata
 
 
@@ -103,7 +104,8 @@
 
     def request_limit(self, head: ResponseHead) -> float | None:
         """Requests a second that the server takes; None if not limited."""
-        return parse_number(find_header(head.headers, wire_names.SERVER_LIMIT))
+        limit = parse_number(find_header(head.headers, wire_names.SERVER_LIMIT))
+        return None if limit is None else min(limit, MAX_RATE)
 
     def rejection_headers(self, retry_after: float | None) -> Iterable[Header]:
         """Return the headers of a response that rejects a request.
--- a/src/pollenloom/routing/load_sum.py
+++ b/src/pollenloom/routing/load_sum.py
@@ -2,10 +2,14 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import Final
 
 from pollenloom.core.ids import ServiceId, VmId
 from pollenloom.routing.service_load import ServiceLoad, add_loads
 
+# Fleets of some hundred routers are planned.
+MAX_ROUTERS: Final = 65_536
+
 
 @dataclass(frozen=True, slots=True)
 class LoadSum:
@@ -22,6 +26,13 @@
     numbers: Mapping[VmId, int] = field(default_factory=dict)
     loads: Mapping[ServiceId, ServiceLoad] = field(default_factory=dict)
 
+    @property
+    def is_valid(self) -> bool:
+        """Whether all numbers are such that routers can compute with them."""
+        return 0 <= self.routers <= MAX_ROUTERS and all(
+            load.is_valid for load in self.loads.values()
+        )
+
 
 def add_sums(local: LoadSum, remote: Iterable[LoadSum]) -> LoadSum:
     """Add the sums of other data centres to that of the local one.
--- a/src/pollenloom/routing/service_load.py
+++ b/src/pollenloom/routing/service_load.py
@@ -2,10 +2,15 @@
 
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import TypeVar
+from math import hypot
+from typing import Final, TypeVar
 
 from pollenloom.core.ids import AccountId, ResponseClass, ServerId, ServiceId
 
+# Integers up to here are exact in floating point. Sums of larger amounts could
+# become infinite, and differences of these are no numbers.
+MAX_AMOUNT: Final = 2**53
+
 KeyT = TypeVar('KeyT', bound=str)
 Amounts = Mapping[KeyT, float]
 
@@ -32,6 +37,26 @@
     demand: Mapping[ServiceId, float] = field(default_factory=dict)
     answers: Mapping[ServiceId, float] = field(default_factory=dict)
 
+    @property
+    def is_valid(self) -> bool:
+        """Whether all amounts are numbers with which routers can compute.
+
+        The result of `hypot` is at least as large as each amount, and infinite
+        or no number if one of them is; it is faster than a sum of `abs`.
+        """
+        return all(
+            hypot(*amounts.values()) <= MAX_AMOUNT
+            for amounts in (
+                self.unread,
+                self.running,
+                self.usage,
+                self.refused,
+                self.responses,
+                self.demand,
+                self.answers,
+            )
+        )
+
     def minus(self, part: 'ServiceLoad') -> 'ServiceLoad':
         """Return the load without the part of one router."""
         return ServiceLoad(
--- a/tests/platform/test_platform_header_codec.py
+++ b/tests/platform/test_platform_header_codec.py
@@ -7,6 +7,7 @@
 from pollenloom.gateway.raw_request import RawRequest
 from pollenloom.gateway.server_event import ResponseHead
 from pollenloom.platform.platform_header_codec import PlatformHeaderCodec
+from pollenloom.routing.named_limit import MAX_RATE
 
 
 def make_request(*headers: Header) -> RawRequest:
@@ -111,7 +112,14 @@
 
 @pytest.mark.parametrize(
     ('text', 'rate'),
-    [(b'6.25', 6.25), (b'0', 0), (b'x', None), (b'inf', None), (None, None)],
+    [
+        (b'6.25', 6.25),
+        (b'0', 0),
+        (b'1e308', MAX_RATE),
+        (b'x', None),
+        (b'inf', None),
+        (None, None),
+    ],
 )
 def test_request_limit_is_decoded(
     header_codec: PlatformHeaderCodec, text: bytes | None, rate: float | None
