Bound the numbers in headers of requests and responses

Cause: a token count such as 1e308 became an integer of 309 digits, which cannot be converted to floating point with another added. The OverflowError ended the task of the caller's connection, so that the caller got no answer. Keep-Alive with 400 digits was read as infinity.

--- a/src/pollenloom/gateway/headers.py
+++ b/src/pollenloom/gateway/headers.py
@@ -27,6 +27,9 @@
         b'expect',
     )
 )
+# A day. Idle connections are closed much earlier by servers, and by networks
+# between, and many digits would make the time infinite.
+MAX_KEEP_ALIVE_SECONDS: Final = 86_400.0
 LINE_END: Final = b'\r\n'
 
 
@@ -54,5 +57,5 @@
     for part in value.split(b','):
         name, _, seconds = part.strip().partition(b'=')
         if name.lower() == b'timeout' and seconds.strip().isdigit():
-            return float(seconds)
+            return min(float(seconds), MAX_KEEP_ALIVE_SECONDS)
     return None
--- a/src/pollenloom/platform/platform_header_codec.py
+++ b/src/pollenloom/platform/platform_header_codec.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Iterable
 from http import HTTPStatus
+from typing import Final
 
 from absl import logging
 
@@ -16,6 +17,12 @@
 from pollenloom.routing.named_limit import MAX_RATE
 from pollenloom.routing.request_metadata import PromptPart, RequestMetadata
 
+# As for bodies of the own interface. Larger numbers, of which one caller could
+# state any, would make the usage of its account infinite.
+MAX_TOKENS: Final = 10_000_000
+# A day; requests and cold starts take seconds to minutes.
+MAX_MILLISECONDS: Final = 86_400_000.0
+
 
 class PlatformHeaderCodec(HeaderCodec):
     """Reads and writes the headers that `wire_names` lists."""
@@ -29,8 +36,10 @@
         """
         headers = dict(request.headers)
         prompt, output = parse_token_usage(headers.get(wire_names.TOKEN_USAGE))
-        hint = parse_number(headers.get(wire_names.LENGTH_HINT))
-        remaining_ms = parse_number(headers.get(wire_names.DEADLINE_MS))
+        hint = parse_tokens(headers.get(wire_names.LENGTH_HINT))
+        remaining_ms = parse_number(
+            headers.get(wire_names.DEADLINE_MS), MAX_MILLISECONDS
+        )
         return RequestMetadata(
             request_id=header_text(headers, wire_names.ATTEMPT_ID),
             api_key=header_text(headers, wire_names.API_KEY),
@@ -38,7 +47,7 @@
             if remaining_ms is None
             else remaining_ms / MILLISECONDS_PER_SECOND,
             prompt_tokens=prompt,
-            output_tokens=output if hint is None else int(hint),
+            output_tokens=output if hint is None else hint,
             parts=parse_prompt_parts(headers.get(wire_names.PROMPT_PREFIX)),
             last_event_id=header_text(headers, wire_names.LAST_EVENT_ID),
         )
@@ -99,13 +108,14 @@
 
     def cold_seconds(self, head: ResponseHead) -> float:
         """Seconds until the server is warm; 0 if it reports none."""
-        cold = parse_number(find_header(head.headers, wire_names.COLD_MS))
+        text = find_header(head.headers, wire_names.COLD_MS)
+        cold = parse_number(text, MAX_MILLISECONDS)
         return 0 if cold is None else cold / MILLISECONDS_PER_SECOND
 
     def request_limit(self, head: ResponseHead) -> float | None:
         """Requests a second that the server takes; None if not limited."""
-        limit = parse_number(find_header(head.headers, wire_names.SERVER_LIMIT))
-        return None if limit is None else min(limit, MAX_RATE)
+        text = find_header(head.headers, wire_names.SERVER_LIMIT)
+        return parse_number(text, MAX_RATE)
 
     def rejection_headers(self, retry_after: float | None) -> Iterable[Header]:
         """Return the headers of a response that rejects a request.
@@ -123,8 +133,8 @@
     return headers.get(name, b'').decode('latin-1').strip()
 
 
-def parse_number(text: bytes | None) -> float | None:
-    """Return the number in a header value, at least 0.
+def parse_number(text: bytes | None, largest: float) -> float | None:
+    """Return the number in a header value, at least 0 and at most `largest`.
 
     None if the header is missing or holds no number.
     """
@@ -137,15 +147,21 @@
     if not math.isfinite(number):
         logging.warning('header_ignored, not a number: %r', text[:40])
         return None
-    return max(0, number)
+    return min(max(0, number), largest)
+
+
+def parse_tokens(text: bytes | None) -> int | None:
+    """Return the number of tokens in a header value; None if it has none."""
+    number = parse_number(text, MAX_TOKENS)
+    return None if number is None else int(number)
 
 
 def parse_token_usage(text: bytes | None) -> tuple[int, int]:
     """Return prompt tokens and maximum output tokens; 0 where missing."""
     prompt, _, output = (text or b'').partition(b',')
     return (
-        int(parse_number(prompt) or 0) if prompt else 0,
-        int(parse_number(output) or 0) if output else 0,
+        parse_tokens(prompt or None) or 0,
+        parse_tokens(output or None) or 0,
     )
 
 
@@ -157,6 +173,6 @@
         if not part:
             continue
         parts.append(
-            PromptPart(part.decode('latin-1'), int(parse_number(tokens) or 0)),
+            PromptPart(part.decode('latin-1'), parse_tokens(tokens) or 0),
         )
     return tuple(parts)
--- a/tests/platform/test_platform_header_codec.py
+++ b/tests/platform/test_platform_header_codec.py
@@ -1,12 +1,22 @@
 """Tests of the headers of callers and backend servers."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from pollenloom.core.ids import AccountId, ServerId
-from pollenloom.gateway.headers import Header
+from pollenloom.gateway.headers import (
+    MAX_KEEP_ALIVE_SECONDS,
+    Header,
+    keep_alive_seconds,
+)
 from pollenloom.gateway.raw_request import RawRequest
 from pollenloom.gateway.server_event import ResponseHead
-from pollenloom.platform.platform_header_codec import PlatformHeaderCodec
+from pollenloom.platform.platform_header_codec import (
+    MAX_MILLISECONDS,
+    MAX_TOKENS,
+    PlatformHeaderCodec,
+)
 from pollenloom.routing.named_limit import MAX_RATE
 
 
@@ -110,6 +120,42 @@
     assert metadata.prompt_tokens >= 0
 
 
+@given(
+    st.one_of(
+        st.binary(max_size=30),
+        st.floats().map(lambda number: repr(number).encode()),
+        st.integers().map(lambda number: b'%d' % number),
+        st.sampled_from((b'9' * 400, b'9' * 5000, b'1e308', b'-1e308')),
+    )
+)
+def test_odd_numbers_are_read_within_bounds(text: bytes) -> None:
+    """Guards against numbers that overflow in the arithmetic of admission."""
+    header_codec = PlatformHeaderCodec()
+    prefix = b'aa:%b,bb:%b' % (text, text)
+    metadata = header_codec.read_metadata(
+        make_request(
+            (b'x-pollenloom-token-usage', b'%b,%b' % (text, text)),
+            (b'x-pollenloom-length-hint', text),
+            (b'x-pollenloom-prompt-prefix', prefix),
+            (b'x-pollenloom-deadline-ms', text),
+        )
+    )
+    headers = (
+        (b'server-limit', text),
+        (b'x-pollenloom-cold-ms', text),
+        (b'keep-alive', b'timeout=%b' % text),
+    )
+    head = ResponseHead(200, headers, is_framed=True)
+    assert 0 <= metadata.prompt_tokens <= MAX_TOKENS
+    assert 0 <= metadata.output_tokens <= MAX_TOKENS
+    assert all(0 <= part.tokens <= MAX_TOKENS for part in metadata.parts)
+    assert 0 <= (metadata.timeout_seconds or 0) <= MAX_MILLISECONDS
+    assert 0 <= (header_codec.request_limit(head) or 0) <= MAX_RATE
+    assert 0 <= header_codec.cold_seconds(head) <= MAX_MILLISECONDS
+    keep_alive = keep_alive_seconds(headers) or 0
+    assert 0 <= keep_alive <= MAX_KEEP_ALIVE_SECONDS
+
+
 @pytest.mark.parametrize(
     ('text', 'rate'),
     [
