--- a/src/pollenloom/admission/engine_reports/cache_event.py
+++ b/src/pollenloom/admission/engine_reports/cache_event.py
@@ -1,9 +1,14 @@
 """Changes of an engine's prefix cache."""
 
 from enum import Enum, unique
+from typing import Annotated, Final
 
 import msgspec
 
+# Numbers of events have 64 bits.
+MAX_SEQUENCE: Final = 2**63 - 1
+Sequence = Annotated[int, msgspec.Meta(ge=0, le=MAX_SEQUENCE)]
+
 
 @unique
 class CacheEventKind(Enum):
@@ -22,7 +27,7 @@
         hashes: 64-bit hashes of the prefixes.
     """
 
-    sequence: int
+    sequence: Sequence
     kind: CacheEventKind
     hashes: tuple[int, ...]
 
@@ -36,4 +41,4 @@
     """
 
     events: tuple[CacheEvent, ...]
-    next: int
+    next: Sequence
--- a/src/pollenloom/admission/engine_reports/engine_load_report.py
+++ b/src/pollenloom/admission/engine_reports/engine_load_report.py
@@ -1,7 +1,13 @@
 """Load that a backend server reports."""
 
+from typing import Annotated, Final
+
 import msgspec
 
+# Integers up to here are exact in floating point and in JSON of any program.
+MAX_COUNT: Final = 2**53
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+
 
 class EngineLoadReport(msgspec.Struct, frozen=True, kw_only=True):
     """Response to `GET /load`; describes the server at an earlier time.
@@ -16,11 +22,11 @@
             report without it is dated to the start of the poll.
     """
 
-    running: int
-    waiting: int = 0
+    running: Count
+    waiting: Count = 0
     cold: bool = False
     leaving: bool = False
-    highest_fencing_number: int = 0
+    highest_fencing_number: Count = 0
     as_of: float | None = None
 
     @property
--- a/src/pollenloom/admission/engine_reports/http_engine_reports.py
+++ b/src/pollenloom/admission/engine_reports/http_engine_reports.py
@@ -5,8 +5,7 @@
 from typing import Final, TypeVar
 
 import aiohttp
-import msgspec
-from expression import Error, Ok, Result
+from expression import Error, Result
 
 from pollenloom.admission.engine_reports.cache_event import CacheEventPage
 from pollenloom.admission.engine_reports.engine_load_report import (
@@ -18,6 +17,7 @@
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.settings.router_settings import RouterSettings
 from pollenloom.transport.shielded_connector import ShieldedConnector
+from pollenloom.validation.untrusted_bytes import decode_json
 
 REQUEST_TIMEOUT_SECONDS: Final = 1.0
 # Room for 10,000 events with 16 hashes each, which a new pool owner reads once.
@@ -90,10 +90,11 @@
             return Error(poll_failed(f'GET {url}: {error!r}'))
         if status != HTTPStatus.OK:
             return Error(poll_failed(f'GET {url}: status {status}'))
-        try:
-            return Ok(msgspec.json.decode(body, type=response_type))
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return Error(poll_failed(f'GET {url}: invalid response: {error}'))
+        return decode_json(body, response_type).map_error(
+            lambda failure: poll_failed(
+                f'GET {url}: invalid response: {failure.detail}'
+            )
+        )
 
 
 async def read_bounded(response: aiohttp.ClientResponse) -> bytes:
--- a/src/pollenloom/configuration/data_centre_register.py
+++ b/src/pollenloom/configuration/data_centre_register.py
@@ -6,6 +6,7 @@
 from pollenloom.core.ids import DataCentreId, VmId
 from pollenloom.core.states import DataCentreState
 from pollenloom.membership.register_value import RegisterValue
+from pollenloom.validation.untrusted_bytes import decode_json
 
 DATA_CENTRE_PREFIX = 'data_centre/'
 
@@ -33,16 +34,12 @@
     Raises:
         ValueError: If the payload is not a valid data centre state.
     """
-    try:
-        payload = msgspec.json.decode(
-            register.payload,
-            type=DataCentrePayload,
-        )
-    except msgspec.DecodeError as error:
-        raise ValueError(f'invalid data centre state: {error}') from error
+    decoded = decode_json(register.payload, DataCentrePayload)
+    if decoded.is_error():
+        raise ValueError(f'invalid data centre state: {decoded.error.detail}')
     return DataCentreChange(
         data_centre=DataCentreId(key.removeprefix(DATA_CENTRE_PREFIX)),
-        state=payload.state,
+        state=decoded.ok.state,
         counter=register.counter,
         origin=VmId(register.origin),
     )
--- a/src/pollenloom/dispatch/refusal.py
+++ b/src/pollenloom/dispatch/refusal.py
@@ -4,10 +4,12 @@
 from typing import Final
 
 import msgspec
+from absl import logging
 
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.states import Outcome, RunStatus
 from pollenloom.dispatch.attempt_failure import AttemptFailure
+from pollenloom.validation.untrusted_bytes import decode_json
 
 REFUSAL_STATUSES: Final = frozenset(
     (
@@ -37,10 +39,11 @@
     """
     if status not in REFUSAL_STATUSES:
         return None
-    try:
-        refusal = msgspec.json.decode(body, type=RefusalBody)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    decoded = decode_json(body, RefusalBody)
+    if decoded.is_error():
+        logging.info('refusal_not_read: %s', decoded.error.detail)
         return None
+    refusal = decoded.ok
     if refusal.run != RunStatus.NO.value:
         return None
     return AttemptFailure(
--- a/src/pollenloom/log_service/http_platform.py
+++ b/src/pollenloom/log_service/http_platform.py
@@ -14,6 +14,7 @@
 from pollenloom.log_service.platform import Platform
 from pollenloom.log_service.vm_entry import VmList
 from pollenloom.transport.shielded_connector import ShieldedConnector
+from pollenloom.validation.untrusted_bytes import decode_json
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -131,12 +132,11 @@
             return Error(unavailable_failure(f'GET {path}: {error!r}'))
         if status != HTTPStatus.OK:
             return Error(unavailable_failure(f'GET {path}: status {status}'))
-        try:
-            return Ok(msgspec.json.decode(body, type=response_type))
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return Error(
-                unavailable_failure(f'GET {path}: invalid response: {error}')
+        return decode_json(body, response_type).map_error(
+            lambda failure: unavailable_failure(
+                f'GET {path}: invalid response: {failure.detail}'
             )
+        )
 
 
 def parse_append_response(status: int, body: bytes) -> Result[Offset, Failure]:
@@ -150,11 +150,11 @@
         return Error(unavailable_failure(f'append rejected: status {status}'))
     if status != HTTPStatus.OK:
         return Error(unknown_failure(f'append: status {status}'))
-    try:
-        response = msgspec.json.decode(body, type=LogAppendResponse)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Error(unknown_failure(f'append: invalid response: {error}'))
-    return Ok(response.offset)
+    decoded = decode_json(body, LogAppendResponse)
+    if decoded.is_error():
+        detail = decoded.error.detail
+        return Error(unknown_failure(f'append: invalid response: {detail}'))
+    return Ok(decoded.ok.offset)
 
 
 def is_rejection(status: int) -> bool:
--- a/src/pollenloom/log_service/log_position.py
+++ b/src/pollenloom/log_service/log_position.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from pollenloom.core.ids import Offset, VmId
+from pollenloom.validation.untrusted_bytes import decode_cbor
 
 
 class LogPosition(msgspec.Struct, frozen=True, kw_only=True):
@@ -29,7 +30,8 @@
     Raises:
         ValueError: If the payload is not a valid position.
     """
-    try:
-        return msgspec.convert(cbor2.loads(payload), LogPosition)
-    except (cbor2.CBORDecodeError, msgspec.MsgspecError) as error:
-        raise ValueError(f'invalid log position: {error}') from error
+    decoded = decode_cbor(payload, LogPosition)
+    if decoded.is_error():
+        raise ValueError(f'invalid log position: {decoded.error.detail}')
+    position: LogPosition = decoded.ok
+    return position
