Log a rejected record once for its fault, and count all

Cause: rejected records were remembered by key and whole payload, so that up to 500 payloads of any size stayed in memory, and an odd entry that its writer repeats with another `seq` was logged at each heartbeat. States of moves and records of routers were logged each time that they were read.

--- a/src/pollenloom/catalogue/store_catalogue.py
+++ b/src/pollenloom/catalogue/store_catalogue.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable
 from typing import Final
 
-from absl import logging
-
 from pollenloom.catalogue.catalogue import Catalogue
 from pollenloom.catalogue.keyed_record import KeyedRecord, Listing
 from pollenloom.catalogue.keyed_store import KeyedStore
@@ -14,6 +12,7 @@
     MoveOrder,
     NewConfiguration,
 )
+from pollenloom.catalogue.rejected_records import RejectedRecords
 from pollenloom.catalogue.store_topic import StoreTopic
 from pollenloom.catalogue.topic_follower import TopicFollower
 from pollenloom.core.ids import DataCentreId, ServerId, ServiceId
@@ -26,9 +25,6 @@
 
 # Interval of checks for removals that take effect later.
 SWEEP_SECONDS: Final = 0.1
-# Rejected records that are remembered, so that each is logged once. At this
-# number all are forgotten, and some are logged again.
-MAX_REJECTED_RECORDS: Final = 500
 
 
 class StoreCatalogue(Catalogue):
@@ -37,7 +33,7 @@
     Attributes:
         listeners: Called after each change.
         read_topics: Topics that were read at least once.
-        rejected: Key and payload of records that were logged as rejected.
+        rejected: Records that could not be decoded.
     """
 
     def __init__(self, kernel: Kernel) -> None:
@@ -47,7 +43,7 @@
         self.move_orders: dict[ServiceId, MoveOrder] = {}
         self.listeners: list[Callable[[], None]] = []
         self.read_topics: set[StoreTopic] = set()
-        self.rejected: set[tuple[str, bytes]] = set()
+        self.rejected = RejectedRecords('store_record_rejected')
 
     async def start(self) -> None:
         """Start to read; the store may be unavailable."""
@@ -249,19 +245,9 @@
         )
 
     def log_rejected(self, record: KeyedRecord, detail: str) -> None:
-        """Log a record that cannot be decoded, once for each content."""
-        content = (record.key, record.payload)
-        if content in self.rejected:
-            return
-        if len(self.rejected) >= MAX_REJECTED_RECORDS:
-            self.rejected.clear()
-        self.rejected.add(content)
-        logging.warning(
-            'store_record_rejected key %r offset %s: %s',
-            record.key,
-            record.offset,
-            detail,
-        )
+        """Count a record that cannot be decoded, and log it once."""
+        now = self.kernel.clock.monotonic()
+        self.rejected.add(record.key, detail, now)
 
     def drop_removed(self, now: float) -> None:
         """Drop servers whose removal took effect."""
--- a/src/pollenloom/catalogue/store_fleet_directory.py
+++ b/src/pollenloom/catalogue/store_fleet_directory.py
@@ -11,6 +11,7 @@
 from pollenloom.catalogue.fleet_directory import FleetDirectory
 from pollenloom.catalogue.keyed_record import KeyedRecord, Listing
 from pollenloom.catalogue.keyed_store import KeyedStore
+from pollenloom.catalogue.rejected_records import RejectedRecords
 from pollenloom.catalogue.store_topic import StoreTopic
 from pollenloom.catalogue.topic_follower import TopicFollower
 from pollenloom.core.failure import Failure
@@ -88,6 +89,7 @@
         known_routers: Routers with a record, and this one.
         recorded_size: Size of the fleet in the latest event.
         is_read: Whether the records were read at least once.
+        rejected: Records that could not be decoded.
     """
 
     def __init__(self, kernel: Kernel, settings: NodeSettings) -> None:
@@ -99,6 +101,7 @@
         }
         self.recorded_size = 0
         self.is_read = False
+        self.rejected = RejectedRecords('census_record_rejected')
 
     async def start(self) -> None:
         """Start to write the record of this router and to read all records."""
@@ -205,8 +208,7 @@
             partial(read_router, vm)
         )
         if decoded.is_error():
-            detail = decoded.error.detail
-            logging.warning('census_record_rejected %r: %s', vm, detail)
+            self.rejected.add(vm, decoded.error.detail, now)
             self.remove(vm)
             return
         if decoded.ok is None:
--- a/src/pollenloom/moves/store_moves.py
+++ b/src/pollenloom/moves/store_moves.py
@@ -13,6 +13,7 @@
 from pollenloom.catalogue.load_exchange import LoadExchange
 from pollenloom.catalogue.move_status import MoveStatus
 from pollenloom.catalogue.operator_change import MoveOrder
+from pollenloom.catalogue.rejected_records import RejectedRecords
 from pollenloom.catalogue.store_topic import StoreTopic
 from pollenloom.catalogue.topic_follower import TopicFollower
 from pollenloom.core.ids import ResponseClass, ServiceId, VersionId, VmId
@@ -54,6 +55,7 @@
         counters: Counts of this router, by service.
         follower: Reader of the states; None before the first order.
         is_read: Whether the states were read.
+        rejected: States that could not be decoded.
     """
 
     def __init__(self, kernel: Kernel, settings: NodeSettings) -> None:
@@ -64,6 +66,7 @@
         self.counters: dict[ServiceId, ResponseCounter] = {}
         self.follower: TopicFollower | None = None
         self.is_read = False
+        self.rejected = RejectedRecords('store_record_rejected')
 
     async def start(self) -> None:
         """Find the other services and follow the orders."""
@@ -146,11 +149,10 @@
         for record in listing.records:
             decoded = self.store.read_move_status(record)
             if decoded.is_error():
-                logging.warning(
-                    'store_record_rejected key %r offset %s: %s',
+                self.rejected.add(
                     record.key,
-                    record.offset,
                     decoded.error.detail,
+                    self.kernel.clock.monotonic(),
                 )
             elif decoded.ok is not None:
                 self.apply_state(decoded.ok)
--- a/tests/catalogue/test_odd_entries.py
+++ b/tests/catalogue/test_odd_entries.py
@@ -5,8 +5,10 @@
 from types import MappingProxyType
 
 import msgspec
+import pytest
 
 from pollenloom.catalogue.store_catalogue import StoreCatalogue
+from pollenloom.catalogue.store_topic import StoreTopic
 from pollenloom.core.ids import ServerId
 from pollenloom_standins.worker.responses import server_entry
 from tests.catalogue.conftest import SERVER, SERVICE, CatalogueFleet
@@ -95,3 +97,21 @@
     await fleet.wait_for(
         lambda: catalogue.directory.servers[SERVER].entry.version == 'v2'
     )
+
+
+async def test_odd_entries_are_logged_once_and_not_kept(
+    fleet: CatalogueFleet, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a line and a copy of each heartbeat of a faulty writer."""
+    await fleet.add(1)
+    catalogue = fleet.catalogue(fleet.kernels[0])
+    # Only changes have all records of a key.
+    await fleet.wait_for(lambda: StoreTopic.SERVERS in catalogue.read_topics)
+    for number in range(20):
+        odd = server_entry('999.9.9.9:80', service=SERVICE, seq=number)
+        await fleet.store.write('keyed.servers', 'odd', odd)
+    await fleet.write_server()
+    await fleet.wait_for(lambda: knows(catalogue, is_leaving=False))
+    lines = [line for line in caplog.messages if 'record_rejected' in line]
+    assert len(lines) == 1
+    assert catalogue.rejected.count == 20
