Report numbers with too many digits as problems of a file

Cause: tomllib raises a ValueError that is no syntax error for numbers of more than 4,300 digits. It ended the task that reads the settings again after a change, and a publish of such a file.

Change: check_text reports it as a problem of the file.

--- a/src/pollenloom/validation/toml_file.py
+++ b/src/pollenloom/validation/toml_file.py
@@ -45,7 +45,8 @@
         encoded = msgspec.json.encode(table)
     except tomllib.TOMLDecodeError as error:
         return reject(file, f'a syntax error: {error}')
-    except (RecursionError, OverflowError):
+    # ValueError stands for numbers with more digits than Python converts.
+    except (RecursionError, OverflowError, ValueError):
         return reject(
             file, 'a table nested too deeply or a number out of range'
         )
