Check addresses of the settings as sockets read them

Cause: the check of addresses used str.isdigit and int, which take digits of other scripts and leading zeros, while sockets do not or read them otherwise.

Change: the check uses split_ipv4_address, as all other addresses do.

--- a/src/pollenloom/settings/settings_loader.py
+++ b/src/pollenloom/settings/settings_loader.py
@@ -3,13 +3,12 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from pollenloom.core.host_port import split_ipv4_address
 from pollenloom.settings.router_settings import RouterSettings
 from pollenloom.validation.file_problem import FileProblem
 from pollenloom.validation.text_file import read_text
 from pollenloom.validation.toml_file import CheckedFile, check_text
-
-MAX_PORT = 65_535
-MAX_OCTET = 255
+from pollenloom.validation.untrusted_bytes import checked
 
 
 def load_settings(path: Path) -> CheckedFile[RouterSettings]:
@@ -70,9 +69,4 @@
 
 def is_address(address: str) -> bool:
     """Whether an address has an IPv4 address and a port in range."""
-    host, _, port = address.rpartition(':')
-    if not port.isdigit() or int(port) > MAX_PORT:
-        return False
-    parts = host.split('.')
-    numbers = [int(part) for part in parts if part.isdigit()]
-    return len(parts) == len(numbers) == 4 and max(numbers) <= MAX_OCTET
+    return checked(lambda: split_ipv4_address(address)).is_ok()
--- a/tests/settings/test_settings_loader.py
+++ b/tests/settings/test_settings_loader.py
@@ -2,6 +2,8 @@
 
 from pathlib import Path
 
+import pytest
+
 from pollenloom.settings.settings_loader import load_settings
 
 SETTINGS = """
@@ -61,6 +63,24 @@
     ]
 
 
+@pytest.mark.parametrize(
+    'address',
+    [
+        '127.0.0.1:\u00b2',
+        '127.0.0.\u00b2:8003',
+        '127.0.0.1:' + '9' * 5000,
+        '\u0661.0.0.1:8003',
+        '127.0.0.01:8003',
+        '127.0.0.1:08003',
+    ],
+)
+def test_odd_digits_are_rejected(tmp_path: Path, address: str) -> None:
+    """Guards against digits that the check takes and a socket does not."""
+    path = write(tmp_path, SETTINGS.replace('127.0.0.1:8003', address))
+    problems = load_settings(path).problems
+    assert [problem.key for problem in problems] == ['peers.listen']
+
+
 def test_unusable_addresses_are_rejected(tmp_path: Path) -> None:
     """Guards against equal addresses for callers and operators.
 
