Name the function that catches decoding errors for what it returns

It validates as well as it decodes; `checked` was also the name of results in the same modules. No change of behaviour: the tests of tests/settings, tests/validation, tests/platform and the fleet directory pass.

--- a/src/pollenloom/catalogue/store_fleet_directory.py
+++ b/src/pollenloom/catalogue/store_fleet_directory.py
@@ -24,7 +24,7 @@
 from pollenloom.routing.fleet_position import FleetPosition
 from pollenloom.routing.fleet_router import FleetRouter
 from pollenloom.settings.node_settings import NodeSettings
-from pollenloom.validation.untrusted_bytes import checked, decode_json
+from pollenloom.validation.untrusted_bytes import decode_json, validated
 
 # Writes cost money, and a router that is counted although it has failed only
 # makes the shares of the others too small.
@@ -71,7 +71,7 @@
     Errors:
         PROTOCOL_ERROR: The address is not valid.
     """
-    return checked(lambda: split_ipv4_address(record.peers)).map(
+    return validated(lambda: split_ipv4_address(record.peers)).map(
         lambda address: (
             None
             if record.is_leaving
--- a/src/pollenloom/platform/server_entry_codec.py
+++ b/src/pollenloom/platform/server_entry_codec.py
@@ -11,9 +11,9 @@
 from pollenloom.platform import wire_names
 from pollenloom.routing.server_entry import ServerEntry
 from pollenloom.validation.untrusted_bytes import (
-    checked,
     decode_json,
     unknown_state,
+    validated,
 )
 
 STATES: Final = frozenset((wire_names.STATE_READY, wire_names.STATE_DRAINING))
@@ -64,7 +64,7 @@
     """Return the entry; PROTOCOL_ERROR if it is not valid."""
     if wire.state not in STATES:
         return Error(unknown_state(wire.state))
-    return checked(
+    return validated(
         lambda: ServerEntry(
             server=server,
             service=ServiceId(wire.service),
--- a/src/pollenloom/settings/settings_loader.py
+++ b/src/pollenloom/settings/settings_loader.py
@@ -8,7 +8,7 @@
 from pollenloom.validation.file_problem import FileProblem
 from pollenloom.validation.text_file import read_text
 from pollenloom.validation.toml_file import CheckedFile, check_text
-from pollenloom.validation.untrusted_bytes import checked
+from pollenloom.validation.untrusted_bytes import validated
 
 
 def load_settings(path: Path) -> CheckedFile[RouterSettings]:
@@ -69,4 +69,4 @@
 
 def is_address(address: str) -> bool:
     """Whether an address has an IPv4 address and a port in range."""
-    return checked(lambda: split_ipv4_address(address)).is_ok()
+    return validated(lambda: split_ipv4_address(address)).is_ok()
--- a/src/pollenloom/validation/untrusted_bytes.py
+++ b/src/pollenloom/validation/untrusted_bytes.py
@@ -37,7 +37,7 @@
     Errors:
         PROTOCOL_ERROR: The content is not JSON of this type.
     """
-    return checked(lambda: msgspec.json.decode(content, type=message_type))
+    return validated(lambda: msgspec.json.decode(content, type=message_type))
 
 
 def decode_cbor(
@@ -50,7 +50,7 @@
     Errors:
         PROTOCOL_ERROR: The content is not CBOR of this type.
     """
-    return checked(
+    return validated(
         lambda: msgspec.convert(
             cbor2.loads(content),
             message_type,
@@ -59,8 +59,8 @@
     )
 
 
-def checked(decode: Callable[[], MessageT]) -> Result[MessageT, Failure]:
-    """Return what a function returns that decodes or validates.
+def validated(decode: Callable[[], MessageT]) -> Result[MessageT, Failure]:
+    """Return what a function returns that decodes or validates values.
 
     Errors:
         PROTOCOL_ERROR: The function raised one of `DECODING_ERRORS`.
--- a/tests/validation/test_untrusted_bytes.py
+++ b/tests/validation/test_untrusted_bytes.py
@@ -9,9 +9,9 @@
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.validation.untrusted_bytes import (
     MAX_DETAIL_LENGTH,
-    checked,
     decode_cbor,
     decode_json,
+    validated,
 )
 from tests.fakes.odd_records import ODD_VALUES, arbitrary_records
 
@@ -66,7 +66,7 @@
     def decode() -> None:
         raise ValueError('x' * 100_000)
 
-    assert len(checked(decode).error.detail) <= MAX_DETAIL_LENGTH
+    assert len(validated(decode).error.detail) <= MAX_DETAIL_LENGTH
 
 
 def test_other_errors_are_not_hidden() -> None:
@@ -76,4 +76,4 @@
         raise LookupError('a fault of the program')
 
     with pytest.raises(LookupError):
-        checked(decode)
+        validated(decode)
