--- a/tests/peers/test_peer_codec.py
+++ b/tests/peers/test_peer_codec.py
@@ -97,3 +97,32 @@
 
     with pytest.raises(ValueError, match='Ping'):
         codec.register(Ping)
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        ['Ping', 10**400],
+        ['Ping', float('nan')],
+        ['Bouquet', 10**400, -(10**400)],
+        [10**5000],
+        ['x' * 100_000],
+    ],
+)
+def test_odd_values_decode_or_raise_frame_error(
+    codec: PeerCodec, fields: list[object]
+) -> None:
+    """Guards against numbers and names that end a connection's reader."""
+    for parts in ([0, 0, fields], [0, 10**400, fields], [10**400, 0, fields]):
+        with contextlib.suppress(FrameError):
+            codec.decode(cbor2.dumps(parts))
+
+
+@pytest.mark.parametrize(
+    'start', [b'\x81', b'\x83\x00\x00\x81', b'\xa1\x61a', b'\xd8\x1c\x81']
+)
+def test_deep_frames_raise_frame_error(codec: PeerCodec, start: bytes) -> None:
+    """Guards against nesting that ends a connection's reader."""
+    for depth in (300, 20_000):
+        with pytest.raises(FrameError):
+            codec.decode(start * depth + b'\x80')
