--- a/src/pollenloom/routing/service_load.py
+++ b/src/pollenloom/routing/service_load.py
@@ -57,6 +57,7 @@
                 self.refused,
                 self.responses,
                 self.demand,
+                self.begun,
                 self.answers,
             )
         )
