--- a/src/pollenloom/admission/account_activities.py
+++ b/src/pollenloom/admission/account_activities.py
@@ -26,8 +26,6 @@
             return
         activity = self.accounts[ticket.account]
         activity.asked += ticket.cost_hint
-        if ticket.is_repeat:
-            activity.repeated += ticket.cost_hint
         activity.largest = max(activity.largest, ticket.cost_hint)
 
     def record_sent(self, ticket: Ticket) -> None:
--- a/src/pollenloom/admission/account_activity.py
+++ b/src/pollenloom/admission/account_activity.py
@@ -11,7 +11,6 @@
 
     Attributes:
         asked: Cost of the requests that came in.
-        repeated: Cost of those of them that their callers had asked for before.
         sent: Cost of the requests that were sent to a server.
         begun: Cost of the requests whose first byte arrived.
         refused: Requests that were refused, at once or after a wait.
@@ -21,7 +20,6 @@
     """
 
     asked: float = 0
-    repeated: float = 0
     sent: float = 0
     begun: float = 0
     refused: int = 0
--- a/src/pollenloom/admission/account_record.py
+++ b/src/pollenloom/admission/account_record.py
@@ -40,7 +40,6 @@
         second=second,
         accounts=','.join(recorded),
         asked=join(activity.asked for activity in listed),
-        repeated=join(activity.repeated for activity in listed),
         sent=join(activity.sent for activity in listed),
         begun=join(activity.begun for activity in listed),
         refused=join(activity.refused for activity in listed),
--- a/src/pollenloom/admission/ticket.py
+++ b/src/pollenloom/admission/ticket.py
@@ -27,8 +27,6 @@
         prefix_hashes: Hashes of growing prompt prefixes, longest last.
         excluded: Servers that already refused or failed this request.
         retry: Whether the request was sent before; retries go first.
-        is_repeat: Whether its caller has asked for it before, as far as the
-            time that it has left tells.
         objective: Target time to the first byte, in seconds; 0 for none.
         prompt_tokens: Tokens that a model engine has to read.
         shared_tokens: Those of them that it need not read if it has the
@@ -45,7 +43,6 @@
     prefix_hashes: tuple[int, ...] = ()
     excluded: frozenset[ServerId] = frozenset()
     retry: bool = False
-    is_repeat: bool = False
     objective: float = 0
     prompt_tokens: int = 0
     shared_tokens: int = 0
--- a/src/pollenloom/gateway/call_factory.py
+++ b/src/pollenloom/gateway/call_factory.py
@@ -25,10 +25,6 @@
 # because the routers' counts cover slightly different periods.
 RETRY_BUDGET_SHARE: Final = 0.8
 PUBLIC_ACCOUNT: Final = AccountId('')
-# Callers state the time that they have left when they send a request, which is
-# some milliseconds less than they had. A refusal asks for a pause of 0.3 s at
-# least, so that those who ask again have spent more than this.
-MIN_SPENT_SECONDS: Final = 0.2
 HASH_RANGE: Final = 2**64
 
 
@@ -103,7 +99,6 @@
             account=account,
             revision=configuration.revision,
             deadline=request.received_at + timeout_seconds,
-            is_repeat=has_spent_time(metadata, route),
             has_retry_budget=lambda now: self.retry_budget(
                 service, now
             ).has_room(now),
@@ -120,16 +115,6 @@
         return budget
 
 
-def has_spent_time(metadata: RequestMetadata, route: Route) -> bool:
-    """Whether a caller has spent some of the time that its route allows.
-
-    Callers that ask again after a refusal have used some of their time. One
-    that always allows less looks the same, so this only serves records.
-    """
-    seconds = metadata.timeout_seconds
-    return seconds is not None and seconds < route.timeout - MIN_SPENT_SECONDS
-
-
 def requires_api_key(route: Route, configuration: RoutingConfiguration) -> bool:
     """Whether requests of a route must carry a known API key."""
     return bool(configuration.accounts) and not route.is_public
@@ -153,7 +138,6 @@
         prefix_hashes=prefix,
         excluded=frozenset(call.failed_servers),
         retry=call.grant_count > 0,
-        is_repeat=call.is_repeat,
         objective=call.route.objective,
         prompt_tokens=metadata.prompt_tokens,
         shared_tokens=metadata.shared_tokens if prefix else 0,
--- a/src/pollenloom/gateway/pending_call.py
+++ b/src/pollenloom/gateway/pending_call.py
@@ -19,8 +19,6 @@
             configured.
         revision: Revision of the configuration that routed the request.
         deadline: Monotonic time in seconds; nothing is sent after it.
-        is_repeat: Whether the caller has asked for it before; see
-            `has_spent_time`.
         has_retry_budget: Returns whether the retry budget has room at a
             monotonic time.
         send_count: How often the request was sent to a backend server.
@@ -41,7 +39,6 @@
     revision: Revision
     deadline: float
     has_retry_budget: Callable[[float], bool]
-    is_repeat: bool = False
     send_count: int = 0
     grant_count: int = 0
     may_have_run: bool = False
--- a/src/pollenloom/observability/event_name.py
+++ b/src/pollenloom/observability/event_name.py
@@ -82,9 +82,10 @@
             waiting_accounts, fair_level, sum_age_ms, sum_routers.
         ACCOUNT_SHARES: What client accounts asked and got of a service within
             a second, at this router: lists of the same length, costs as
-            callers expect them, and the number of refused and late requests.
-            Subject service: second, accounts, asked, repeated, sent, begun,
-            refused, late, largest, left_out.
+            callers expect them, and the number of refused and late requests. A
+            request that is asked again after a refusal counts again.
+            Subject service: second, accounts, asked, sent, begun, refused,
+            late, largest, left_out.
         ATTEMPT_FAILED: An attempt at a request on a backend server failed.
             Subject request: server, reason, run, entry_version, entry_age_ms,
             answered_ms, parts.
