Close servers that send chunk sizes or trailers without an end

Cause: bytes of a response were counted until its body began only. After that a server could send trailers, chunk extensions or digits of a chunk size without an end: the router read them until the time of the request was up, and kept the trailers in memory.

Change: bytes are counted since the last part of the body; after 65,536 of them the connection is closed and the response has ended malformed.

--- a/src/pollenloom/gateway/expected_response.py
+++ b/src/pollenloom/gateway/expected_response.py
@@ -3,33 +3,36 @@
 from dataclasses import dataclass
 from typing import Final
 
-# Bytes before the body of a response: its head, interim responses, and whole
-# responses to other requests. Heads of servers have a few hundred bytes.
+# Bytes without a part of the body: a head, interim responses, whole responses
+# to other requests, sizes and extensions of chunks, and trailers. Heads of
+# servers have a few hundred bytes.
 MAX_OVERHEAD_BYTES: Final = 65_536
 
 
 @dataclass(slots=True)
 class ExpectedResponse:
-    """The expected response, and how much was received before its body.
+    """The expected response, and how much was received besides its body.
 
     Attributes:
         request_id: Id of the request; None before the first one.
         is_head_request: Whether the response has no body.
-        is_in_body: Whether the body of the response is being received.
-        overhead_bytes: Bytes received before the body.
+        overhead_bytes: Bytes received since the last part of the body, or
+            since the request.
     """
 
     request_id: bytes | None = None
     is_head_request: bool = False
-    is_in_body: bool = False
     overhead_bytes: int = 0
 
     def count_received(self, size: int) -> None:
         """Count received bytes."""
-        if not self.is_in_body:
-            self.overhead_bytes += size
+        self.overhead_bytes += size
+
+    def body_received(self) -> None:
+        """Start to count again, since the body goes on."""
+        self.overhead_bytes = 0
 
     @property
-    def is_head_too_long(self) -> bool:
-        """Whether no body began within the allowed number of bytes."""
-        return not self.is_in_body and self.overhead_bytes > MAX_OVERHEAD_BYTES
+    def is_overhead_too_long(self) -> bool:
+        """Whether no part of the body was within the allowed bytes."""
+        return self.overhead_bytes > MAX_OVERHEAD_BYTES
--- a/src/pollenloom/gateway/server_channel.py
+++ b/src/pollenloom/gateway/server_channel.py
@@ -95,7 +95,7 @@
             self.parser.feed_data(chunk)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.reject_bytes()
-        if self.request.is_head_too_long:
+        if self.request.is_overhead_too_long:
             self.reject_bytes()
         if len(self.events) > MAX_QUEUED_EVENTS:
             self.transport.pause_reading()
@@ -158,7 +158,7 @@
         self.idle_timeout_seconds = keep_alive_seconds(self.headers)
         head = ResponseHead(status, tuple(self.headers), self.is_framed)
         self.enqueue(head)
-        self.request.is_in_body = True
+        self.request.body_received()
         if self.request.is_head_request:
             self.is_reusable = False
             self.finish(ChannelEnd.COMPLETE)
@@ -174,6 +174,7 @@
     def on_body(self, part: bytes) -> None:
         """Queue a part of the body."""
         if not self.is_skipping and not self.response_ended:
+            self.request.body_received()
             self.enqueue(part)
 
     def on_message_complete(self) -> None:
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -36,6 +36,12 @@
     b'HTTP/1.1 200 OK\r\nX-Pollenloom-Response-Seal: seal\r\n'
     b'Transfer-Encoding: chunked\r\n\r\n'
 )
+UNFRAMED_HEAD = b'HTTP/1.1 200 OK\r\nX-Pollenloom-Response-Seal: seal\r\n\r\n'
+LONG_HEAD = (
+    b'HTTP/1.1 200 OK\r\nX-Pollenloom-Response-Seal: seal\r\n'
+    b'Content-Length: 999999999999\r\n\r\n'
+)
+LAST_CHUNK_HEAD = SEALED_HEAD + b'4\r\ndone\r\n0\r\n'
 CHUNK = b'%x\r\n%b\r\n' % (len(PIECE), PIECE)
 
 
@@ -94,6 +100,12 @@
     'interim responses': (b'', INTERIM, MAX_OVERHEAD_BYTES),
     'other response': (OTHER_HEAD, PIECE, MAX_OVERHEAD_BYTES),
     'body': (SEALED_HEAD, CHUNK, MAX_BODY_BYTES),
+    'unframed body': (UNFRAMED_HEAD, PIECE, MAX_BODY_BYTES),
+    'long body': (LONG_HEAD, PIECE, MAX_BODY_BYTES),
+    'trailers': (LAST_CHUNK_HEAD, b'X-A: b\r\n', MAX_OVERHEAD_BYTES),
+    'long trailer': (LAST_CHUNK_HEAD + b'X-A: ', PIECE, MAX_OVERHEAD_BYTES),
+    'chunk extension': (SEALED_HEAD + b'1;a=', PIECE, MAX_OVERHEAD_BYTES),
+    'chunk size': (SEALED_HEAD, b'0' * 16_384, MAX_OVERHEAD_BYTES),
     'rejection': (REJECTION_HEAD, CHUNK, MAX_BODY_BYTES),
 }
 
