--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -32,8 +32,8 @@
             key = f'odd-{number}'
             await environment.store.write('keyed.servers', key, payload)
     for port in ('0', '99999', '65536', '-1'):
-        payload = server_entry(f'127.0.0.1:{port}')
-        await environment.store.write('keyed.servers', f'p{port}', payload)
+        entry = server_entry(f'127.0.0.1:{port}')
+        await environment.store.write('keyed.servers', f'p{port}', entry)
 
 
 async def served(environment: RouterEnvironment, name: str) -> set[int]:
