Ignore a repeated SIGTERM on the users' platform

A second SIGTERM ended the router at once and cut all requests without a response, those that may not be repeated included. The platform ends a process by SIGKILL, so a router on it now goes on draining. SIGINT still ends it at once, and so does any second signal for `pollenloom router`.

--- a/src/pollenloom/console/node_process.py
+++ b/src/pollenloom/console/node_process.py
@@ -1,6 +1,7 @@
 """Runs a router on a VM of the users' platform until a signal ends it."""
 
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -41,6 +42,9 @@
 KEPT_EVENTS = 0
 # Part of `stop_seconds` that is reserved for ending the process.
 STOP_MARGIN_SECONDS = 0.4
+# The platform sends SIGKILL to end a process at once, so a repeated SIGTERM
+# must not cut requests.
+IGNORED_REPEATS = (signal.SIGTERM,)
 
 
 def make_services(
@@ -97,5 +101,6 @@
         settings.vm,
         settings.bounds.stop_seconds - STOP_MARGIN_SECONDS,
         {KernelServiceName.GATEWAY: settings.listen.callers},
+        ignored_repeats=IGNORED_REPEATS,
     )
     return await process.run()
--- a/src/pollenloom/console/router_process.py
+++ b/src/pollenloom/console/router_process.py
@@ -4,7 +4,7 @@
 import os
 import signal
 import sys
-from collections.abc import Coroutine, Mapping
+from collections.abc import Collection, Coroutine, Mapping
 from types import MappingProxyType
 from typing import Any, Final
 
@@ -34,7 +34,8 @@
     """Starts the services, waits for a signal, shuts down.
 
     `configured_addresses` has the address of each service in the settings. It
-    is used for a service that does not know its bound address.
+    is used for a service that does not know its bound address. A signal of
+    `ignored_repeats` does not end a shutdown that has begun.
     """
 
     def __init__(
@@ -43,11 +44,13 @@
         vm: VmId,
         shutdown_seconds: float,
         configured_addresses: Mapping[KernelServiceName, str],
+        ignored_repeats: Collection[signal.Signals] = (),
     ) -> None:
         self.kernel = kernel
         self.vm = vm
         self.shutdown_seconds = shutdown_seconds
         self.configured_addresses = configured_addresses
+        self.ignored_repeats = ignored_repeats
         self.stop_requested = asyncio.Event()
 
     async def run(self) -> ExitCode:
@@ -118,6 +121,9 @@
     def handle_signal(self, number: signal.Signals) -> None:
         """Begin the shutdown; exit immediately if it has already begun."""
         if self.stop_requested.is_set():
+            if number in self.ignored_repeats:
+                logging.info('router_already_stopping on %s', number.name)
+                return
             logging.error('router_killed by a second %s', number.name)
             exit_immediately(ExitCode.SECOND_SIGNAL)
         logging.info('router_stopping on %s', number.name)
--- a/src/pollenloom_standins/node_soak/soak_node.py
+++ b/src/pollenloom_standins/node_soak/soak_node.py
@@ -52,6 +52,7 @@
         data_centre: str,
         store: str,
         directory: Path,
+        stop_seconds: float = STOP_LIMIT_SECONDS,
     ) -> None:
         super().__init__(
             vm,
@@ -73,7 +74,7 @@
                 metrics=metrics,
                 peers=peers,
                 store=store,
-                stop_seconds=STOP_LIMIT_SECONDS,
+                stop_seconds=stop_seconds,
             ),
             encoding='utf-8',
         )
