Refuse or answer each request of a planned stop

Requests were passed on for 3 s after SIGTERM, whatever their time limit, and those that waited for a server even later. At the end of the drain all that still ran was cut without a response, and callers do not repeat requests that must not run twice.

A request is now passed on only if its time limit, or the longest of the latest 64 requests of its route, ends before the drain does. Otherwise it is refused with 503 and a short Retry-After, which also ends the wait for a server. Each send is checked again once its connection is open. What still runs at the end gets 504, or is broken off if it is a stream that has begun. Connections are told to close also by responses that began before SIGTERM. With less than 6 s of drain, requests are passed on for half of it.

Until a route has history, its requests with a longer time limit are refused during a stop.

--- a/src/pollenloom/console/node_process.py
+++ b/src/pollenloom/console/node_process.py
@@ -40,8 +40,10 @@
 
 # Memory is expensive on these VMs, and `explain` reads their logs instead.
 KEPT_EVENTS = 0
-# Part of `stop_seconds` that is reserved for ending the process.
-STOP_MARGIN_SECONDS = 0.4
+# Part of `stop_seconds` that is reserved for ending the process. With 0.4 s,
+# requests would be ended before the last sixth of 8 s, in which operators allow
+# that.
+STOP_MARGIN_SECONDS = 0.2
 # The platform sends SIGKILL to end a process at once, so a repeated SIGTERM
 # must not cut requests.
 IGNORED_REPEATS = (signal.SIGTERM,)
--- /dev/null
+++ b/src/pollenloom/frontend/stop_limits.py
@@ -0,0 +1,61 @@
+"""Time limits of requests that a planned stop brings forward."""
+
+import asyncio
+import math
+from collections.abc import AsyncGenerator, Callable
+from contextlib import asynccontextmanager
+
+from pollenloom.frontend.stop_plan import NO_STOP, StopPlan
+from pollenloom.kernel.clock import Clock
+
+LatestTime = Callable[[StopPlan], float]
+
+
+class StopLimits:
+    """Ends waiting and running requests at the times of a stop plan.
+
+    Attributes:
+        plan: Plan in force; unlimited until a stop begins.
+        limits: Time limits of the scopes that are running.
+        cut_requests: Number of requests that were ended by the stop.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.plan = NO_STOP
+        self.limits: dict[asyncio.Timeout, LatestTime] = {}
+        self.cut_requests = 0
+
+    def begin(self, plan: StopPlan) -> None:
+        """Apply a plan to the running scopes and to later ones."""
+        self.plan = plan
+        for timeout in self.limits:
+            self.schedule(timeout)
+
+    @asynccontextmanager
+    async def until(self, latest: LatestTime) -> AsyncGenerator[None]:
+        """Limit a scope to the monotonic time that `latest` returns.
+
+        It is asked again when a stop begins.
+
+        Raises:
+            TimeoutError: If the scope has not ended by then.
+        """
+        async with asyncio.timeout(None) as timeout:
+            self.limits[timeout] = latest
+            self.schedule(timeout)
+            try:
+                yield
+            finally:
+                self.limits.pop(timeout)
+
+    def schedule(self, timeout: asyncio.Timeout) -> None:
+        """Set the time of a limit by the plan in force."""
+        if timeout.expired():
+            return
+        latest = self.limits[timeout](self.plan)
+        if latest == math.inf:
+            timeout.reschedule(None)
+            return
+        seconds = latest - self.clock.monotonic()
+        timeout.reschedule(asyncio.get_running_loop().time() + max(0, seconds))
--- a/src/pollenloom/gateway/caller_channel.py
+++ b/src/pollenloom/gateway/caller_channel.py
@@ -26,6 +26,7 @@
         is_disconnected: Whether the connection is closed, or the sending side
             of the caller.
         state_changed: Set when bytes arrive or the caller disconnects.
+        may_stay_open: Whether it may serve another request.
         may_write: Set while the write buffer has room.
     """
 
@@ -39,6 +40,7 @@
         self.on_open = on_open
         self.on_disconnect: Callable[[], object] = do_nothing
         self.is_disconnected = False
+        self.may_stay_open = True
         self.state_changed = asyncio.Event()
         self.may_write = asyncio.Event()
         self.may_write.set()
--- a/src/pollenloom/gateway/gateway_server.py
+++ b/src/pollenloom/gateway/gateway_server.py
@@ -4,14 +4,17 @@
 from contextlib import ExitStack
 from typing import ClassVar, Final
 
+from absl import logging
+
 from pollenloom.catalogue.catalogue import Catalogue
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
 from pollenloom.frontend.drain_barrier import DrainBarrier
+from pollenloom.frontend.stop_plan import StopPlan
 from pollenloom.gateway.caller_channel import CallerChannel
 from pollenloom.gateway.loop_monitor import LoopMonitor
 from pollenloom.gateway.raw_request import RawRequest
-from pollenloom.gateway.relay import Relay
+from pollenloom.gateway.relay import Relay, stopping_failure
 from pollenloom.gateway.response_writer import ResponseWriter
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
@@ -34,6 +37,7 @@
     """Accepts the connections of callers.
 
     Attributes:
+        channels: All connections.
         idle: Connections without a request in progress.
     """
 
@@ -43,6 +47,7 @@
         self.kernel = kernel
         self.address = address
         self.drain_barrier = DrainBarrier()
+        self.channels: set[CallerChannel] = set()
         self.idle: set[CallerChannel] = set()
         self.server: asyncio.Server | None = None
 
@@ -76,16 +81,33 @@
         return self.drain_barrier.ready and self.catalogue.is_complete
 
     async def drain(self) -> None:
-        """Finish accepted requests and close idle connections."""
-        self.drain_barrier.ready = False
-        closing = self.kernel.spawn('gateway-leave', self.close_idle())
-        await self.drain_barrier.close(BALANCER_REMOVAL_SECONDS)
+        """Finish accepted requests and close idle connections.
+
+        Requests are passed on while the load balancer may still send some, if
+        their responses are expected before the drain ends.
+        """
+        now = self.kernel.clock.monotonic()
+        plan = StopPlan.from_limits(
+            now, BALANCER_REMOVAL_SECONDS, self.kernel.drain_ends_at
+        )
+        open_seconds = plan.closes_at - now
+        for channel in self.channels:
+            channel.may_stay_open = False
+        self.relay.stop_limits.begin(plan)
+        closing = self.kernel.spawn(
+            'gateway-leave', self.close_idle(open_seconds)
+        )
+        await self.drain_barrier.close(open_seconds)
         await closing
         await asyncio.sleep(FLUSH_SECONDS)
+        cut_requests = self.relay.stop_limits.cut_requests
+        if cut_requests:
+            logging.error('gateway_requests_cut %d', cut_requests)
+            self.kernel.has_cut_work = True
 
-    async def close_idle(self) -> None:
+    async def close_idle(self, open_seconds: float) -> None:
         """Close idle connections after the load balancer has reacted."""
-        await asyncio.sleep(BALANCER_REMOVAL_SECONDS)
+        await asyncio.sleep(open_seconds)
         for channel in tuple(self.idle):
             channel.close()
 
@@ -103,6 +125,8 @@
 
     def on_connection(self, channel: CallerChannel) -> None:
         """Start the task of a connection; it is cancelled on disconnect."""
+        channel.may_stay_open = self.drain_barrier.ready
+        self.channels.add(channel)
         task = self.kernel.spawn('caller', self.serve(channel))
         channel.on_disconnect = task.cancel
 
@@ -111,11 +135,14 @@
         with ExitStack() as stack:
             stack.callback(channel.close)
             stack.callback(self.idle.discard, channel)
+            stack.callback(self.channels.discard, channel)
             while await self.serve_next(channel):
                 """Continue with the next request."""
 
     async def serve_next(self, channel: CallerChannel) -> bool:
         """Serve one request; return whether another one may follow."""
+        if self.drain_barrier.rejecting and not channel.parser.requests:
+            return False
         self.idle.add(channel)
         request = await channel.next_request(
             self.limits().idle_seconds + IDLE_MARGIN_SECONDS,
@@ -147,7 +174,7 @@
         )
         keeps_alive = request.keeps_alive and accepts_more_requests
         if self.drain_barrier.rejecting:
-            failure = Failure(ErrorKind.SHUTTING_DOWN, 'stopping')
+            failure = stopping_failure()
         elif self.detector.is_severely_overloaded:
             failure = Failure(ErrorKind.NO_CAPACITY, 'the router is overloaded')
         else:
--- a/src/pollenloom/gateway/relay.py
+++ b/src/pollenloom/gateway/relay.py
@@ -1,6 +1,7 @@
 """Routes requests to backend servers, with retries."""
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, ClassVar, Final
 
 from expression import Error, Result
@@ -13,6 +14,8 @@
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
 from pollenloom.core.states import Outcome
+from pollenloom.frontend.stop_limits import StopLimits
+from pollenloom.frontend.stop_plan import StopPlan
 from pollenloom.gateway.attempt_end import (
     AttemptEnd,
     AttemptState,
@@ -33,6 +36,7 @@
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.routing.route_durations import RouteDurations
 from pollenloom.settings.settings_holder import SettingsHolder
 
 if TYPE_CHECKING:
@@ -42,16 +46,25 @@
 # of these grants are used without sending anything.
 MAX_GRANTS: Final = 4
 DEFAULT_RETRY_AFTER_SECONDS: Final = 0.5
+# Another router can take a request that is refused for a stop at once.
+STOP_RETRY_AFTER_SECONDS: Final = 0.05
 
 
 class Relay(KernelService):
-    """Handles the requests of callers; `handle_request` is called for each."""
+    """Handles the requests of callers; `handle_request` is called for each.
+
+    Attributes:
+        stop_limits: Time limits that a planned stop brings forward.
+        durations: Durations of the latest requests.
+    """
 
     name: ClassVar[KernelServiceName] = KernelServiceName.DISPATCH
 
     def __init__(self, kernel: Kernel, header_codec: HeaderCodec) -> None:
         self.kernel = kernel
         self.header_codec = header_codec
+        self.stop_limits = StopLimits(kernel.clock)
+        self.durations = RouteDurations()
 
     async def start(self) -> None:
         """Find the services that requests need."""
@@ -100,6 +113,7 @@
             self.event_log.caller_disconnected(call)
             raise
         self.event_log.ended(call, end)
+        self.record_duration(call)
         if end.state is not AttemptState.ANSWERED:
             return await self.respond_unanswered(call, end, writer)
         return keeps_alive and writer.is_complete
@@ -118,21 +132,57 @@
         call: PendingCall,
         writer: ResponseWriter,
     ) -> AttemptEnd:
-        """Run attempts until one succeeds or the deadline passes."""
-        seconds = call.deadline - self.kernel.clock.monotonic()
+        """Run attempts until one succeeds or the deadline passes.
+
+        The end of a planned stop may come before the deadline.
+        """
         try:
-            async with asyncio.timeout(max(0, seconds)):
+            async with self.stop_limits.until(
+                lambda plan: min(call.deadline, plan.ends_at)
+            ):
                 return await self.run_attempts(call, writer)
         except TimeoutError:
-            kind = ErrorKind.DEADLINE_UNREACHABLE
-            if call.may_have_run:
-                kind = ErrorKind.BACKEND_TIMEOUT
             return make_unanswered_end(
-                Failure(kind, 'the deadline passed'),
+                self.late_failure(call),
                 may_have_run=call.may_have_run,
                 has_started=writer.has_started,
             )
 
+    def late_failure(self, call: PendingCall) -> Failure:
+        """Return why a request that reached its time limit is ended."""
+        if call.deadline > self.stop_limits.plan.ends_at:
+            self.stop_limits.cut_requests += 1
+            if call.may_have_run:
+                return Failure(ErrorKind.BACKEND_TIMEOUT, 'the router stops')
+            return stopping_failure()
+        kind = ErrorKind.DEADLINE_UNREACHABLE
+        if call.may_have_run:
+            kind = ErrorKind.BACKEND_TIMEOUT
+        return Failure(kind, 'the deadline passed')
+
+    def record_duration(self, call: PendingCall) -> None:
+        """Record how long a request took that was sent.
+
+        One that was ended at its time limit could have taken any time.
+        """
+        if not call.send_count:
+            return
+        now = self.kernel.clock.monotonic()
+        seconds = now - call.request.received_at - call.waited_seconds
+        if now >= call.deadline:
+            seconds = math.inf
+        self.durations.add(call.route.route, seconds)
+
+    def latest_send(self, call: PendingCall, plan: StopPlan) -> float:
+        """Return until when a request may be passed on, monotonic seconds."""
+        longest = self.durations.longest(call.route.route)
+        return plan.latest_send(call.deadline, longest)
+
+    def may_send(self, call: PendingCall) -> bool:
+        """Whether a request may still be passed on in a planned stop."""
+        latest = self.latest_send(call, self.stop_limits.plan)
+        return self.kernel.clock.monotonic() < latest
+
     async def run_attempts(
         self,
         call: PendingCall,
@@ -163,7 +213,7 @@
             return Error(blocked)
         clock = self.kernel.clock
         began = clock.monotonic()
-        acquired = await self.admission.acquire(make_ticket(call))
+        acquired = await self.wait_for_grant(call)
         call.waited_seconds += clock.monotonic() - began
         blocked = self.prompt_guard.check(call)
         if acquired.is_error() or blocked is None:
@@ -173,6 +223,18 @@
         )
         return Error(blocked)
 
+    async def wait_for_grant(self, call: PendingCall) -> Result[Grant, Failure]:
+        """Wait for a grant as long as the request may be passed on."""
+        if not self.may_send(call):
+            return Error(stopping_failure())
+        try:
+            async with self.stop_limits.until(
+                lambda plan: self.latest_send(call, plan)
+            ):
+                return await self.admission.acquire(make_ticket(call))
+        except TimeoutError:
+            return Error(stopping_failure())
+
     async def attempt(
         self,
         call: PendingCall,
@@ -192,6 +254,7 @@
             header_codec=self.header_codec,
             admission=self.admission,
             prompt_guard=self.prompt_guard,
+            may_send=self.may_send,
         )
         end = await request_attempt.run(self.connection_pool)
         if end.state is not AttemptState.ANSWERED:
@@ -265,3 +328,12 @@
         )
         body = f'{failure.kind.value}: {error_response.title}\n'
         await writer.write_response(head, body.encode())
+
+
+def stopping_failure() -> Failure:
+    """Return the failure of a request that is refused for a planned stop."""
+    return Failure(
+        ErrorKind.SHUTTING_DOWN,
+        'the response may not end before the router does',
+        retry_after_seconds=STOP_RETRY_AFTER_SECONDS,
+    )
--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -1,6 +1,7 @@
 """Sends a request to one backend server and relays the response."""
 
 import asyncio
+from collections.abc import Callable
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -54,6 +55,8 @@
     """One attempt to send a request under a grant.
 
     Attributes:
+        may_send: Returns whether a request may still be passed on; a planned
+            stop can end that while a connection is being opened.
         outcome: Outcome that the settlement will report.
         sent_at: Monotonic time in seconds when the request was written.
         first_byte_seconds: Seconds from `sent_at` to the first byte of a
@@ -75,6 +78,7 @@
     header_codec: HeaderCodec
     admission: Admission
     prompt_guard: PromptGuard
+    may_send: Callable[[PendingCall], bool]
     outcome: Outcome = Outcome.UNUSED
     sent_at: float = 0
     first_byte_seconds: float | None = None
@@ -99,6 +103,11 @@
             stack.callback(
                 self.release_connection, acquired.ok, connection_pool
             )
+            if not self.may_send(self.call):
+                return AttemptEnd(
+                    AttemptState.UNSENT,
+                    Failure(ErrorKind.SHUTTING_DOWN, 'the router stops'),
+                )
             # Stays if the task is cancelled, because the caller disconnected or
             # the deadline passed.
             self.outcome = Outcome.CANCELLED
--- a/src/pollenloom/gateway/response_writer.py
+++ b/src/pollenloom/gateway/response_writer.py
@@ -21,7 +21,8 @@
     """Writes one response on the connection of a caller.
 
     Attributes:
-        keeps_alive: Whether the connection stays open after the response.
+        keeps_alive: Whether the connection stays open after the response,
+            unless the channel says otherwise by then.
         has_started: Whether a part of the response was written.
         is_complete: Whether the complete response was written.
     """
@@ -69,7 +70,7 @@
 
     def render_head(self, status: int, headers: list[Header]) -> bytes:
         """Return the encoded head of a response."""
-        if not self.keeps_alive:
+        if not self.keeps_alive or not self.channel.may_stay_open:
             headers.append((CONNECTION, b'close'))
         phrase = (
             HTTPStatus(status).phrase if is_registered_status(status) else ''
--- a/src/pollenloom/kernel/kernel.py
+++ b/src/pollenloom/kernel/kernel.py
@@ -1,6 +1,7 @@
 """Registry, life cycle and task supervision of one router process."""
 
 import asyncio
+import math
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
@@ -27,6 +28,9 @@
         tasks: Running tasks of the services.
         started: Services that have started, in order.
         phase: Current phase of the life cycle.
+        drain_ends_at: Monotonic time in seconds at which the drain must be
+            over; infinite before it begins.
+        has_cut_work: Whether a service ended accepted work early in the drain.
     """
 
     def __init__(self, clock: Clock | None = None) -> None:
@@ -35,6 +39,8 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.started: list[KernelService] = []
         self.phase = KernelPhase.STARTING
+        self.drain_ends_at = math.inf
+        self.has_cut_work = False
 
     def register(self, service: KernelService) -> None:
         """Add a service.
@@ -93,9 +99,10 @@
         """Announce the shutdown and let all services finish accepted work.
 
         Returns:
-            Whether all finished within the timeout.
+            Whether all work was finished within the timeout.
         """
         self.phase = KernelPhase.DRAINING
+        self.drain_ends_at = self.clock.monotonic() + timeout_seconds
         try:
             async with asyncio.timeout(timeout_seconds):
                 for service in self.started:
@@ -104,7 +111,7 @@
                     await service.drain()
         except TimeoutError:
             return False
-        return True
+        return not self.has_cut_work
 
     async def stop(self) -> None:
         """Stop all services in reverse order, then end their tasks."""
