Respond to requests that the end of a router's drain would cut

The product's front end had the same fault as the gateway: what still ran at the end of the drain lost its connection without a response, and requests were sent to backend servers although no time was left for them.

The dispatcher now uses the same time limits. Accepted requests may still be sent after the grace period, as the drain is long. What runs at its end gets 502 with run "unknown"; a stream is broken off. Responses to calls that began before the stop tell Connection: close as well.

--- a/src/pollenloom/dispatch/delivery.py
+++ b/src/pollenloom/dispatch/delivery.py
@@ -27,6 +27,7 @@
         relay: Relay of the event stream; None if no stream was requested.
         excluded: Servers that refused the request or failed.
         attempts: Number of attempts that were sent.
+        is_sending: Whether an attempt is in progress.
         unused_grants: Number of grants that arrived too late.
         run: Whether any attempt was run by a backend server.
         failed_response: Last response with a server error; None if there
@@ -43,6 +44,7 @@
         self.relay = relay
         self.excluded: set[ServerId] = set()
         self.attempts = 0
+        self.is_sending = False
         self.unused_grants = 0
         self.run = RunStatus.NO
         self.failed_response: BackendResponse | None = None
@@ -120,6 +122,12 @@
             return Error(failure)
         return self.make_result(self.kind_after_run(), failure.detail)
 
+    def finish_at_stop(self) -> Result[BackendResponse, Failure]:
+        """Return the result when a planned stop ends the request."""
+        if self.is_sending and self.run is RunStatus.NO:
+            self.run = RunStatus.UNKNOWN
+        return self.finish_without_grant(stopping_failure())
+
     def finish_after_failure(
         self,
         failure: AttemptFailure,
@@ -152,3 +160,11 @@
         if self.run is RunStatus.YES:
             return ErrorKind.RESPONSE_TRUNCATED
         return ErrorKind.BACKEND_FAILED
+
+
+def stopping_failure() -> Failure:
+    """Return the failure of a request that is refused for a planned stop."""
+    return Failure(
+        ErrorKind.SHUTTING_DOWN,
+        'the response may not end before the router does',
+    )
--- a/src/pollenloom/dispatch/dispatch.py
+++ b/src/pollenloom/dispatch/dispatch.py
@@ -9,14 +9,20 @@
 from pollenloom.core.failure import Failure
 from pollenloom.dispatch.backend_response import BackendResponse
 from pollenloom.dispatch.event_sink import EventSink
+from pollenloom.frontend.stop_limits import StopLimits
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 
 
 class Dispatch(KernelService):
-    """Sends requests under grants and retries them where it is safe."""
+    """Sends requests under grants and retries them where it is safe.
+
+    Attributes:
+        stop_limits: Time limits that a planned stop brings forward.
+    """
 
     name: ClassVar[KernelServiceName] = KernelServiceName.DISPATCH
+    stop_limits: StopLimits
 
     @abstractmethod
     async def call(
@@ -33,7 +39,7 @@
             ORDER_OUTCOME_UNKNOWN if a request that may not be repeated may
             have been run; RETRIES_EXHAUSTED, BACKEND_FAILED,
             RESPONSE_TRUNCATED, DEADLINE_EXCEEDED and the errors of
-            `Admission.acquire`.
+            `Admission.acquire`, SHUTTING_DOWN also in a planned stop.
         """
 
     @abstractmethod
--- a/src/pollenloom/dispatch/dispatcher.py
+++ b/src/pollenloom/dispatch/dispatcher.py
@@ -19,7 +19,7 @@
 from pollenloom.dispatch.caller_disconnected_error import (
     CallerDisconnectedError,
 )
-from pollenloom.dispatch.delivery import Delivery
+from pollenloom.dispatch.delivery import Delivery, stopping_failure
 from pollenloom.dispatch.delivery_cost import served_cost, unserved_cost
 from pollenloom.dispatch.dispatch import Dispatch
 from pollenloom.dispatch.event_relay import EventRelay
@@ -27,6 +27,7 @@
 from pollenloom.dispatch.grant_use import GrantUse
 from pollenloom.dispatch.http_backend_client import HttpBackendClient
 from pollenloom.dispatch.retry_budget import RetryBudget
+from pollenloom.frontend.stop_limits import StopLimits
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.observability.event_log import EventLog
@@ -62,6 +63,7 @@
         self.client = client
         self.budget = budget
         self.settings = settings
+        self.stop_limits = StopLimits(kernel.clock)
 
     @classmethod
     def from_config(
@@ -116,11 +118,23 @@
     async def deliver(
         self,
         delivery: Delivery,
+    ) -> Result[BackendResponse, Failure]:
+        """Return the final result; a planned stop may end the request."""
+        try:
+            async with self.stop_limits.until(lambda plan: plan.ends_at):
+                return await self.send_until_final(delivery)
+        except TimeoutError:
+            self.stop_limits.cut_requests += 1
+            return delivery.finish_at_stop()
+
+    async def send_until_final(
+        self,
+        delivery: Delivery,
     ) -> Result[BackendResponse, Failure]:
         """Acquire grants and send until there is a final result."""
         self.budget.count_request(self.kernel.clock.monotonic())
         while True:
-            acquired = await self.admission.acquire(delivery.ticket())
+            acquired = await self.wait_for_grant(delivery)
             if acquired.is_error():
                 if await self.readmit_excluded_servers(
                     delivery, acquired.error
@@ -136,6 +150,19 @@
             if not self.take_retry(delivery, failure):
                 return delivery.finish_after_failure(failure)
 
+    async def wait_for_grant(
+        self, delivery: Delivery
+    ) -> Result[Grant, Failure]:
+        """Wait for a grant as long as the request may be sent."""
+        request = delivery.request
+        try:
+            async with self.stop_limits.while_sendable(
+                request.route, request.deadline
+            ):
+                return await self.admission.acquire(delivery.ticket())
+        except TimeoutError:
+            return Error(stopping_failure())
+
     async def readmit_excluded_servers(
         self,
         delivery: Delivery,
@@ -194,13 +221,17 @@
             return Error(unused)
         call = make_call(delivery, use.grant, now)
         delivery.attempts += 1
+        delivery.is_sending = True
         if delivery.relay is None:
             attempt = await self.client.fetch(call, use)
         else:
             attempt = await self.client.relay(call, use, delivery.relay)
+        delivery.is_sending = False
         if attempt.is_error():
             copy_failure(use, attempt.error)
             return attempt
+        ended_at = self.kernel.clock.monotonic()
+        self.stop_limits.durations.add(delivery.request.route, ended_at - now)
         return evaluate_response(delivery, use, attempt.ok)
 
     def take_retry(self, delivery: Delivery, failure: AttemptFailure) -> bool:
--- a/src/pollenloom/frontend/caller_server.py
+++ b/src/pollenloom/frontend/caller_server.py
@@ -5,12 +5,14 @@
 from typing import ClassVar, Final
 
 import msgspec
+from absl import logging
 from sanic import Request
 from sanic.response import HTTPResponse
 
 from pollenloom.configuration.configuration_service import ConfigurationService
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
+from pollenloom.dispatch.dispatch import Dispatch
 from pollenloom.frontend.application_handler import ApplicationHandler
 from pollenloom.frontend.call_handler import CallHandler
 from pollenloom.frontend.caller_protocol import CallerProtocol
@@ -22,6 +24,7 @@
 from pollenloom.frontend.request_reader import ModelRoute
 from pollenloom.frontend.responses import json_response, new_request_id
 from pollenloom.frontend.sanic_app import make_app
+from pollenloom.frontend.stop_plan import StopPlan
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
@@ -32,6 +35,9 @@
 METHODS: Final = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE')
 LISTEN_BACKLOG: Final = 512
 STOP_TIMEOUT_SECONDS: Final = 2
+# Time before the end of the drain at which running requests are ended. The
+# outcome of an order is recorded before its caller gets the response.
+ANSWER_SECONDS: Final = 0.5
 
 
 class CallerServer(KernelService):
@@ -97,8 +103,19 @@
         self.metrics.update_accounts(self.configuration.current)
 
     async def drain(self) -> None:
-        """Reject new requests and finish the accepted ones."""
+        """Reject new requests and finish the accepted ones.
+
+        Accepted ones are also sent after the grace period, if their responses
+        are expected before the drain ends.
+        """
+        dispatch = self.kernel.find(KernelServiceName.DISPATCH, Dispatch)
+        ends_at = self.kernel.drain_ends_at - ANSWER_SECONDS
+        limits = dispatch.stop_limits
+        limits.begin(StopPlan(ends_at=ends_at))
         await self.drain_barrier.close(self.limits.drain_grace_seconds)
+        if limits.cut_requests:
+            logging.error('frontend_requests_cut %d', limits.cut_requests)
+            self.kernel.has_cut_work = True
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
--- a/src/pollenloom/frontend/handler_adapter.py
+++ b/src/pollenloom/frontend/handler_adapter.py
@@ -47,7 +47,7 @@
             )
         with self.drain_barrier:
             try:
-                return await self.handler.handle(request, call)
+                response = await self.handler.handle(request, call)
             except asyncio.CancelledError:
                 # Sanic cancels the task when the connection is lost.
                 failure = Failure(
@@ -55,6 +55,10 @@
                 )
                 self.handler.record_refusal(failure, call, None)
                 raise
+        # The stop may have begun while the request ran.
+        if not self.drain_barrier.ready:
+            close_after_response(request)
+        return response
 
 
 def close_after_response(request: Request) -> None:
--- a/src/pollenloom/frontend/stop_limits.py
+++ b/src/pollenloom/frontend/stop_limits.py
@@ -5,8 +5,10 @@
 from collections.abc import AsyncGenerator, Callable
 from contextlib import asynccontextmanager
 
+from pollenloom.core.ids import RouteId
 from pollenloom.frontend.stop_plan import NO_STOP, StopPlan
 from pollenloom.kernel.clock import Clock
+from pollenloom.routing.route_durations import RouteDurations
 
 LatestTime = Callable[[StopPlan], float]
 
@@ -17,6 +19,7 @@
     Attributes:
         plan: Plan in force; unlimited until a stop begins.
         limits: Time limits of the scopes that are running.
+        durations: Durations of the latest requests.
         cut_requests: Number of requests that were ended by the stop.
     """
 
@@ -24,6 +27,7 @@
         self.clock = clock
         self.plan = NO_STOP
         self.limits: dict[asyncio.Timeout, LatestTime] = {}
+        self.durations = RouteDurations()
         self.cut_requests = 0
 
     def begin(self, plan: StopPlan) -> None:
@@ -32,6 +36,33 @@
         for timeout in self.limits:
             self.schedule(timeout)
 
+    def latest_send(
+        self, route: RouteId, deadline: float, plan: StopPlan
+    ) -> float:
+        """Return until when a request may be passed on, monotonic seconds."""
+        return plan.latest_send(deadline, self.durations.longest(route))
+
+    def may_send(self, route: RouteId, deadline: float) -> bool:
+        """Whether a request may be passed on now."""
+        latest = self.latest_send(route, deadline, self.plan)
+        return self.clock.monotonic() < latest
+
+    @asynccontextmanager
+    async def while_sendable(
+        self, route: RouteId, deadline: float
+    ) -> AsyncGenerator[None, None]:
+        """Limit a scope to the time in which a request may be passed on.
+
+        Raises:
+            TimeoutError: If that time is over, before or in the scope.
+        """
+        if not self.may_send(route, deadline):
+            raise TimeoutError
+        async with self.until(
+            lambda plan: self.latest_send(route, deadline, plan)
+        ):
+            yield
+
     @asynccontextmanager
     async def until(self, latest: LatestTime) -> AsyncGenerator[None]:
         """Limit a scope to the monotonic time that `latest` returns.
--- a/src/pollenloom/gateway/relay.py
+++ b/src/pollenloom/gateway/relay.py
@@ -15,7 +15,6 @@
 from pollenloom.core.failure import Failure
 from pollenloom.core.states import Outcome
 from pollenloom.frontend.stop_limits import StopLimits
-from pollenloom.frontend.stop_plan import StopPlan
 from pollenloom.gateway.attempt_end import (
     AttemptEnd,
     AttemptState,
@@ -36,7 +35,6 @@
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
-from pollenloom.routing.route_durations import RouteDurations
 from pollenloom.settings.settings_holder import SettingsHolder
 
 if TYPE_CHECKING:
@@ -55,7 +53,6 @@
 
     Attributes:
         stop_limits: Time limits that a planned stop brings forward.
-        durations: Durations of the latest requests.
     """
 
     name: ClassVar[KernelServiceName] = KernelServiceName.DISPATCH
@@ -64,7 +61,6 @@
         self.kernel = kernel
         self.header_codec = header_codec
         self.stop_limits = StopLimits(kernel.clock)
-        self.durations = RouteDurations()
 
     async def start(self) -> None:
         """Find the services that requests need."""
@@ -171,17 +167,7 @@
         seconds = now - call.request.received_at - call.waited_seconds
         if now >= call.deadline:
             seconds = math.inf
-        self.durations.add(call.route.route, seconds)
-
-    def latest_send(self, call: PendingCall, plan: StopPlan) -> float:
-        """Return until when a request may be passed on, monotonic seconds."""
-        longest = self.durations.longest(call.route.route)
-        return plan.latest_send(call.deadline, longest)
-
-    def may_send(self, call: PendingCall) -> bool:
-        """Whether a request may still be passed on in a planned stop."""
-        latest = self.latest_send(call, self.stop_limits.plan)
-        return self.kernel.clock.monotonic() < latest
+        self.stop_limits.durations.add(call.route.route, seconds)
 
     async def run_attempts(
         self,
@@ -225,11 +211,9 @@
 
     async def wait_for_grant(self, call: PendingCall) -> Result[Grant, Failure]:
         """Wait for a grant as long as the request may be passed on."""
-        if not self.may_send(call):
-            return Error(stopping_failure())
         try:
-            async with self.stop_limits.until(
-                lambda plan: self.latest_send(call, plan)
+            async with self.stop_limits.while_sendable(
+                call.route.route, call.deadline
             ):
                 return await self.admission.acquire(make_ticket(call))
         except TimeoutError:
@@ -254,7 +238,7 @@
             header_codec=self.header_codec,
             admission=self.admission,
             prompt_guard=self.prompt_guard,
-            may_send=self.may_send,
+            stop_limits=self.stop_limits,
         )
         end = await request_attempt.run(self.connection_pool)
         if end.state is not AttemptState.ANSWERED:
--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -1,7 +1,6 @@
 """Sends a request to one backend server and relays the response."""
 
 import asyncio
-from collections.abc import Callable
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -13,6 +12,7 @@
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
 from pollenloom.core.states import Outcome
+from pollenloom.frontend.stop_limits import StopLimits
 from pollenloom.gateway.attempt_end import (
     AttemptEnd,
     AttemptState,
@@ -55,8 +55,8 @@
     """One attempt to send a request under a grant.
 
     Attributes:
-        may_send: Returns whether a request may still be passed on; a planned
-            stop can end that while a connection is being opened.
+        stop_limits: Whether the request may still be passed on; a planned stop
+            can end that while a connection is being opened.
         outcome: Outcome that the settlement will report.
         sent_at: Monotonic time in seconds when the request was written.
         first_byte_seconds: Seconds from `sent_at` to the first byte of a
@@ -78,7 +78,7 @@
     header_codec: HeaderCodec
     admission: Admission
     prompt_guard: PromptGuard
-    may_send: Callable[[PendingCall], bool]
+    stop_limits: StopLimits
     outcome: Outcome = Outcome.UNUSED
     sent_at: float = 0
     first_byte_seconds: float | None = None
@@ -103,7 +103,8 @@
             stack.callback(
                 self.release_connection, acquired.ok, connection_pool
             )
-            if not self.may_send(self.call):
+            call = self.call
+            if not self.stop_limits.may_send(call.route.route, call.deadline):
                 return AttemptEnd(
                     AttemptState.UNSENT,
                     Failure(ErrorKind.SHUTTING_DOWN, 'the router stops'),
--- a/tests/frontend/test_application_routes.py
+++ b/tests/frontend/test_application_routes.py
@@ -166,6 +166,48 @@
         assert await drained
 
 
+@pytest.mark.parametrize('call', [('get', LOTS), ('post', ORDERS)])
+async def test_end_of_a_drain_responds_to_what_still_runs(
+    router: CallerRouter,
+    http: ClientSession,
+    call: tuple[str, str],
+) -> None:
+    """Guards against a planned shutdown that closes without a response."""
+    router.backends[0].script.append(Hold(respond))
+    running = asyncio.create_task(http.request(*call))
+    async with asyncio.timeout(10):
+        await router.backends[0].arrived.wait()
+        assert not await router.kernel.drain(1)
+        response = await running
+    assert response.status == 502
+    problem = await response.json(content_type=None)
+    assert problem['run'] == 'unknown'
+    assert response.headers['Connection'] == 'close'
+
+
+async def test_drain_refuses_what_it_would_cut(
+    router: CallerRouter,
+    http: ClientSession,
+) -> None:
+    """Guards against requests that are sent although no time is left."""
+    router.limits = router.limits.model_copy(
+        update={'drain_grace_seconds': 0.4}
+    )
+    router.callers.limits = router.limits
+    assert (await http.get(LOTS)).status == 200
+    durations = router.dispatcher.stop_limits.durations
+    route = next(iter(durations.durations))
+    durations.add(route, 5)
+    drained = asyncio.create_task(router.kernel.drain(2))
+    await asyncio.sleep(0.1)
+    response = await http.get(LOTS)
+    problem = await response.json(content_type=None)
+    assert (response.status, problem['kind']) == (503, 'shutting_down')
+    assert float(response.headers['Retry-After']) > 0
+    assert len(router.backends[0].received) == 1
+    assert await drained
+
+
 async def test_connections_are_limited(router: CallerRouter) -> None:
     """Guards against unbounded memory for open connections."""
     router.callers.app.ctx.connection_limit = 1
