Take on little more than the capacity, and bound what exceeds shares

Requests of all accounts waited longer at the engines than with fewer taken on, and an account ahead got idle room for half of its share.

Change: the margin of the capacity is 0.05 instead of 0.15, the surplus a quarter of the share.

--- a/src/pollenloom/admission/account_shares.py
+++ b/src/pollenloom/admission/account_shares.py
@@ -14,10 +14,10 @@
 LEVEL_SECONDS: Final = 0.1
 # Requests are taken on for so much more than what begins, so that the estimate
 # of the capacity can grow, and requests that find no room leave no gap.
-CAPACITY_MARGIN: Final = 0.15
+CAPACITY_MARGIN: Final = 0.05
 # An account may use idle room for this part of its share beyond it. Without a
 # bound the account that asks most would get all idle room.
-SURPLUS_SHARE: Final = 0.5
+SURPLUS_SHARE: Final = 0.25
 # If less than this part of the demand begins, the servers have only come back,
 # and what began says nothing about their capacity.
 MIN_BEGUN_PART: Final = 0.02
