Wait for the next turn of new requests on an event

Requests that could not begin in an iteration of the event loop were polled in each one. They wait for the end of the turn now, in the order in which they came.

--- a/src/pollenloom/gateway/gateway_server.py
+++ b/src/pollenloom/gateway/gateway_server.py
@@ -49,6 +49,8 @@
     Attributes:
         channels: All connections.
         idle: Connections without a request in progress.
+        turn_ended: Set while requests may begin in a new iteration of the
+            event loop.
     """
 
     name: ClassVar[KernelServiceName] = KernelServiceName.GATEWAY
@@ -60,6 +62,7 @@
         self.channels: set[CallerChannel] = set()
         self.idle: set[CallerChannel] = set()
         self.acceptor: ConnectionAcceptor | None = None
+        self.turn_ended = asyncio.Event()
 
     async def start(self) -> None:
         """Listen for callers and report readiness."""
@@ -202,13 +205,19 @@
         while not self.intake.may_begin(now):
             if self.intake.is_too_late(request.received_at, now):
                 return False
-            await asyncio.sleep(0)
+            await self.turn_ended.wait()
             now = self.kernel.clock.monotonic()
         if self.intake.turn_started_at is None:
             self.intake.begin_turn(now)
-            asyncio.get_running_loop().call_soon(self.intake.end_turn)
+            self.turn_ended.clear()
+            asyncio.get_running_loop().call_soon(self.end_turn)
         return True
 
+    def end_turn(self) -> None:
+        """Let requests begin in the next iteration of the event loop."""
+        self.intake.end_turn()
+        self.turn_ended.set()
+
     async def reject_unparsable(self, channel: CallerChannel) -> None:
         """Reject bytes that are not a valid request."""
         if channel.failure is not None and not channel.is_disconnected:
