Evaluate the servers of a service in one pass

At a busy router each arrival, first byte and end of a request evaluates all servers; with 70 servers that have no room it took 0.21 to 0.23 ms.

Change: one pass over the servers, slots and windows before limits, and no exponential for servers without failures. Nothing else is decided.

--- a/src/pollenloom/admission/server_candidates.py
+++ b/src/pollenloom/admission/server_candidates.py
@@ -70,24 +70,24 @@
         self.context = context
         self.is_model = is_model
         now = context.now
-        servers = [
-            known
-            for known in servers
-            if context.allows_version(known.entry.version)
-        ]
-        self.reachable = {
+        versions = {known.entry.version for known in servers}
+        allowed_versions = set(filter(context.allows_version, versions))
+        allowed = {
             known.entry.server: known
             for known in servers
-            if not find_load(known.entry.server, now).health.is_down(now)
+            if known.entry.version in allowed_versions
         }
-        self.healthy = {
-            server: known
-            for server, known in self.reachable.items()
-            if not find_load(server, now).is_unhealthy(now)
-        }
-        if len(self.healthy) < len(servers) * MIN_HEALTHY_SHARE:
-            all_servers = {known.entry.server: known for known in servers}
-            self.healthy = self.reachable or all_servers
+        self.reachable: dict[ServerId, KnownServer] = {}
+        self.healthy: dict[ServerId, KnownServer] = {}
+        for server, known in allowed.items():
+            load = find_load(server, now)
+            if load.health.is_down(now):
+                continue
+            self.reachable[server] = known
+            if not load.is_unhealthy(now):
+                self.healthy[server] = known
+        if len(self.healthy) < len(allowed) * MIN_HEALTHY_SHARE:
+            self.healthy = self.reachable or allowed
         self.available: dict[ServerId, AvailableServer] = {}
         for known in self.healthy.values():
             self.update_available(known)
@@ -129,7 +129,7 @@
             return None
         load_before = LoadBefore(
             is_model=self.is_model,
-            unread=load.window.outstanding + self.context.remote_unread(server),
+            unread=self.unread(load, server),
             running=load.in_flight + self.context.remote_running(server),
             slots=known.entry.slots,
         )
@@ -205,33 +205,37 @@
         """Whether a server has room and, if cold, may get a request now."""
         context = self.context
         server = known.entry.server
-        turn = context.cold_turn
-        is_cold = known.is_cold(context.now)
-        if turn is not None and is_cold and not load.limiter.may_send(turn):
-            return False
-        quota = context.rate_quota(known)
-        if quota and not load.rate_bucket.may_send(quota, context.now):
-            return False
         running: float = load.in_flight
         if self.is_model:
             # Responses of models take seconds, so that the counts reported by
             # other routers are recent enough.
             running += context.remote_running(server)
-        is_free = running < known.entry.slots
-        unread = context.remote_unread(server)
-        return is_free and load.window.has_room(unread)
+        if running >= known.entry.slots:
+            return False
+        if not load.window.has_room(context.remote_unread(server)):
+            return False
+        turn = context.cold_turn
+        is_cold = turn is not None and known.is_cold(context.now)
+        if turn and is_cold and not load.limiter.may_send(turn):
+            return False
+        quota = context.rate_quota(known)
+        return not quota or load.rate_bucket.may_send(quota, context.now)
 
     def estimate_delay(self, load: ServerLoad, server: ServerId) -> float:
         """Return the expected seconds before a new request is started."""
         health = load.health
+        if self.is_model and not health.failures:
+            return self.unread(load, server) / PREFILL_TOKENS_PER_SECOND
         health.decay(self.context.now)
         total = health.successes + health.failures
         penalty = FAILURE_PENALTY_SECONDS * health.failures / (total + 1)
         if not self.is_model:
             return health.latency * (1 + load.in_flight) + penalty
-        unread = load.window.outstanding
-        unread += self.context.remote_unread(server)
-        return unread / PREFILL_TOKENS_PER_SECOND + penalty
+        return self.unread(load, server) / PREFILL_TOKENS_PER_SECOND + penalty
+
+    def unread(self, load: ServerLoad, server: ServerId) -> float:
+        """Return the unread prompt tokens that all routers have at a server."""
+        return load.window.outstanding + self.context.remote_unread(server)
 
 
 def by_delay(server: AvailableServer) -> float:
--- a/src/pollenloom/routing/server_health.py
+++ b/src/pollenloom/routing/server_health.py
@@ -76,6 +76,8 @@
 
     def is_unhealthy(self, now: float) -> bool:
         """Whether too many of the recent requests failed."""
+        if not self.failures:
+            return False
         self.decay(now)
         total = self.successes + self.failures
         return (
