Review: Do not refuse requests for shares while most servers are idle

Cause: the capacity that accounts share is taken from what began over the fleet. After an outage, beside routers or collectors that do not report what began, and when callers leave before the first byte, it is far too small. Routers then took on 1.15 times what had begun, and half of that as surplus, and refused the rest at once though servers were idle.

Change: a request beyond the share of its account may use idle room if less than half of the slots and of the queues of all servers without named limits are taken, as the sums over the fleet say.

--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -117,7 +117,8 @@
     async def acquire(self, ticket: Ticket) -> Result[Grant, Failure]:
         """Wait for a grant; see `Admission.acquire`."""
         now = self.kernel.clock.monotonic()
-        if not self.catalogue.directory.usable(ticket.service, now):
+        servers = self.catalogue.directory.usable(ticket.service, now)
+        if not servers:
             reason = 'no server is registered'
             return Error(self.reject(ticket, reason, 0))
         pool = self.pool(ticket.service)
@@ -126,6 +127,10 @@
         )
         pool.activity.accounts.record_asked(ticket)
         share_class = pool.classify(ticket)
+        if share_class is ShareClass.BEYOND and pool.has_idle_servers(
+            self.rate_limits.unlimited(servers), now
+        ):
+            share_class = ShareClass.SURPLUS
         waiting = WaitingTicket(ticket, now, share_class)
         grant_future: GrantFuture = asyncio.get_running_loop().create_future()
         self.grant_futures[waiting] = grant_future
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -10,7 +10,10 @@
 from pollenloom.admission.placement import Placement
 from pollenloom.admission.pool_activity import PoolActivity
 from pollenloom.admission.selection_context import SelectionContext
-from pollenloom.admission.server_candidates import ServerCandidates
+from pollenloom.admission.server_candidates import (
+    SPARE_SHARE,
+    ServerCandidates,
+)
 from pollenloom.admission.share_class import ShareClass
 from pollenloom.admission.ticket import Ticket
 from pollenloom.admission.version_credit import VersionCredit
@@ -119,6 +122,26 @@
             return ShareClass.WITHIN
         return self.shares.classify(ticket.account)
 
+    def has_idle_servers(self, servers: list[KnownServer], now: float) -> bool:
+        """Whether less than `SPARE_SHARE` of the room of servers is taken.
+
+        Nobody lacks room then, and what began says nothing about the capacity,
+        as after an outage. All routers know the same sums and decide alike.
+        """
+        running: float = 0
+        unread: float = 0
+        slots = 0
+        limit: float = 0
+        for known in servers:
+            server = known.entry.server
+            load = self.servers.server_load(server, now)
+            running += load.in_flight + self.remote_load.running.get(server, 0)
+            unread += load.window.outstanding
+            unread += self.remote_load.unread.get(server, 0)
+            slots += known.entry.slots
+            limit += load.window.limit
+        return running < slots * SPARE_SHARE and unread < limit * SPARE_SHARE
+
     def remote_begun(self) -> float:
         """Return the recent cost that began on the other routers."""
         return self.remote_load.begun.get(self.credit.service, 0)
--- a/src/pollenloom/admission/rate_limits.py
+++ b/src/pollenloom/admission/rate_limits.py
@@ -1,6 +1,6 @@
 """Limits on requests that backend servers have named, and parts of them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import partial
 from typing import Final
 
@@ -73,6 +73,13 @@
             return None
         return fact.content.rate
 
+    def unlimited(self, servers: Iterable[KnownServer]) -> list[KnownServer]:
+        """Return the servers that have named no limit.
+
+        The others have free slots while their limits bind.
+        """
+        return [known for known in servers if self.rate(known) is None]
+
     def quotas(
         self, service: ServiceId, demand: float, now: float
     ) -> QuotaLookup:
