Review: Report the usage of accounts with few small requests

Cause: a decayed cost of up to 1 was dropped, and less than 0.5 reported as 0. Requests of services that count calls (orders, stock) cost 1 each, so that the demand of their accounts was about 0 at all routers, and the level that divides the capacity was never set.

Change: costs down to 0.05 are kept, and costs below 20 are reported with two digits, as is what began.

The new test failed before with a KeyError.

--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -18,6 +18,7 @@
 from pollenloom.admission.ticket import Ticket
 from pollenloom.admission.version_credit import VersionCredit
 from pollenloom.core.ids import ResponseClass, VersionId, VmId
+from pollenloom.routing.account_usage import rounded_cost
 from pollenloom.routing.decaying_count import DecayingCount
 from pollenloom.routing.send_window import (
     PREFILL_TOKENS_PER_SECOND,
@@ -260,6 +261,8 @@
             refused=self.backlog.refused.largest_usages(now),
             responses=responses,
             demand={self.credit.service: round(self.demand.at(now), 1)},
-            begun={self.credit.service: round(self.shares.begun.at(now))},
+            begun={
+                self.credit.service: rounded_cost(self.shares.begun.at(now))
+            },
             answers={self.credit.service: round(self.answers.at(now), 1)},
         )
--- a/src/pollenloom/routing/account_usage.py
+++ b/src/pollenloom/routing/account_usage.py
@@ -13,8 +13,13 @@
 # capacity or before capacity fell, is held back for up to about twice this
 # time; with 4 s it got nothing for six seconds.
 DECAY_SECONDS: Final = 1.0
-# Accounts whose decayed cost is not larger than this are dropped.
-SMALLEST_USAGE: Final = 1.0
+# Accounts whose decayed cost is not larger than this are dropped. Requests of
+# services that count calls cost 1 each, and a router may get few of them.
+SMALLEST_USAGE: Final = 0.05
+# Costs below this are reported with fractions, others as whole numbers, which
+# take less space in a report.
+MIN_WHOLE_COST: Final = 20.0
+FRACTION_DIGITS: Final = 2
 # Accounts in one report to other routers, those with the largest usage.
 MAX_REPORTED_ACCOUNTS: Final = 200
 
@@ -85,4 +90,13 @@
             self.local,
             key=self.local.__getitem__,
         )
-        return {account: round(self.local[account]) for account in most_used}
+        return {
+            account: rounded_cost(self.local[account]) for account in most_used
+        }
+
+
+def rounded_cost(cost: float) -> float:
+    """Return a cost as it is reported to other routers."""
+    if cost >= MIN_WHOLE_COST:
+        return round(cost)
+    return round(cost, FRACTION_DIGITS)
--- a/tests/routing/test_account_usage.py
+++ b/tests/routing/test_account_usage.py
@@ -51,3 +51,15 @@
     reported = usage.largest_usages(0)
     assert len(reported) == MAX_REPORTED_ACCOUNTS
     assert AccountId('a0') not in reported
+
+
+def test_few_small_requests_are_reported() -> None:
+    """Guards against accounts whose demand nobody knows.
+
+    Requests of services that count calls cost 1 each. The usage of accounts
+    with a few at each router was dropped and reported as 0.
+    """
+    usage = AccountUsage()
+    usage.charge(SHOP, 1, 0)
+    reported = usage.largest_usages(DECAY_SECONDS)
+    assert reported[SHOP] == pytest.approx(math.exp(-1), abs=0.01)
