Review: Use a whole limit where a router gets all requests of a service

Cause: the demand of the other routers is the sum over the fleet without this router's report; a remaining demand of zero was left out, and taken for unknown. The router then used an equal part of the limits that servers had named.

Change: a demand of zero stays in the sum without the own report.

--- a/src/pollenloom/routing/service_load.py
+++ b/src/pollenloom/routing/service_load.py
@@ -70,7 +70,7 @@
             usage=subtract(self.usage, part.usage),
             refused=subtract(self.refused, part.refused),
             responses=subtract(self.responses, part.responses),
-            demand=subtract(self.demand, part.demand),
+            demand=subtract_known(self.demand, part.demand),
             begun=subtract(self.begun, part.begun),
             answers=subtract(self.answers, part.answers),
         )
@@ -128,6 +128,16 @@
     return {key: amount for key, amount in remaining.items() if amount > 0}
 
 
+def subtract_known(total: Amounts[KeyT], part: Amounts[KeyT]) -> Amounts[KeyT]:
+    """Return a total without one part; zero where the part is all of it.
+
+    No demand elsewhere differs from a demand that is not known.
+    """
+    return {
+        key: max(0, amount - part.get(key, 0)) for key, amount in total.items()
+    }
+
+
 def multiply(amounts: Amounts[KeyT], factor: float) -> Amounts[KeyT]:
     """Return all amounts times a factor."""
     return {key: amount * factor for key, amount in amounts.items()}
--- a/tests/admission/test_rate_limits.py
+++ b/tests/admission/test_rate_limits.py
@@ -8,7 +8,7 @@
 from pollenloom.admission.rate_limits import MIN_RATE, USED_SHARE
 from pollenloom.core.ids import ServerId
 from pollenloom.routing.fleet_facts import LIMIT_SECONDS
-from pollenloom.routing.service_load import ServiceLoad
+from pollenloom.routing.service_load import ServiceLoad, add_loads
 from tests.admission.local_fleet import SERVICE, LocalFleet
 from tests.admission.simulated_loop import simulate
 
@@ -77,6 +77,24 @@
     assert run_with_fleet(scenario) == pytest.approx(LIMIT * USED_SHARE / 4)
 
 
+def test_router_that_gets_all_requests_uses_the_whole_limit() -> None:
+    """Guards against most of a limit that is left to routers without requests.
+
+    A router whose own report was all of the fleet's demand took the demand of
+    the others for unknown, and used an equal part of the limit.
+    """
+
+    def scenario(fleet: LocalFleet) -> float | None:
+        """Name a limit while only the first router has reported demand."""
+        observe(fleet, LIMIT)
+        report = ServiceLoad(demand={SERVICE: 10})
+        total = add_loads([report, ServiceLoad(demand={SERVICE: 0})])
+        fleet.exchanges[0].remote = total.minus(report)
+        return quota(fleet, demand=10)
+
+    assert run_with_fleet(scenario) == pytest.approx(LIMIT * USED_SHARE)
+
+
 def test_server_that_started_again_has_no_limit() -> None:
     """Guards against the limit of a process that has ended."""
 
