--- a/tests/admission/test_local_fleet_idle_capacity.py
+++ b/tests/admission/test_local_fleet_idle_capacity.py
@@ -1,7 +1,7 @@
 """Requests that are refused for the shares of accounts while servers idle."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 
 import pytest
@@ -86,7 +86,7 @@
 
 
 def without_begun(
-    local_loads: Callable[[], dict[ServiceId, ServiceLoad]],
+    local_loads: Callable[[], Mapping[ServiceId, ServiceLoad]],
 ) -> Callable[[], dict[ServiceId, ServiceLoad]]:
     """Return loads as a router without reports of what began sends them."""
     return lambda: {
