--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -1,7 +1,9 @@
 """Admission decided locally, without a request to other routers."""
 
 import asyncio
+from collections.abc import Callable
 from contextlib import ExitStack
+from functools import partial
 from itertools import count
 from typing import Final
 
@@ -29,7 +31,7 @@
 from pollenloom.core.backend_server import BackendServer
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
-from pollenloom.core.ids import GrantId, PoolId, ServiceId
+from pollenloom.core.ids import GrantId, PoolId, ServerId, ServiceId
 from pollenloom.core.states import Outcome
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
@@ -217,18 +219,18 @@
             for service, pool in self.pools.items()
         }
 
-    def cold_turn(self, service: ServiceId) -> ColdServerTurn | None:
-        """Return this router's turn for cold servers; None for no limit."""
+    def cold_turns(
+        self, service: ServiceId
+    ) -> Callable[[ServerId], ColdServerTurn] | None:
+        """Return this router's turns for cold servers; None for no limit."""
         profile = self.catalogue.directory.profiles.get(service)
         if profile is None or profile.cold_rate <= 0:
             return None
         position = self.fleet_directory.position()
         if position is None:
-            return CLOSED_TURN
+            return lambda _: CLOSED_TURN
         wall = self.kernel.clock.wall()
-        return cold_turn(
-            profile.cold_rate, position.rank, position.routers, wall
-        )
+        return partial(cold_turn, profile.cold_rate, position, wall)
 
     def grant_all_waiting(self) -> None:
         """Grant waiting requests of all services; drop removed servers."""
@@ -245,7 +247,7 @@
         servers = self.catalogue.directory.usable(service, now)
         context = SelectionContext(
             now,
-            self.cold_turn(service),
+            self.cold_turns(service),
             self.exchange.remote_load(service, now),
             lambda version: pool.credit.allows(version, now),
             pool.credit.limited(
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -191,8 +191,9 @@
         self.credit.record_grant(version, self.versions, now)
         if context.rate_quota(placement.known) is not None:
             load.rate_bucket.mark_sent()
-        if context.cold_turn and placement.known.is_cold(now):
-            load.limiter.mark_used(context.cold_turn)
+        turn = context.cold_turn(placement.known.entry.server)
+        if turn is not None and placement.known.is_cold(now):
+            load.limiter.mark_used(turn)
         self.recent_sends.append((now, waiting.ticket.cost_hint))
         self.recent_cost += waiting.ticket.cost_hint
 
--- a/src/pollenloom/admission/selection_context.py
+++ b/src/pollenloom/admission/selection_context.py
@@ -21,7 +21,8 @@
 
     Attributes:
         now: Monotonic seconds.
-        cold_turn: Turn of this router for cold servers; None for no limit.
+        find_cold_turn: Returns the turn of this router for a cold server; None
+            for no limit.
         remote_load: Load of the service on other routers.
         allows_version: Whether the next request may go to a version.
         trial_versions: Versions with a limited share. One that has not used
@@ -32,7 +33,7 @@
     """
 
     now: float
-    cold_turn: ColdServerTurn | None
+    find_cold_turn: Callable[[ServerId], ColdServerTurn] | None
     remote_load: ServiceLoad
     allows_version: Callable[[VersionId], bool] = allow_any_version
     trial_versions: frozenset[VersionId] = frozenset()
@@ -46,6 +47,12 @@
         """Requests that other routers have in flight at a server."""
         return self.remote_load.running.get(server, 0)
 
+    def cold_turn(self, server: ServerId) -> ColdServerTurn | None:
+        """Turn of this router for a cold server; None without a limit."""
+        if self.find_cold_turn is None:
+            return None
+        return self.find_cold_turn(server)
+
     def rate_quota(self, known: KnownServer) -> RateQuota | None:
         """This router's part of the limit of a server; None without one."""
         return None if self.find_quota is None else self.find_quota(known)
--- a/src/pollenloom/admission/server_candidates.py
+++ b/src/pollenloom/admission/server_candidates.py
@@ -205,9 +205,8 @@
         """Whether a server has room and, if cold, may get a request now."""
         context = self.context
         server = known.entry.server
-        turn = context.cold_turn
-        is_cold = known.is_cold(context.now)
-        if turn is not None and is_cold and not load.limiter.may_send(turn):
+        turn = context.cold_turn(server) if known.is_cold(context.now) else None
+        if turn is not None and not load.limiter.may_send(turn):
             return False
         quota = context.rate_quota(known)
         if quota and not load.rate_bucket.may_send(quota, context.now):
--- a/src/pollenloom/routing/cold_server_turn.py
+++ b/src/pollenloom/routing/cold_server_turn.py
@@ -3,6 +3,11 @@
 from dataclasses import dataclass
 from typing import Final
 
+import xxhash
+
+from pollenloom.core.ids import ServerId
+from pollenloom.routing.fleet_position import FleetPosition
+
 # Time during which a turn may be used. The requests of any one second belong
 # to turns that began within 1.25 s. That is up to 25% more than the rate of a
 # cold server, which may be exceeded by 50%.
@@ -28,22 +33,28 @@
 
 
 def cold_turn(
-    rate: float, rank: int, routers: int, wall: float
+    rate: float, position: FleetPosition, wall: float, server: ServerId
 ) -> ColdServerTurn:
-    """Return the current turn of a router.
+    """Return the current turn of a router for a server.
 
     An equal share of the rate for each router would not limit the sum in a
     fleet with more routers than a server accepts requests in a second: all
     could send their first request at once. Instead the turns of the routers
     follow each other by wall clock, so that no messages are needed.
 
+    The turns of a router for different servers are spread over time. If it had
+    them all at once, it would seldom have enough requests waiting then, and
+    requests that come in between would find no server.
+
     Args:
         rate: Requests a second that a cold server accepts.
-        rank: Position of the router in the fleet, from 0.
-        routers: Number of routers in the fleet.
+        position: Position of the router in the fleet.
         wall: Wall time in seconds.
+        server: The server.
     """
-    period = routers / rate
+    shift = xxhash.xxh3_64_intdigest(server.encode())
+    rank = (position.rank + shift) % position.routers
+    period = position.routers / rate
     elapsed = wall - rank / rate
     number, since_start = divmod(elapsed, period)
     return ColdServerTurn(int(number), is_open=since_start < TURN_OPEN_SECONDS)
--- a/tests/admission/test_local_pool.py
+++ b/tests/admission/test_local_pool.py
@@ -85,7 +85,8 @@
     now: float = NOW,
 ) -> SelectionContext:
     """Return the context of a choice, without other routers by default."""
-    return SelectionContext(now, turn, remote_load or ServiceLoad())
+    find_turn = None if turn is None else lambda _: turn
+    return SelectionContext(now, find_turn, remote_load or ServiceLoad())
 
 
 def send_all(
--- a/tests/routing/test_cold_server_limiter.py
+++ b/tests/routing/test_cold_server_limiter.py
@@ -3,9 +3,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from pollenloom.core.ids import ServerId
 from pollenloom.routing.cold_server_limiter import ColdServerLimiter
 from pollenloom.routing.cold_server_turn import CLOSED_TURN, cold_turn
+from pollenloom.routing.fleet_position import FleetPosition
 
+SERVER = ServerId('i-1')
 RATE_FACTOR = 1.5
 EXTRA_REQUESTS = 5
 STEP_SECONDS = 0.05
@@ -24,7 +27,8 @@
     sent: list[float] = []
     for time in times:
         for rank, limiter in enumerate(limiters):
-            turn = cold_turn(rate, rank, routers, time)
+            position = FleetPosition(rank, routers)
+            turn = cold_turn(rate, position, time, SERVER)
             if limiter.may_send(turn):
                 limiter.mark_used(turn)
                 sent.append(time)
@@ -64,6 +68,24 @@
     assert len(sent_times(70, 14, times)) >= 0.8 * 14 * 10
 
 
+def test_router_has_turns_for_some_servers_at_most_times() -> None:
+    """Guards against cold servers that are idle while requests wait.
+
+    A router had its turns for all servers at the same time, in a large fleet
+    once in several seconds, and few requests waited just then.
+    """
+    position = FleetPosition(5, 70)
+    times = [step * STEP_SECONDS for step in range(200)]
+    has_turn = [
+        any(
+            cold_turn(14, position, time, ServerId(f'i-{number}')).is_open
+            for number in range(100)
+        )
+        for time in times
+    ]
+    assert sum(has_turn) >= 0.9 * len(times)
+
+
 def test_router_without_position_sends_nothing() -> None:
     """Guards against routers that each use the full rate after their start."""
     assert not ColdServerLimiter().may_send(CLOSED_TURN)
