--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -10,11 +10,15 @@
 from pollenloom.admission.placement import Placement
 from pollenloom.admission.pool_activity import PoolActivity
 from pollenloom.admission.selection_context import SelectionContext
-from pollenloom.admission.server_candidates import ServerCandidates
+from pollenloom.admission.server_candidates import (
+    SPARE_SHARE,
+    ServerCandidates,
+)
 from pollenloom.admission.share_class import ShareClass
 from pollenloom.admission.ticket import Ticket
 from pollenloom.admission.version_credit import VersionCredit
 from pollenloom.core.ids import ResponseClass, VersionId, VmId
+from pollenloom.routing.account_usage import rounded_cost
 from pollenloom.routing.decaying_count import DecayingCount
 from pollenloom.routing.send_window import (
     PREFILL_TOKENS_PER_SECOND,
@@ -119,6 +123,26 @@
             return ShareClass.WITHIN
         return self.shares.classify(ticket.account)
 
+    def has_idle_servers(self, servers: list[KnownServer], now: float) -> bool:
+        """Whether less than `SPARE_SHARE` of the room of servers is taken.
+
+        Nobody lacks room then, and what began says nothing about the capacity,
+        as after an outage. All routers know the same sums and decide alike.
+        """
+        running: float = 0
+        unread: float = 0
+        slots = 0
+        limit: float = 0
+        for known in servers:
+            server = known.entry.server
+            load = self.servers.server_load(server, now)
+            running += load.in_flight + self.remote_load.running.get(server, 0)
+            unread += load.window.outstanding
+            unread += self.remote_load.unread.get(server, 0)
+            slots += known.entry.slots
+            limit += load.window.limit
+        return running < slots * SPARE_SHARE and unread < limit * SPARE_SHARE
+
     def remote_begun(self) -> float:
         """Return the recent cost that began on the other routers."""
         return self.remote_load.begun.get(self.credit.service, 0)
@@ -167,8 +191,9 @@
         self.credit.record_grant(version, self.versions, now)
         if context.rate_quota(placement.known) is not None:
             load.rate_bucket.mark_sent()
-        if context.cold_turn and placement.known.is_cold(now):
-            load.limiter.mark_used(context.cold_turn)
+        turn = context.cold_turn(placement.known.entry.server)
+        if turn is not None and placement.known.is_cold(now):
+            load.limiter.mark_used(turn)
         self.recent_sends.append((now, waiting.ticket.cost_hint))
         self.recent_cost += waiting.ticket.cost_hint
 
@@ -237,6 +262,8 @@
             refused=self.backlog.refused.largest_usages(now),
             responses=responses,
             demand={self.credit.service: round(self.demand.at(now), 1)},
-            begun={self.credit.service: round(self.shares.begun.at(now))},
+            begun={
+                self.credit.service: rounded_cost(self.shares.begun.at(now))
+            },
             answers={self.credit.service: round(self.answers.at(now), 1)},
         )
--- a/src/pollenloom/admission/server_candidates.py
+++ b/src/pollenloom/admission/server_candidates.py
@@ -214,9 +214,8 @@
             return False
         if not load.window.has_room(context.remote_unread(server)):
             return False
-        turn = context.cold_turn
-        is_cold = turn is not None and known.is_cold(context.now)
-        if turn and is_cold and not load.limiter.may_send(turn):
+        turn = context.cold_turn(server) if known.is_cold(context.now) else None
+        if turn is not None and not load.limiter.may_send(turn):
             return False
         quota = context.rate_quota(known)
         return not quota or load.rate_bucket.may_send(quota, context.now)
