--- a/src/pollenloom/console/exit_code.py
+++ b/src/pollenloom/console/exit_code.py
@@ -27,6 +27,7 @@
             `shutdown_seconds` (`stop_seconds` for `pollenloom node`), or a
             service failed to drain or stop.
         SECOND_SIGNAL: A second signal ended the router immediately.
+            `pollenloom node` ignores a repeated SIGTERM.
     """
 
     OK = 0
