--- a/tests/admission/test_local_fleet_placement.py
+++ b/tests/admission/test_local_fleet_placement.py
@@ -7,16 +7,11 @@
 import pytest
 
 from pollenloom.core.ids import ServerId
-from tests.admission.local_fleet import LocalFleet, RequestShape
+from tests.admission.local_fleet import LocalFleet
+from tests.admission.request_mix import LARGEST_TOKENS, MIX
 from tests.admission.share_windows import ShareWindow, share_windows
 from tests.admission.simulated_loop import simulate
 
-DRAFT = RequestShape('draft', 12_000, 5_400, 380, 0.6, 12, 40)
-ANSWER = RequestShape('answer', 830, 200, 290, 0.3, 10, 12)
-TAG = RequestShape('tag', 2_400, 570, 22, 0.3, 2.5, 50)
-# Requests of each shape in the mix, as in the grown environment.
-MIX = ((DRAFT, 0.28), (ANSWER, 0.14), (TAG, 0.58))
-LARGEST_TOKENS = DRAFT.prompt + 2 * DRAFT.output
 ROUTERS = 70
 ENGINES = 24
 END_SECOND = 11
