State the refusal for a planned stop in one place

The front ends of the product and of the users' machines had a copy each, one of them without a time to return. Both tell callers now to come back after 0.05 s, which reaches another router.

--- a/src/pollenloom/dispatch/delivery.py
+++ b/src/pollenloom/dispatch/delivery.py
@@ -14,6 +14,7 @@
 from pollenloom.dispatch.attempt_failure import AttemptFailure
 from pollenloom.dispatch.backend_response import BackendResponse
 from pollenloom.dispatch.event_relay import EventRelay
+from pollenloom.frontend.stop_limits import stopping_failure
 
 if TYPE_CHECKING:
     import asyncio
@@ -160,11 +161,3 @@
         if self.run is RunStatus.YES:
             return ErrorKind.RESPONSE_TRUNCATED
         return ErrorKind.BACKEND_FAILED
-
-
-def stopping_failure() -> Failure:
-    """Return the failure of a request that is refused for a planned stop."""
-    return Failure(
-        ErrorKind.SHUTTING_DOWN,
-        'the response may not end before the router does',
-    )
--- a/src/pollenloom/dispatch/dispatcher.py
+++ b/src/pollenloom/dispatch/dispatcher.py
@@ -19,7 +19,7 @@
 from pollenloom.dispatch.caller_disconnected_error import (
     CallerDisconnectedError,
 )
-from pollenloom.dispatch.delivery import Delivery, stopping_failure
+from pollenloom.dispatch.delivery import Delivery
 from pollenloom.dispatch.delivery_cost import served_cost, unserved_cost
 from pollenloom.dispatch.dispatch import Dispatch
 from pollenloom.dispatch.event_relay import EventRelay
@@ -27,7 +27,7 @@
 from pollenloom.dispatch.grant_use import GrantUse
 from pollenloom.dispatch.http_backend_client import HttpBackendClient
 from pollenloom.dispatch.retry_budget import RetryBudget
-from pollenloom.frontend.stop_limits import StopLimits
+from pollenloom.frontend.stop_limits import StopLimits, stopping_failure
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.observability.event_log import EventLog
--- a/src/pollenloom/frontend/stop_limits.py
+++ b/src/pollenloom/frontend/stop_limits.py
@@ -4,12 +4,18 @@
 import math
 from collections.abc import AsyncGenerator, Callable
 from contextlib import asynccontextmanager
+from typing import Final
 
+from pollenloom.core.error_kind import ErrorKind
+from pollenloom.core.failure import Failure
 from pollenloom.core.ids import RouteId
 from pollenloom.frontend.stop_plan import NO_STOP, StopPlan
 from pollenloom.kernel.clock import Clock
 from pollenloom.routing.route_durations import RouteDurations
 
+# Another router can take a request that is refused for a stop at once.
+STOP_RETRY_AFTER_SECONDS: Final = 0.05
+
 LatestTime = Callable[[StopPlan], float]
 
 
@@ -90,3 +96,12 @@
             return
         seconds = latest - self.clock.monotonic()
         timeout.reschedule(asyncio.get_running_loop().time() + max(0, seconds))
+
+
+def stopping_failure() -> Failure:
+    """Return the failure of a request that is refused for a planned stop."""
+    return Failure(
+        ErrorKind.SHUTTING_DOWN,
+        'the response may not end before the router does',
+        retry_after_seconds=STOP_RETRY_AFTER_SECONDS,
+    )
--- a/src/pollenloom/gateway/gateway_server.py
+++ b/src/pollenloom/gateway/gateway_server.py
@@ -12,11 +12,12 @@
 from pollenloom.core.failure import Failure
 from pollenloom.core.units import MILLISECONDS_PER_SECOND
 from pollenloom.frontend.drain_barrier import DrainBarrier
+from pollenloom.frontend.stop_limits import stopping_failure
 from pollenloom.frontend.stop_plan import StopPlan
 from pollenloom.gateway.caller_channel import CallerChannel
 from pollenloom.gateway.loop_monitor import LoopMonitor
 from pollenloom.gateway.raw_request import RawRequest
-from pollenloom.gateway.relay import Relay, stopping_failure
+from pollenloom.gateway.relay import Relay
 from pollenloom.gateway.response_writer import ResponseWriter
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
--- a/src/pollenloom/gateway/relay.py
+++ b/src/pollenloom/gateway/relay.py
@@ -14,7 +14,7 @@
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
 from pollenloom.core.states import Outcome
-from pollenloom.frontend.stop_limits import StopLimits
+from pollenloom.frontend.stop_limits import StopLimits, stopping_failure
 from pollenloom.gateway.attempt_end import (
     AttemptEnd,
     AttemptState,
@@ -44,8 +44,6 @@
 # of these grants are used without sending anything.
 MAX_GRANTS: Final = 4
 DEFAULT_RETRY_AFTER_SECONDS: Final = 0.5
-# Another router can take a request that is refused for a stop at once.
-STOP_RETRY_AFTER_SECONDS: Final = 0.05
 
 
 class Relay(KernelService):
@@ -312,12 +310,3 @@
         )
         body = f'{failure.kind.value}: {error_response.title}\n'
         await writer.write_response(head, body.encode())
-
-
-def stopping_failure() -> Failure:
-    """Return the failure of a request that is refused for a planned stop."""
-    return Failure(
-        ErrorKind.SHUTTING_DOWN,
-        'the response may not end before the router does',
-        retry_after_seconds=STOP_RETRY_AFTER_SECONDS,
-    )
