Start with unusual figures of the platform

Cause: the platform scales its reserve of retries with the size of a deployment, so small copies get 35.83. The settings took whole numbers only, and all 228 routers ended with an invalid file (exit code 3).

Change: figures of the platform are numbers with a default and a range. One that is missing, no number or out of range is replaced and named in one log line. Ids and addresses stay required.

--- a/src/pollenloom/console/node_process.py
+++ b/src/pollenloom/console/node_process.py
@@ -5,6 +5,8 @@
 import sys
 from pathlib import Path
 
+from absl import logging
+
 from pollenloom.admission.local_admission import LocalAdmission
 from pollenloom.catalogue.block_store import BlockStore
 from pollenloom.catalogue.fact_exchange import FactExchange
@@ -90,6 +92,8 @@
         write_problems(checked.problems)
         return ExitCode.INVALID_FILE
     configure_json_log(stream=BoundedStream(sys.stdout.fileno()))
+    if checked.warnings:
+        logging.warning('settings_adjusted %s', '; '.join(checked.warnings))
     return run_loop(run_services(found, checked.model))
 
 
--- a/src/pollenloom/dispatch/retry_budget.py
+++ b/src/pollenloom/dispatch/retry_budget.py
@@ -34,7 +34,7 @@
         self,
         ratio: float = RETRY_RATIO,
         reserve: int = RETRY_RESERVE,
-        window_seconds: int = WINDOW_SECONDS,
+        window_seconds: float = WINDOW_SECONDS,
     ) -> None:
         self.ratio = ratio
         self.reserve = reserve
--- a/src/pollenloom/settings/node_settings.py
+++ b/src/pollenloom/settings/node_settings.py
@@ -1,12 +1,61 @@
 """Settings of a router on the users' platform, read from its TOML file."""
 
-from pydantic import Field
+from typing import Annotated
+
+from pydantic import BeforeValidator, Field
 
 from pollenloom.core.ids import DataCentreId, VmId
 from pollenloom.settings.router_settings import (
     ADDRESS_PATTERN,
     SettingsSection,
 )
+from pollenloom.settings.tolerant_number import TolerantNumber
+
+LARGEST_STOP_SECONDS = 600
+LARGEST_RETRY_RESERVE = 1_000_000
+LARGEST_WINDOW_SECONDS = 600
+LARGEST_PROCESSOR_NUMBER = 1024
+# A smaller time would leave none for requests that are being answered.
+SMALLEST_STOP_SECONDS = 0.5
+SMALLEST_PROCESSOR_NUMBER = 0.001
+
+StopSeconds = Annotated[
+    float,
+    Field(ge=SMALLEST_STOP_SECONDS, le=LARGEST_STOP_SECONDS),
+    BeforeValidator(
+        TolerantNumber(8, SMALLEST_STOP_SECONDS, LARGEST_STOP_SECONDS).validate
+    ),
+]
+RetryRatio = Annotated[
+    float,
+    Field(ge=0, le=1),
+    BeforeValidator(TolerantNumber(0.2, 0, 1).validate),
+]
+# Platforms scale the reserve with the size of a deployment.
+RetryReserve = Annotated[
+    float,
+    Field(ge=0, le=LARGEST_RETRY_RESERVE),
+    BeforeValidator(TolerantNumber(50, 0, LARGEST_RETRY_RESERVE).validate),
+]
+RetryWindow = Annotated[
+    float,
+    Field(ge=1, le=LARGEST_WINDOW_SECONDS),
+    BeforeValidator(TolerantNumber(10, 1, LARGEST_WINDOW_SECONDS).validate),
+]
+TrialShare = Annotated[
+    float,
+    Field(ge=0, le=1),
+    BeforeValidator(TolerantNumber(0.1, 0, 1).validate),
+]
+ProcessorNumber = Annotated[
+    float,
+    Field(ge=SMALLEST_PROCESSOR_NUMBER, le=LARGEST_PROCESSOR_NUMBER),
+    BeforeValidator(
+        TolerantNumber(
+            1, SMALLEST_PROCESSOR_NUMBER, LARGEST_PROCESSOR_NUMBER
+        ).validate
+    ),
+]
 
 
 class StoreSettings(SettingsSection):
@@ -41,6 +90,8 @@
 class BoundSettings(SettingsSection):
     """Limits that the operators guarantee.
 
+    Values that are out of range are replaced by the nearest bound.
+
     Attributes:
         stop_seconds: Longest time from SIGTERM to the end of the process.
         retry_ratio: Largest ratio of retries to requests of a service.
@@ -51,11 +102,11 @@
             version may get before it is proven good.
     """
 
-    stop_seconds: float = Field(default=8, gt=0, le=600)
-    retry_ratio: float = Field(default=0.2, ge=0, le=1)
-    retry_reserve: int = Field(default=50, ge=0)
-    retry_window_seconds: int = Field(default=10, ge=1, le=600)
-    trial_share: float = Field(default=0.1, ge=0, le=1)
+    stop_seconds: StopSeconds = 8
+    retry_ratio: RetryRatio = 0.2
+    retry_reserve: RetryReserve = 50
+    retry_window_seconds: RetryWindow = 10
+    trial_share: TrialShare = 0.1
 
 
 class MachineSettings(SettingsSection):
@@ -67,8 +118,8 @@
         processor_speed: Speed of a processor relative to a common one.
     """
 
-    processor_share: float = Field(default=1, gt=0, le=1024)
-    processor_speed: float = Field(default=1, gt=0, le=1024)
+    processor_share: ProcessorNumber = 1
+    processor_speed: ProcessorNumber = 1
 
     @property
     def capacity(self) -> float:
--- a/src/pollenloom/settings/settings_holder.py
+++ b/src/pollenloom/settings/settings_holder.py
@@ -94,7 +94,7 @@
             detail = '; '.join(entry.render() for entry in checked.problems)
         elif checked.model != self.current:
             self.current = checked.model
-            detail = 'new settings'
+            detail = '; '.join(('new settings', *checked.warnings))
         self.events.record(
             EventName.PROCESS_STATE,
             self.current.vm,
--- a/src/pollenloom/validation/toml_file.py
+++ b/src/pollenloom/validation/toml_file.py
@@ -28,10 +28,12 @@
     Attributes:
         model: Model; None if there are problems.
         problems: All problems found; empty for a valid file.
+        warnings: Values that were replaced, a line each.
     """
 
     model: ModelT | None
     problems: tuple[FileProblem, ...]
+    warnings: tuple[str, ...] = ()
 
 
 def check_text(
@@ -50,11 +52,13 @@
         return reject(
             file, 'a table nested too deeply or a number out of range'
         )
+    warnings: list[str] = []
     try:
         # Strict mode: strings are not converted to numbers, nor true to 1.
         model = model_type.model_validate_json(
             encoded,
             strict=True,
+            context=warnings,
         )
     except ValidationError as error:
         problems = tuple(
@@ -63,7 +67,7 @@
             if not is_follow_up_error(table, details)
         )
         return CheckedFile(None, problems)
-    return CheckedFile(model, ())
+    return CheckedFile(model, (), tuple(warnings))
 
 
 def reject(file: str, found: str) -> CheckedFile[ModelT]:
