Time the turns for cold servers by a clock of the fleet

Cause: turns went by the time of day. Where it jumped on a half of the routers their turns fell on those of the others, and a router had a second turn at once: a cold engine got 21 requests in a second where 20 are allowed.

Change: load reports carry the sender's time since its start, and each router follows the latest one that it hears of (FleetClock). Turns are closed until the time has settled for a second, after a correction of more than 0.1 s, and after the machine was suspended. A router keeps a distance between its own requests to a cold server also while its place in the fleet changes.

--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -229,8 +229,14 @@
         position = self.fleet_directory.position()
         if position is None:
             return lambda _: CLOSED_TURN
-        wall = self.kernel.clock.wall()
-        return partial(cold_turn, profile.cold_rate, position, wall)
+        now = self.kernel.clock.monotonic()
+        fleet_time: float | None = now
+        if position.routers > 1:
+            uptime = self.kernel.clock.uptime()
+            fleet_time = self.exchange.fleet_clock.settled_time(now, uptime)
+        if fleet_time is None:
+            return lambda _: CLOSED_TURN
+        return partial(cold_turn, profile.cold_rate, position, fleet_time)
 
     def grant_all_waiting(self) -> None:
         """Grant waiting requests of all services; drop removed servers."""
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -193,7 +193,7 @@
             load.rate_bucket.mark_sent()
         turn = context.cold_turn(placement.known.entry.server)
         if turn is not None and placement.known.is_cold(now):
-            load.limiter.mark_used(turn)
+            load.limiter.mark_used(turn, now)
         self.recent_sends.append((now, waiting.ticket.cost_hint))
         self.recent_cost += waiting.ticket.cost_hint
 
--- a/src/pollenloom/admission/server_candidates.py
+++ b/src/pollenloom/admission/server_candidates.py
@@ -215,7 +215,7 @@
         if not load.window.has_room(context.remote_unread(server)):
             return False
         turn = context.cold_turn(server) if known.is_cold(context.now) else None
-        if turn is not None and not load.limiter.may_send(turn):
+        if turn is not None and not load.limiter.may_send(turn, context.now):
             return False
         quota = context.rate_quota(known)
         return not quota or load.rate_bucket.may_send(quota, context.now)
--- a/src/pollenloom/catalogue/load_exchange.py
+++ b/src/pollenloom/catalogue/load_exchange.py
@@ -25,6 +25,7 @@
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.routing.collector_choice import CollectorChoice
+from pollenloom.routing.fleet_clock import FleetClock
 from pollenloom.routing.fleet_router import FleetRouter
 from pollenloom.routing.load_table import MAX_REPORT_AGE_SECONDS, LoadTable
 from pollenloom.routing.router_load_report import RouterLoadReport
@@ -61,6 +62,7 @@
     are not confirmed, and an unresponsive router does not delay others.
 
     Attributes:
+        fleet_clock: Time that the routers have in common.
         local_loads: Returns the load of this router, by service.
         is_first_collector: Whether this router is the preferred collector of
             its data centre.
@@ -80,10 +82,10 @@
     def __init__(self, kernel: Kernel, settings: NodeSettings) -> None:
         self.kernel = kernel
         self.vm = settings.vm
-        self.data_centre = settings.data_centre
-        self.address = settings.listen.peers
+        self.settings = settings
         self.table = LoadTable(settings.vm)
         self.collector_choice = CollectorChoice()
+        self.fleet_clock = FleetClock()
         self.local_loads: LocalLoads = dict
         self.is_first_collector = False
         self.relay_handlers: dict[type, RelayHandler] = {}
@@ -102,7 +104,7 @@
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(
             lambda: self,
-            local_addr=split_address(self.address),
+            local_addr=split_address(self.settings.listen.peers),
         )
         self.kernel.spawn('load-exchange', self.run())
 
@@ -124,15 +126,16 @@
             return
         now = self.kernel.clock.monotonic()
         message = decoded.ok
+        if isinstance(message, RelayedMessage):
+            self.handle_relayed(message, sender)
+            return
+        self.fleet_clock.observe(message.fleet_time, now)
         if isinstance(message, RouterLoadMessage):
             report = RouterLoadReport(message.number, now, message.loads)
             self.table.receive_report(message.router, report)
             if message.wants_sum:
                 self.members[sender] = now
             return
-        if isinstance(message, RelayedMessage):
-            self.handle_relayed(message, sender)
-            return
         self.collector_choice.reply_received(message.router)
         if isinstance(message, FleetLoadMessage):
             self.table.receive_fleet_sum(message.router, message.total, now)
@@ -205,6 +208,7 @@
             self.vm,
             report.number,
             dict(report.loads),
+            fleet_time=self.fleet_clock.now(now),
         )
         if len(routers) <= LARGEST_DIRECT_FLEET:
             self.is_first_collector = False
@@ -230,13 +234,16 @@
         if not self.members and not self.is_first_collector:
             return
         local_sum = self.table.local_sum(now)
+        fleet_time = self.fleet_clock.now(now)
         self.send(
-            DataCentreLoadMessage(self.vm, self.data_centre, local_sum),
+            DataCentreLoadMessage(
+                self.vm, self.settings.data_centre, local_sum, fleet_time
+            ),
             self.choose_remote_collectors(now) | self.remote_collectors.keys(),
         )
         total = self.table.fleet_sum(local_sum)
         self.table.receive_fleet_sum(self.vm, total, now)
-        self.send(FleetLoadMessage(self.vm, total), self.members)
+        self.send(FleetLoadMessage(self.vm, total, fleet_time), self.members)
 
     def relay_addresses(self, now: float) -> set[Address]:
         """Return the routers to which this one passes on what it learns.
@@ -260,7 +267,7 @@
         """Return the collectors of the other data centres."""
         by_data_centre: dict[DataCentreId, list[FleetRouter]] = {}
         for router in self.fleet_directory.routers():
-            if router.data_centre != self.data_centre:
+            if router.data_centre != self.settings.data_centre:
                 by_data_centre.setdefault(router.data_centre, []).append(router)
         return {
             collector.address
@@ -276,7 +283,7 @@
         return [
             router
             for router in routers
-            if router.data_centre == self.data_centre
+            if router.data_centre == self.settings.data_centre
         ]
 
     def without_self(self, routers: Iterable[FleetRouter]) -> list[FleetRouter]:
--- a/src/pollenloom/catalogue/load_message.py
+++ b/src/pollenloom/catalogue/load_message.py
@@ -28,12 +28,14 @@
         number: Increases with each report of the sender.
         loads: Load by service.
         wants_sum: Whether the receiver must reply with the sum over the fleet.
+        fleet_time: Fleet time of the sender in seconds; 0 if unknown.
     """
 
     router: VmId
     number: Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
     loads: dict[ServiceId, ServiceLoad]
     wants_sum: bool = False
+    fleet_time: float = 0
 
 
 class DataCentreLoadMessage(msgspec.Struct, frozen=True, tag='part'):
@@ -42,6 +44,7 @@
     router: VmId
     data_centre: DataCentreId
     part: LoadSum
+    fleet_time: float = 0
 
 
 class FleetLoadMessage(msgspec.Struct, frozen=True, tag='sum'):
@@ -49,6 +52,7 @@
 
     router: VmId
     total: LoadSum
+    fleet_time: float = 0
 
 
 class TopicUpdateMessage(msgspec.Struct, frozen=True, tag='news'):
--- a/src/pollenloom/kernel/clock.py
+++ b/src/pollenloom/kernel/clock.py
@@ -10,6 +10,10 @@
         """Seconds since an arbitrary point; never decreases."""
         return time.monotonic()
 
+    def uptime(self) -> float:
+        """Seconds since the machine started, with the time it was suspended."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def wall(self) -> float:
         """Seconds since the Unix epoch."""
         return time.time()
--- a/src/pollenloom/routing/cold_server_turn.py
+++ b/src/pollenloom/routing/cold_server_turn.py
@@ -22,25 +22,30 @@
         number: Number of the turn; each turn allows one request to each cold
             server.
         is_open: Whether the turn may be used now.
+        gap_seconds: Time between two requests in turns that follow each other
+            closest. While routers come and go, the turns of a router move.
     """
 
     number: int
     is_open: bool
+    gap_seconds: float
 
 
 # For a router that has not read the fleet directory yet.
-CLOSED_TURN: Final = ColdServerTurn(0, is_open=False)
+CLOSED_TURN: Final = ColdServerTurn(0, is_open=False, gap_seconds=0)
 
 
 def cold_turn(
-    rate: float, position: FleetPosition, wall: float, server: ServerId
+    rate: float, position: FleetPosition, fleet_time: float, server: ServerId
 ) -> ColdServerTurn:
     """Return the current turn of a router for a server.
 
     An equal share of the rate for each router would not limit the sum in a
     fleet with more routers than a server accepts requests in a second: all
     could send their first request at once. Instead the turns of the routers
-    follow each other by wall clock, so that no messages are needed.
+    follow each other by the time that they have in common, so that no messages
+    are needed. The time of day would not do: a machine on which it jumps has
+    two turns within a second, and later ones at the time of other routers.
 
     The turns of a router for different servers are spread over time. If it had
     them all at once, it would seldom have enough requests waiting then, and
@@ -49,12 +54,16 @@
     Args:
         rate: Requests a second that a cold server accepts.
         position: Position of the router in the fleet.
-        wall: Wall time in seconds.
+        fleet_time: Time that the routers have in common, seconds.
         server: The server.
     """
     shift = xxhash.xxh3_64_intdigest(server.encode())
     rank = (position.rank + shift) % position.routers
     period = position.routers / rate
-    elapsed = wall - rank / rate
+    elapsed = fleet_time - rank / rate
     number, since_start = divmod(elapsed, period)
-    return ColdServerTurn(int(number), is_open=since_start < TURN_OPEN_SECONDS)
+    return ColdServerTurn(
+        int(number),
+        is_open=since_start < TURN_OPEN_SECONDS,
+        gap_seconds=max(0, period - TURN_OPEN_SECONDS),
+    )
--- a/tests/admission/local_fleet.py
+++ b/tests/admission/local_fleet.py
@@ -31,11 +31,13 @@
     VmId,
 )
 from pollenloom.core.states import Outcome, Resource
+from pollenloom.kernel.clock import Clock
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.moves.fleet_moves import FleetMoves
 from pollenloom.moves.response_report import ResponseReport
 from pollenloom.observability.event_log import EventLog
+from pollenloom.routing.fleet_clock import FleetClock
 from pollenloom.routing.fleet_position import FleetPosition
 from pollenloom.routing.fleet_router import FleetRouter
 from pollenloom.routing.load_table import LoadTable
@@ -106,7 +108,7 @@
 
 
 class FakeFleetDirectory(FleetDirectory):
-    """Directory that no decision depends on, as no engine is cold."""
+    """Directory of all routers; this one is at a fixed position."""
 
     async def start(self) -> None:
         """Do nothing."""
@@ -114,16 +116,17 @@
     async def stop(self) -> None:
         """Do nothing."""
 
-    def __init__(self, routers: int) -> None:
+    def __init__(self, routers: int, rank: int = 0) -> None:
         self.router_count = routers
+        self.rank = rank
 
     def size(self, now: float) -> int:
         """Return the number of routers."""
         return self.router_count
 
     def position(self) -> FleetPosition | None:
-        """Raise an error, since only cold engines need a position."""
-        raise NotImplementedError
+        """Return the position of this router."""
+        return FleetPosition(self.rank, self.router_count)
 
     def routers(self) -> tuple[FleetRouter, ...]:
         """Return no routers."""
@@ -157,6 +160,7 @@
     def __init__(self, vm: VmId) -> None:
         self.vm = vm
         self.table = LoadTable(vm)
+        self.fleet_clock = FleetClock()
         self.local_loads = dict
         self.remote = ServiceLoad()
         self.fleet_directory = FakeFleetDirectory(1)
@@ -260,10 +264,12 @@
         """Start the routers and the exchange of their loads."""
         self.started_at = asyncio.get_running_loop().time()
         for exchange in self.exchanges:
-            kernel = Kernel(LoopClock())
+            kernel = Kernel(self.make_clock(exchange.vm))
+            exchange.kernel = kernel
             kernel.register(EventLog(kernel.clock))
             kernel.register(self.catalogue)
-            kernel.register(FakeFleetDirectory(len(self.exchanges)))
+            rank = self.exchanges.index(exchange)
+            kernel.register(FakeFleetDirectory(len(self.exchanges), rank))
             kernel.register(exchange)
             kernel.register(FactExchange(kernel, exchange.vm))
             kernel.register(NoMoves())
@@ -276,6 +282,10 @@
             self.admissions.append(admission)
         self.spawn(self.exchange_loads())
 
+    def make_clock(self, _router: VmId) -> Clock:
+        """Return the clock of a router."""
+        return LoopClock()
+
     def relay_targets(self, exchange: DelayedExchange) -> list[DelayedExchange]:
         """Return some routers, through which all others are reached soon."""
         index = self.exchanges.index(exchange)
@@ -302,6 +312,7 @@
     async def exchange_loads(self) -> None:
         """Add up the reports and deliver the sums after the delay."""
         sent: deque[list[ServiceLoad]] = deque()
+        times: deque[list[float]] = deque()
         while True:
             await asyncio.sleep(REPORT_SECONDS)
             sent.append(
@@ -310,12 +321,18 @@
                     for exchange in self.exchanges
                 ]
             )
+            now = asyncio.get_running_loop().time()
+            times.append(
+                [exchange.fleet_clock.now(now) for exchange in self.exchanges]
+            )
             if len(sent) * REPORT_SECONDS <= REPORT_DELAY_SECONDS:
                 continue
             loads = sent.popleft()
             total = add_loads(loads)
+            latest = max(times.popleft())
             for exchange, load in zip(self.exchanges, loads, strict=True):
                 exchange.remote = total.minus(load)
+                exchange.fleet_clock.observe(latest, now)
 
     async def ask(
         self,
--- a/tests/admission/simulated_loop.py
+++ b/tests/admission/simulated_loop.py
@@ -44,6 +44,9 @@
     def monotonic(self) -> float:
         return asyncio.get_running_loop().time()
 
+    def uptime(self) -> float:
+        return asyncio.get_running_loop().time()
+
     def wall(self) -> float:
         return asyncio.get_running_loop().time()
 
--- a/tests/admission/test_local_pool.py
+++ b/tests/admission/test_local_pool.py
@@ -314,7 +314,7 @@
     sent = 0
     for step in range(100):
         pool.put(WaitingTicket(make_ticket('shop', 1), NOW))
-        turn = ColdServerTurn(step // 50, is_open=step % 50 < 20)
+        turn = ColdServerTurn(step // 50, is_open=step % 50 < 20, gap_seconds=0)
         selection = context(turn=turn, now=NOW + step / 100)
         sent += len(send_all(pool, [server], selection))
     assert sent == 2
--- a/tests/manual_clock.py
+++ b/tests/manual_clock.py
@@ -13,6 +13,10 @@
         """Time in seconds, as set by the test."""
         return self.now
 
+    def uptime(self) -> float:
+        """Time in seconds, as set by the test."""
+        return self.now
+
     def wall(self) -> float:
         """Time in seconds, as set by the test."""
         return self.now
--- a/tests/routing/test_cold_server_limiter.py
+++ b/tests/routing/test_cold_server_limiter.py
@@ -29,8 +29,8 @@
         for rank, limiter in enumerate(limiters):
             position = FleetPosition(rank, routers)
             turn = cold_turn(rate, position, time, SERVER)
-            if limiter.may_send(turn):
-                limiter.mark_used(turn)
+            if limiter.may_send(turn, time):
+                limiter.mark_used(turn, time)
                 sent.append(time)
     return sent
 
@@ -88,4 +88,4 @@
 
 def test_router_without_position_sends_nothing() -> None:
     """Guards against routers that each use the full rate after their start."""
-    assert not ColdServerLimiter().may_send(CLOSED_TURN)
+    assert not ColdServerLimiter().may_send(CLOSED_TURN, 0)
