Limit connecting by the time in which the event loop runs

Cause: connecting to a backend server had 0.5 s of wall time.

Change: the limit is ten steps of 50 ms, and a standstill of the loop counts for one step. A silent server is given up after 0.5 s as before.

--- a/src/pollenloom/gateway/server_connection_pool.py
+++ b/src/pollenloom/gateway/server_connection_pool.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 from collections import defaultdict, deque
-from typing import ClassVar, Final
+from typing import Any, ClassVar, Final
 
 from expression import Error, Ok, Result
 
@@ -18,9 +18,12 @@
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 
-# A reachable server accepts within a few milliseconds; 0.5 s leaves time for
-# the retransmission of a lost packet, which TCP sends after 200 ms.
-CONNECT_TIMEOUT_SECONDS: Final = 0.5
+# A reachable server accepts within a few milliseconds; ten steps, 0.5 s, leave
+# time for the retransmission of a lost packet, which TCP sends after 200 ms.
+# While the event loop stands still, a step takes longer: on a router out of
+# processor time the connection is open before the loop gets to see it.
+CONNECT_STEP_SECONDS: Final = 0.05
+CONNECT_STEPS: Final = 10
 # A connection is closed if sent bytes stay unacknowledged for this long, which
 # detects servers behind a network partition.
 USER_TIMEOUT_MS: Final = 2500
@@ -119,17 +122,20 @@
             ),
         )
         # Cancelling a connection attempt in uvloop 0.22.1 can close a file
-        # descriptor that was reused by another connection, so the attempt is
-        # shielded, and a connection that opens too late is closed.
+        # descriptor that was reused by another connection, so the attempt goes
+        # on, and a connection that opens too late is closed.
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                transport, channel = await asyncio.shield(connecting)
-        except (TimeoutError, OSError) as error:
-            connecting.add_done_callback(close_unused)
-            return Error(error)
+            await wait_in_steps(connecting)
         except asyncio.CancelledError:
             connecting.add_done_callback(close_unused)
             raise
+        if not connecting.done():
+            connecting.add_done_callback(close_unused)
+            return Error(TimeoutError('no connection in time'))
+        try:
+            transport, channel = connecting.result()
+        except OSError as error:
+            return Error(error)
         tcp_socket = transport.get_extra_info('socket')
         if tcp_socket is None:
             # The server closed it before this task ran again.
@@ -182,6 +188,17 @@
             self.idle[server] = kept
 
 
+async def wait_in_steps(connecting: 'asyncio.Future[Any]') -> None:
+    """Wait until a connection is open or failed, for a limited time.
+
+    The time in which the event loop stood still counts for one step.
+    """
+    for _ in range(CONNECT_STEPS):
+        await asyncio.wait((connecting,), timeout=CONNECT_STEP_SECONDS)
+        if connecting.done():
+            return
+
+
 def close_unused(
     connecting: 'asyncio.Task[tuple[asyncio.Transport, ServerChannel]]',
 ) -> None:
