Use no grant after a pause of the process

Cause: routers on the users' platform did not look at the age of a grant. A process that stood still for seconds while it connected sent the request all the same, also to a server that had begun to leave, or in a turn for a cold server that had passed long ago. A suspended machine does not even see the time pass, as monotonic time does not count it.

Change: a grant is valid for 1.5 s, 0.5 s for cold servers, and the time since the start of the machine counts as well. With an expired one the request asks for another; the connection is kept, and the server is not held to have failed.

--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -45,7 +45,11 @@
 )
 from pollenloom.routing.service_load import ServiceLoad
 
-GRANT_VALIDITY_SECONDS: Final = 0.5
+# Longer than it takes to connect, and shorter than the time after which
+# operators expect that a server which leaves gets nothing more.
+GRANT_VALIDITY_SECONDS: Final = 1.5
+# Turns for cold servers last less than that.
+COLD_GRANT_VALIDITY_SECONDS: Final = 0.5
 # Limits on cold servers and queue windows ease with time, without an event.
 RECHECK_SECONDS: Final = 0.05
 MIN_RETRY_SECONDS: Final = 0.3
@@ -377,6 +381,9 @@
 ) -> Grant:
     """Return the grant for a placement, given at monotonic seconds."""
     entry = placement.known.entry
+    validity = GRANT_VALIDITY_SECONDS
+    if placement.known.is_cold(now):
+        validity = COLD_GRANT_VALIDITY_SECONDS
     return Grant(
         grant_id=grant_id,
         pool=PoolId(ticket.service),
@@ -392,6 +399,6 @@
             cold_slots=1,
         ),
         epoch=0,
-        expires_at=now + GRANT_VALIDITY_SECONDS,
+        expires_at=now + validity,
         charged=ticket.cost_hint,
     )
--- a/src/pollenloom/gateway/relay.py
+++ b/src/pollenloom/gateway/relay.py
@@ -237,10 +237,12 @@
             admission=self.admission,
             prompt_guard=self.prompt_guard,
             stop_limits=self.stop_limits,
+            began_at=self.kernel.clock.uptime(),
         )
         end = await request_attempt.run(self.connection_pool)
         if end.state is not AttemptState.ANSWERED:
-            call.failed_servers.add(grant.server.server)
+            if request_attempt.outcome is not Outcome.UNUSED:
+                call.failed_servers.add(grant.server.server)
             self.event_log.attempt_failed(
                 call,
                 grant,
--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -46,6 +46,10 @@
 MAX_BODY_BYTES: Final = 8_388_608
 # Bodies of rejections are short; a longer wait for one delays the next attempt.
 REJECTION_BODY_SECONDS: Final = 0.25
+# A grant is used within this time, also if the machine was suspended, which
+# monotonic time does not count. Operators expect changes, such as a server
+# that leaves, to be in force after 2 s.
+MAX_SEND_DELAY_SECONDS: Final = 1.5
 # Ends that a crash of the server brings about.
 LOST_CONNECTION: Final = frozenset((ChannelEnd.CLOSED, ChannelEnd.RESET))
 
@@ -57,6 +61,7 @@
     Attributes:
         stop_limits: Whether the request may still be passed on; a planned stop
             can end that while a connection is being opened.
+        began_at: Time of the grant, seconds since the start of the machine.
         outcome: Outcome that the settlement will report.
         sent_at: Monotonic time in seconds when the request was written.
         first_byte_seconds: Seconds from `sent_at` to the first byte of a
@@ -79,6 +84,7 @@
     admission: Admission
     prompt_guard: PromptGuard
     stop_limits: StopLimits
+    began_at: float
     outcome: Outcome = Outcome.UNUSED
     sent_at: float = 0
     first_byte_seconds: float | None = None
@@ -103,6 +109,11 @@
             stack.callback(
                 self.release_connection, acquired.ok, connection_pool
             )
+            if is_expired(self.grant, self.began_at, self.clock):
+                return AttemptEnd(
+                    AttemptState.UNSENT,
+                    Failure(ErrorKind.NO_CAPACITY, 'the grant has expired'),
+                )
             call = self.call
             if not self.stop_limits.may_send(call.route.route, call.deadline):
                 return AttemptEnd(
@@ -391,3 +402,20 @@
     """Whether the body of a response is an event stream."""
     content_type = find_header(head.headers, CONTENT_TYPE) or b''
     return content_type.partition(b';')[0].strip().lower() == EVENT_STREAM
+
+
+def is_expired(grant: Grant, began_at: float, clock: Clock) -> bool:
+    """Whether a grant is too old to be used.
+
+    The process may have been paused while it connected, and the server may not
+    be used any more, or not at this moment.
+
+    Args:
+        grant: The grant.
+        began_at: When it was given, seconds since the start of the machine.
+        clock: Source of the present time.
+    """
+    waited = clock.uptime() - began_at
+    return grant.is_expired(clock.monotonic()) or (
+        waited >= MAX_SEND_DELAY_SECONDS
+    )
