Take free room of servers into account for shares

Cause: routers took on a twentieth more than what had begun lately. After a time of less capacity what began was small because little was taken on, and it grew by a twentieth a second.

Change: the capacity is what begins, divided by the part of the servers' slots and windows that is taken. All routers know the same sums. It is computed with the level, ten times a second, and no longer for each request beyond a share.

--- a/src/pollenloom/admission/account_shares.py
+++ b/src/pollenloom/admission/account_shares.py
@@ -15,6 +15,11 @@
 # Requests are taken on for so much more than what begins, so that the estimate
 # of the capacity can grow, and requests that find no room leave no gap.
 CAPACITY_MARGIN: Final = 0.05
+# Part of the room of servers that counts as taken at least: what begins can't
+# grow by more within the time in which it is measured.
+SMALLEST_USED_ROOM: Final = 0.4
+# Servers with more free room are idle, and requests beyond shares are taken on.
+IDLE_ROOM: Final = 0.5
 # An account may use idle room for this part of its share beyond it. Without a
 # bound the account that asks most would get all idle room.
 SURPLUS_SHARE: Final = 0.25
@@ -42,6 +47,7 @@
         level: Demand up to which an account is within its share; None while
             no account takes capacity from another.
         level_expires_at: When the level is computed again, monotonic seconds.
+        taken_room: Part of the room of the servers that was taken then.
         local_rate: Cost per second of the requests on this router that are
             within the shares of their accounts.
         within_credit: Part of a request within the share that an account has
@@ -58,19 +64,35 @@
         self.begun = DecayingCount(DECAY_SECONDS)
         self.level: float | None = None
         self.level_expires_at = float('-inf')
+        self.taken_room: float = 1
         self.local_rate: float = 0
         self.within_credit: dict[AccountId, float] = {}
         self.surplus_credit: dict[AccountId, float] = {}
 
-    def update(self, remote_begun: float, now: float) -> None:
-        """Compute the level again if it is older than a load report.
+    @property
+    def is_idle(self) -> bool:
+        """Whether the servers have so much room that nobody lacks any."""
+        return self.taken_room < IDLE_ROOM
+
+    def is_due(self, now: float) -> bool:
+        """Whether the level is older than a load report."""
+        return now >= self.level_expires_at
+
+    def update(
+        self, remote_begun: float, taken_room: float, now: float
+    ) -> None:
+        """Compute the level.
+
+        Servers of which a part of the room is free can serve so much more than
+        what begins. Without that, a time of less capacity would be followed by
+        one in which requests are refused although servers have room.
 
         Args:
             remote_begun: Recent cost that began on the other routers.
+            taken_room: Part of the room of the servers that is taken.
             now: Monotonic seconds.
         """
-        if now < self.level_expires_at:
-            return
+        self.taken_room = taken_room
         self.level_expires_at = now + LEVEL_SECONDS
         usage = self.usage.totals(now)
         refused = self.refused.totals(now)
@@ -78,7 +100,8 @@
         demand = sum(usage.values()) + sum(refused.values())
         self.level = None
         if begun >= MIN_BEGUN_PART * demand:
-            capacity = begun * (1 + CAPACITY_MARGIN)
+            used = min(1, max(SMALLEST_USED_ROOM, taken_room))
+            capacity = begun * (1 + CAPACITY_MARGIN) / used
             self.level = fair_level(usage, refused, capacity)
         accounts = {**self.usage.local, **self.refused.local}
         self.local_rate = (
--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -128,14 +128,12 @@
             reason = 'no server is registered'
             return Error(self.reject(ticket, reason, 0))
         pool = self.pool(ticket.service)
-        pool.apply_remote_load(
-            self.exchange.remote_load(ticket.service, now), now
-        )
+        pool.apply_remote_load(self.exchange.remote_load(ticket.service, now))
+        if pool.shares.is_due(now):
+            pool.update_shares(self.rate_limits.unlimited(servers), now)
         pool.activity.accounts.record_asked(ticket)
         share_class = pool.classify(ticket)
-        if share_class is ShareClass.BEYOND and pool.has_idle_servers(
-            self.rate_limits.unlimited(servers), now
-        ):
+        if share_class is ShareClass.BEYOND and pool.shares.is_idle:
             share_class = ShareClass.SURPLUS
         waiting = WaitingTicket(ticket, now, share_class)
         grant_future: GrantFuture = asyncio.get_running_loop().create_future()
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -10,10 +10,7 @@
 from pollenloom.admission.placement import Placement
 from pollenloom.admission.pool_activity import PoolActivity
 from pollenloom.admission.selection_context import SelectionContext
-from pollenloom.admission.server_candidates import (
-    SPARE_SHARE,
-    ServerCandidates,
-)
+from pollenloom.admission.server_candidates import ServerCandidates
 from pollenloom.admission.share_class import ShareClass
 from pollenloom.admission.ticket import Ticket
 from pollenloom.admission.version_credit import VersionCredit
@@ -96,7 +93,7 @@
         if not self.backlog.queues:
             return
         self.backlog.usage.decay(context.now)
-        self.apply_remote_load(context.remote_load, context.now)
+        self.apply_remote_load(context.remote_load)
         self.versions = {known.entry.version for known in servers}
         candidates = self.servers.make_candidates(servers, context)
         while self.backlog.queues:
@@ -107,12 +104,22 @@
             candidates.refresh(found[1].known)
             yield found
 
-    def apply_remote_load(self, load: ServiceLoad, now: float) -> None:
-        """Use the load of other routers, and the shares that follow from it."""
+    def apply_remote_load(self, load: ServiceLoad) -> None:
+        """Use the load of other routers."""
         self.remote_load = load
         self.backlog.usage.remote = load.usage
         self.backlog.refused.remote = load.refused
-        self.shares.update(self.remote_begun(), now)
+
+    def update_shares(self, servers: list[KnownServer], now: float) -> None:
+        """Divide the capacity anew, from the latest load of other routers.
+
+        Args:
+            servers: Usable servers without a limit of their own.
+            now: Monotonic seconds.
+        """
+        self.shares.update(
+            self.remote_begun(), self.taken_room(servers, now), now
+        )
 
     def classify(self, ticket: Ticket) -> ShareClass:
         """Return the class of a new request by the share of its account.
@@ -123,11 +130,11 @@
             return ShareClass.WITHIN
         return self.shares.classify(ticket.account)
 
-    def has_idle_servers(self, servers: list[KnownServer], now: float) -> bool:
-        """Whether less than `SPARE_SHARE` of the room of servers is taken.
+    def taken_room(self, servers: list[KnownServer], now: float) -> float:
+        """Return the part of the servers' room that is taken; 1 without any.
 
-        Nobody lacks room then, and what began says nothing about the capacity,
-        as after an outage. All routers know the same sums and decide alike.
+        Room are slots, and the unread tokens that their windows allow. All
+        routers know the same sums and get about the same result.
         """
         running: float = 0
         unread: float = 0
@@ -141,7 +148,9 @@
             unread += self.remote_load.unread.get(server, 0)
             slots += known.entry.slots
             limit += load.window.limit
-        return running < slots * SPARE_SHARE and unread < limit * SPARE_SHARE
+        if not slots:
+            return 1
+        return max(running / slots, unread / limit)
 
     def remote_begun(self) -> float:
         """Return the recent cost that began on the other routers."""
--- a/tests/admission/local_fleet.py
+++ b/tests/admission/local_fleet.py
@@ -196,6 +196,7 @@
     Attributes:
         slots: Requests that run at a time; others wait in order of arrival.
         read_until: When all prompts that arrived are read, in loop time.
+        slowdown: How many times as long it takes to read a prompt.
         rate_limit: Requests a second that it names in its responses, if any.
         arrivals: Time and router of each request, in loop time.
         told_at: When each router first passed on a response with a limit.
@@ -203,6 +204,7 @@
 
     slots: asyncio.Semaphore
     read_until: float = 0
+    slowdown: float = 1
     rate_limit: float | None = None
     arrivals: list[tuple[float, VmId]] = field(default_factory=list)
     told_at: dict[VmId, float] = field(default_factory=dict)
@@ -211,7 +213,8 @@
         """Wait until the prompt is read."""
         now = asyncio.get_running_loop().time()
         start = max(now, self.read_until)
-        self.read_until = start + tokens / READ_TOKENS_PER_SECOND
+        seconds = tokens * self.slowdown / READ_TOKENS_PER_SECOND
+        self.read_until = start + seconds
         await asyncio.sleep(self.read_until - now)
 
 
--- a/tests/admission/test_local_pool.py
+++ b/tests/admission/test_local_pool.py
@@ -161,7 +161,8 @@
     load = replace(
         refused_elsewhere(), usage={AccountId('ahead'): excess * SHARE}
     )
-    pool.apply_remote_load(load, NOW)
+    pool.apply_remote_load(load)
+    pool.update_shares([], NOW)
     counts = put_all(pool, 'ahead', 400)
     within = counts[ShareClass.WITHIN]
     assert within == pytest.approx(400 / excess, abs=2)
@@ -175,7 +176,8 @@
     """Guards against a request that a server rejected and that is lost."""
     usage = {AccountId('ahead'): 50 * SHARE}
     load = replace(refused_elsewhere(), usage=usage)
-    pool.apply_remote_load(load, NOW)
+    pool.apply_remote_load(load)
+    pool.update_shares([], NOW)
     retry = replace(make_ticket('ahead'), retry=True)
     assert all(pool.classify(retry) is ShareClass.WITHIN for _ in range(20))
 
@@ -185,7 +187,8 @@
 ) -> None:
     """Guards against idle servers after an outage in which nothing began."""
     load = replace(refused_elsewhere(), begun={})
-    pool.apply_remote_load(load, NOW)
+    pool.apply_remote_load(load)
+    pool.update_shares([], NOW)
     assert put_all(pool, 'behind', 20) == {ShareClass.WITHIN: 20}
 
 
@@ -239,7 +242,8 @@
     send_all(pool, [make_server('i-1')], context())
     pool.backlog.refused.charge(AccountId('shop'), SHARE, NOW)
     load = ServiceLoad(begun={SERVICE: 2 * SHARE})
-    pool.apply_remote_load(load, NOW + 1)
+    pool.apply_remote_load(load)
+    pool.update_shares([], NOW + 1)
     for _ in range(4):
         pool.put(WaitingTicket(make_ticket('shop', 500), NOW))
     last = WaitingTicket(make_ticket('shop', 500), NOW)
