Decide which router tries a blocked prompt

Cause: a blocked prompt is refused, so no answer could show that it is sound, for ten minutes and over a restart of the whole fleet.

A router claims a trial by a shared fact.

--- a/src/pollenloom/catalogue/fact_exchange.py
+++ b/src/pollenloom/catalogue/fact_exchange.py
@@ -76,6 +76,8 @@
             self.facts.blocks.put(block, now)
         for limit in decode_facts(message.limits, now):
             self.facts.limits.put(limit, now)
+        for trial in decode_facts(message.trials, now):
+            self.facts.trials.put(trial, now)
 
     async def run(self) -> None:
         """Send changes, and from time to time the latest facts."""
@@ -124,6 +126,9 @@
             limits=encode_facts(
                 facts.limits.changed_since(earliest)[:MAX_SENT_FACTS], now
             ),
+            trials=encode_facts(
+                facts.trials.changed_since(earliest)[:MAX_SENT_FACTS], now
+            ),
         )
 
     def latest_facts(self, now: float) -> FactsMessage:
@@ -136,6 +141,7 @@
             answers=encode_facts(facts.answers.latest(limit), now),
             blocks=encode_facts(facts.blocks.latest(limit), now),
             limits=encode_facts(facts.limits.latest(limit), now),
+            trials=encode_facts(facts.trials.latest(limit), now),
         )
 
     def send(self, message: FactsMessage, now: float) -> None:
--- a/src/pollenloom/catalogue/fact_message.py
+++ b/src/pollenloom/catalogue/fact_message.py
@@ -7,7 +7,12 @@
 
 from pollenloom.core.ids import VmId
 from pollenloom.routing.named_limit import NamedLimit
-from pollenloom.routing.prompt_facts import PartAnswer, PromptBlock, PromptCrash
+from pollenloom.routing.prompt_facts import (
+    BlockTrial,
+    PartAnswer,
+    PromptBlock,
+    PromptCrash,
+)
 from pollenloom.routing.shared_fact import SharedFact
 
 # All facts expire much earlier; see `FleetFacts`.
@@ -41,6 +46,7 @@
         answers: Answers to prompts with parts of such requests.
         blocks: Blocked prompts.
         limits: Limits that servers named.
+        trials: Trials of blocked prompts.
     """
 
     router: VmId
@@ -48,11 +54,18 @@
     answers: list[EncodedFact[PartAnswer]] = []
     blocks: list[EncodedFact[PromptBlock]] = []
     limits: list[EncodedFact[NamedLimit]] = []
+    trials: list[EncodedFact[BlockTrial]] = []
 
     @property
     def is_empty(self) -> bool:
         """Whether there is nothing to send."""
-        lists = (self.crashes, self.answers, self.blocks, self.limits)
+        lists = (
+            self.crashes,
+            self.answers,
+            self.blocks,
+            self.limits,
+            self.trials,
+        )
         return not any(lists)
 
 
--- a/src/pollenloom/routing/fleet_facts.py
+++ b/src/pollenloom/routing/fleet_facts.py
@@ -5,7 +5,12 @@
 
 from pollenloom.core.ids import PromptPartId, ServiceId, VmId
 from pollenloom.routing.fact_table import FactTable
-from pollenloom.routing.prompt_facts import PartAnswer, PromptBlock, PromptCrash
+from pollenloom.routing.prompt_facts import (
+    BlockTrial,
+    PartAnswer,
+    PromptBlock,
+    PromptCrash,
+)
 from pollenloom.routing.shared_fact import ContentT, SharedFact
 
 if TYPE_CHECKING:
@@ -18,6 +23,7 @@
 MAX_CRASHES: Final = 512
 MAX_ANSWERS: Final = 1024
 MAX_BLOCKS: Final = 256
+MAX_TRIALS: Final = 1024
 # A server that has answered nothing for this long may have changed its limit.
 LIMIT_SECONDS: Final = 30.0
 MAX_LIMITS: Final = 2048
@@ -31,6 +37,7 @@
         crashes: Requests at servers that crashed, by fact id.
         answers: Latest answer to prompts with a part, by `part_key`.
         blocks: Blocked prompts, by `block_key`.
+        trials: Trials of blocked prompts, by fact id.
         limits: Limits that servers named, by server.
     """
 
@@ -47,13 +54,22 @@
         self.blocks: FactTable[PromptBlock] = FactTable(
             BLOCK_KEPT_SECONDS, MAX_BLOCKS
         )
+        self.trials: FactTable[BlockTrial] = FactTable(
+            BLOCK_KEPT_SECONDS, MAX_TRIALS
+        )
         self.limits: FactTable[NamedLimit] = FactTable(
             LIMIT_SECONDS, MAX_LIMITS
         )
 
     def drop_expired(self, now: float) -> None:
         """Remove facts that are too old."""
-        for table in (self.crashes, self.answers, self.blocks, self.limits):
+        for table in (
+            self.crashes,
+            self.answers,
+            self.blocks,
+            self.trials,
+            self.limits,
+        ):
             table.drop_expired(now)
 
     def make_fact(
--- a/src/pollenloom/routing/prompt_facts.py
+++ b/src/pollenloom/routing/prompt_facts.py
@@ -14,12 +14,15 @@
         service: Service of the server.
         account: Client account; empty if there is none.
         parts: Shared parts of the prompt.
+        started_at: Wall time of the server's start, as it states it, seconds;
+            0 if unknown.
     """
 
     server: ServerId
     service: ServiceId
     account: AccountId
     parts: tuple[PromptPartId, ...]
+    started_at: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +33,19 @@
     part: PromptPartId
 
 
+@dataclass(frozen=True, slots=True)
+class BlockTrial:
+    """A request with a blocked prompt that a router is about to try.
+
+    Attributes:
+        block: Key of the block.
+        number: Number of the trial of that block, from 1.
+    """
+
+    block: str
+    number: int
+
+
 @dataclass(frozen=True, slots=True)
 class PromptBlock:
     """Parts of prompts that together crash the servers of a service.
