Tell crashes of servers from paths that are cut

Cause: a lost connection and a refused new one counted as a crash. A cut that answers with resets looks the same to each router on the other side.

Change: a router reports a crash only if the server had not said that it leaves, and if a router in the server's data centre is heard of after the refusal; load reports and sums carry what this takes. All losses of a server until it starts again are one crash. A block that is due is tried.

--- a/src/pollenloom/catalogue/load_exchange.py
+++ b/src/pollenloom/catalogue/load_exchange.py
@@ -133,14 +133,19 @@
         if isinstance(message, RouterLoadMessage):
             report = RouterLoadReport(message.number, now, message.loads)
             self.table.receive_report(message.router, report)
+            self.table.hear(message.data_centre, now)
             if message.wants_sum:
                 self.members[sender] = now
             return
         self.collector_choice.reply_received(message.router)
         if isinstance(message, FleetLoadMessage):
             self.table.receive_fleet_sum(message.router, message.total, now)
+            self.table.hear(self.settings.data_centre, now)
+            for data_centre, age in message.heard.items():
+                self.table.hear(data_centre, now - max(0, age))
         else:
             self.remote_collectors[sender] = now
+            self.table.hear(message.data_centre, now)
             self.table.receive_data_centre_sum(
                 message.data_centre,
                 message.router,
@@ -209,6 +214,7 @@
             report.number,
             dict(report.loads),
             fleet_time=self.fleet_clock.now(now),
+            data_centre=self.settings.data_centre,
         )
         if len(routers) <= LARGEST_DIRECT_FLEET:
             self.is_first_collector = False
@@ -243,7 +249,10 @@
         )
         total = self.table.fleet_sum(local_sum)
         self.table.receive_fleet_sum(self.vm, total, now)
-        self.send(FleetLoadMessage(self.vm, total, fleet_time), self.members)
+        heard = self.table.heard_ages(now)
+        self.send(
+            FleetLoadMessage(self.vm, total, fleet_time, heard), self.members
+        )
 
     def relay_addresses(self, now: float) -> set[Address]:
         """Return the routers to which this one passes on what it learns.
--- a/src/pollenloom/catalogue/load_message.py
+++ b/src/pollenloom/catalogue/load_message.py
@@ -29,6 +29,7 @@
         loads: Load by service.
         wants_sum: Whether the receiver must reply with the sum over the fleet.
         fleet_time: Fleet time of the sender in seconds; 0 if unknown.
+        data_centre: Data centre of the sender; empty if unknown.
     """
 
     router: VmId
@@ -36,6 +37,7 @@
     loads: dict[ServiceId, ServiceLoad]
     wants_sum: bool = False
     fleet_time: float = 0
+    data_centre: DataCentreId = DataCentreId('')
 
 
 class DataCentreLoadMessage(msgspec.Struct, frozen=True, tag='part'):
@@ -48,11 +50,16 @@
 
 
 class FleetLoadMessage(msgspec.Struct, frozen=True, tag='sum'):
-    """Sum over the fleet, from a collector to the routers that report to it."""
+    """Sum over the fleet, from a collector to the routers that report to it.
+
+    Attributes:
+        heard: Seconds since the collector heard from each data centre.
+    """
 
     router: VmId
     total: LoadSum
     fleet_time: float = 0
+    heard: dict[DataCentreId, float] = {}
 
 
 class TopicUpdateMessage(msgspec.Struct, frozen=True, tag='news'):
--- a/src/pollenloom/gateway/pending_call.py
+++ b/src/pollenloom/gateway/pending_call.py
@@ -28,6 +28,7 @@
         first_byte_seconds: Time from receiving the request to the first byte
             that an attempt recorded; None before that.
         server: Backend server of the latest attempt.
+        is_trial: Whether it tries a prompt that is blocked.
         failed_servers: Backend servers on which an attempt failed.
     """
 
@@ -45,6 +46,7 @@
     waited_seconds: float = 0
     first_byte_seconds: float | None = None
     server: ServerId | None = None
+    is_trial: bool = False
     failed_servers: set[ServerId] = field(default_factory=set)
 
     @property
--- a/src/pollenloom/gateway/prompt_guard.py
+++ b/src/pollenloom/gateway/prompt_guard.py
@@ -6,13 +6,15 @@
 
 from pollenloom.admission.grant import Grant
 from pollenloom.catalogue.block_store import BlockStore
+from pollenloom.catalogue.catalogue import Catalogue
 from pollenloom.catalogue.fact_exchange import FactExchange
 from pollenloom.catalogue.fleet_directory import FleetDirectory
 from pollenloom.catalogue.load_exchange import LoadExchange
 from pollenloom.core.backend_server import BackendServer
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
-from pollenloom.core.ids import AccountId, ServerId
+from pollenloom.core.ids import AccountId, DataCentreId, ServerId
+from pollenloom.gateway.loss_verdict import LossVerdict
 from pollenloom.gateway.pending_call import PendingCall
 from pollenloom.gateway.server_connection_pool import ServerConnectionPool
 from pollenloom.kernel.kernel import Kernel
@@ -20,6 +22,7 @@
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.observability.event_log import EventLog
 from pollenloom.observability.event_name import EventName
+from pollenloom.routing.block_trials import BlockTrials
 from pollenloom.routing.prompt_facts import PromptBlock, PromptCrash
 from pollenloom.routing.prompt_quarantine import (
     SURVIVAL_SECONDS,
@@ -29,6 +32,14 @@
 from pollenloom.routing.shared_fact import SharedFact
 
 EVALUATION_SECONDS: Final = 0.1
+# Time in which a router that can be reached is heard of: reports come every
+# 0.1 s, and another collector takes over after 0.5 s.
+TOUCH_WAIT_SECONDS: Final = 1.2
+# A report that comes later than this after a refused connection was sent after
+# it, so that the path to the data centre is not cut.
+TOUCH_MARGIN_SECONDS: Final = 0.1
+# Time until the claims of a trial are known on all routers.
+CLAIM_SECONDS: Final = 0.7
 NO_ACCOUNT: Final = AccountId('')
 
 LostRequests = list[tuple[PromptCrash, float]]
@@ -39,10 +50,13 @@
 
     A lost connection alone says little: servers also reset connections. Only
     if the server then refuses a new connection are the requests that it had
-    hardly answered reported as evidence of a crash.
+    hardly answered reported as evidence of a crash. A server that leaves as
+    planned refuses them too, and so does a network whose path is cut; then
+    nothing is heard of the routers in the server's data centre either.
 
     Attributes:
         quarantine: Evidence and decisions.
+        trials: Trials of what is blocked.
         lost: Requests whose connection was lost, with the time of the loss in
             monotonic seconds, by the server that is being checked.
         recorded_blocks: Keys of the blocks that were recorded and hold.
@@ -72,11 +86,15 @@
         facts = self.kernel.find(
             KernelServiceName.FACT_EXCHANGE, FactExchange
         ).facts
+        self.catalogue = self.kernel.find(
+            KernelServiceName.CATALOGUE, Catalogue
+        )
         self.load_exchange = self.kernel.find(
             KernelServiceName.LOAD_EXCHANGE,
             LoadExchange,
         )
         self.quarantine = PromptQuarantine(facts)
+        self.trials = BlockTrials(facts)
         self.kernel.spawn('prompt-guard', self.run())
 
     async def stop(self) -> None:
@@ -84,20 +102,53 @@
 
     def check(self, call: PendingCall) -> Failure | None:
         """Return why a request must not be sent, if its prompt is blocked."""
-        block = self.quarantine.find_block(
-            call.service,
-            call.account or NO_ACCOUNT,
-            call.metadata.shared_part_ids,
-            self.kernel.clock.monotonic(),
-        )
+        block = None if call.is_trial else self.find_block(call)
         if block is None:
             return None
         detail = (
-            f'prompt parts {",".join(block.parts)} were in '
-            f'{block.crashes} crashes of servers'
+            f'prompt parts {",".join(block.content.parts)} were in '
+            f'{block.content.crashes} crashes of servers'
         )
         return Failure(ErrorKind.PROMPT_QUARANTINED, detail)
 
+    def find_block(self, call: PendingCall) -> SharedFact[PromptBlock] | None:
+        """Return the block that a request falls under, if any."""
+        return self.quarantine.find_block(
+            call.service,
+            call.account or NO_ACCOUNT,
+            call.metadata.shared_part_ids,
+            self.kernel.clock.monotonic(),
+        )
+
+    async def admit(self, call: PendingCall) -> Failure | None:
+        """Return why a request must not be sent; let few of them be tried.
+
+        A request that is tried waits until no other router can be about to try
+        the same block.
+        """
+        block = self.find_block(call)
+        if block is None or not self.is_settled:
+            return self.check(call)
+        now = self.kernel.clock.monotonic()
+        claim = self.trials.claim(block, now)
+        if claim is not None:
+            await asyncio.sleep(CLAIM_SECONDS)
+            call.is_trial = self.trials.is_granted(claim)
+            if call.is_trial:
+                self.record_block(EventName.PROMPT_TRIED, block)
+        return self.check(call)
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether this router has been in touch with others for a while."""
+        position = self.fleet_directory.position()
+        if position is None or position.routers == 1:
+            return position is not None
+        clock = self.kernel.clock
+        fleet_clock = self.load_exchange.fleet_clock
+        time = fleet_clock.settled_time(clock.monotonic(), clock.uptime())
+        return time is not None
+
     def is_suspect(self, call: PendingCall) -> bool:
         """Whether a prompt may have crashed a server before."""
         return self.quarantine.is_suspect(
@@ -144,8 +195,13 @@
             self.quarantine.answer_lost(answer)
         server = grant.server.server
         is_checked = server in self.lost
+        known = self.catalogue.directory.servers.get(server)
         crash = PromptCrash(
-            server, call.service, call.account or NO_ACCOUNT, parts
+            server,
+            call.service,
+            call.account or NO_ACCOUNT,
+            parts,
+            0 if known is None else known.entry.started_at,
         )
         self.lost[server].append((crash, self.kernel.clock.monotonic()))
         if not is_checked:
@@ -155,18 +211,50 @@
 
     async def check_server(self, server: BackendServer) -> None:
         """Report the requests of a server as evidence if it has crashed."""
-        is_crashed = await self.connection_pool.is_refused(server)
+        verdict = await self.judge(server)
+        is_crashed = verdict is LossVerdict.CRASHED
         lost = self.lost.pop(server.server, [])
         self.events.record(
             EventName.SERVER_CHECKED,
             server.server,
             is_crashed=is_crashed,
             unanswered=len(lost),
+            verdict=verdict.value,
         )
         if is_crashed:
             for crash, lost_at in lost:
                 self.quarantine.record_crash(crash, lost_at)
 
+    async def judge(self, server: BackendServer) -> LossVerdict:
+        """Return what follows from a lost connection to a server."""
+        known = self.catalogue.directory.servers.get(server.server)
+        if not await self.connection_pool.is_refused(server):
+            return LossVerdict.RUNNING
+        if known is None or known.entry.is_leaving or known.removed_at:
+            return LossVerdict.LEFT
+        if await self.is_in_touch(server.data_centre):
+            return LossVerdict.CRASHED
+        return LossVerdict.OUT_OF_TOUCH
+
+    async def is_in_touch(self, data_centre: DataCentreId) -> bool:
+        """Whether routers in a data centre are heard of from now on.
+
+        True where this router is the only one there.
+        """
+        clock = self.kernel.clock
+        refused_at = clock.monotonic()
+        others = any(
+            router.data_centre == data_centre
+            and router.vm != self.load_exchange.vm
+            for router in self.fleet_directory.routers()
+        )
+        while others and clock.monotonic() < refused_at + TOUCH_WAIT_SECONDS:
+            heard_at = self.load_exchange.table.heard_at.get(data_centre, 0)
+            if heard_at > refused_at + TOUCH_MARGIN_SECONDS:
+                return True
+            await asyncio.sleep(EVALUATION_SECONDS)
+        return not others
+
     async def run(self) -> None:
         """Evaluate the evidence until the kernel ends the task."""
         while True:
--- a/src/pollenloom/gateway/relay.py
+++ b/src/pollenloom/gateway/relay.py
@@ -192,7 +192,7 @@
 
         A prompt may be blocked while its request waits.
         """
-        blocked = self.prompt_guard.check(call)
+        blocked = await self.prompt_guard.admit(call)
         if blocked is not None:
             return Error(blocked)
         clock = self.kernel.clock
--- a/src/pollenloom/observability/event_name.py
+++ b/src/pollenloom/observability/event_name.py
@@ -94,11 +94,15 @@
             it takes from the fleet in a second, or no longer names one.
             Subject server: rate, before.
         SERVER_CHECKED: A backend server closed connections before it had
-            answered, and refuses new ones if it has crashed. Subject server:
-            is_crashed, unanswered.
+            answered. It has crashed if it refuses new ones, had not said that
+            it leaves, and routers near it are heard of. Subject server:
+            is_crashed, unanswered, verdict.
         PROMPT_BLOCKED: Prompts with these parts are refused from now on,
             since servers crashed under them; without accounts, those of all.
             Subject prompt parts: service, accounts, crashes, origin.
+        PROMPT_TRIED: One request with blocked parts is sent, to find out if the
+            block is wrong. Subject prompt parts: service, accounts, crashes,
+            origin.
         PROMPT_RELEASED: Prompts with these parts are no longer refused, since
             one of each part was answered. Subject prompt parts: service,
             accounts, crashes, origin.
@@ -150,6 +154,7 @@
     SERVER_LIMITED = 'server_limited'
     SERVER_CHECKED = 'server_checked'
     PROMPT_BLOCKED = 'prompt_blocked'
+    PROMPT_TRIED = 'prompt_tried'
     PROMPT_RELEASED = 'prompt_released'
     LINES_DROPPED = 'lines_left_out'
     PROCESS_STATE = 'process_state'
--- a/src/pollenloom/routing/crash_evidence.py
+++ b/src/pollenloom/routing/crash_evidence.py
@@ -15,7 +15,9 @@
 # Crashes closer to each other may have one cause, such as a power failure.
 MOMENT_SECONDS: Final = 0.1
 # Losses of one server within this time belong to one crash; no server starts
-# again and gets requests sooner.
+# again and gets requests sooner. Where the start of the server is known, all
+# its losses until the next one do: a process ends only once, and connections
+# that are lost again and again are those of a path that is cut.
 SAME_CRASH_SECONDS: Final = 1.0
 
 
@@ -42,13 +44,22 @@
     Attributes:
         at: When the first connection was lost, monotonic seconds.
         requests: Requests that the server had hardly answered.
+        started_at: When the server had started, see `PromptCrash`.
         is_explained: Whether one of them has a blocked prompt.
     """
 
     at: float
+    started_at: float = 0
     requests: list[SuspectRequest] = field(default_factory=list)
     is_explained: bool = False
 
+    def includes(self, loss: 'CrashFact') -> bool:
+        """Whether a later loss of the same server belongs to this crash."""
+        started_at = loss.content.started_at
+        if started_at and self.started_at:
+            return started_at == self.started_at
+        return loss.observed_at <= self.at + SAME_CRASH_SECONDS
+
 
 CrashFact = SharedFact[PromptCrash]
 BlockFact = SharedFact[PromptBlock]
@@ -134,11 +145,8 @@
         )
         for fact in ordered:
             crash = latest.get(fact.content.server)
-            if (
-                crash is None
-                or fact.observed_at > crash.at + SAME_CRASH_SECONDS
-            ):
-                crash = ServerCrash(fact.observed_at)
+            if crash is None or not crash.includes(fact):
+                crash = ServerCrash(fact.observed_at, fact.content.started_at)
                 latest[fact.content.server] = crash
                 crashes.append(crash)
             crash.requests.append(
--- a/src/pollenloom/routing/load_table.py
+++ b/src/pollenloom/routing/load_table.py
@@ -29,6 +29,8 @@
         reports: By router.
         data_centre_sums: Sums of other data centres, by data centre.
         fleet_sums: Sums over the fleet.
+        heard_at: When a router of each data centre was last heard of, directly
+            or through a collector, monotonic seconds.
     """
 
     def __init__(self, router: VmId) -> None:
@@ -38,6 +40,16 @@
             dict
         )
         self.fleet_sums: ReceivedSums = {}
+        self.heard_at: dict[DataCentreId, float] = {}
+
+    def hear(self, data_centre: DataCentreId, at: float) -> None:
+        """Record that a router of a data centre was heard of at a time."""
+        known = self.heard_at.get(data_centre, at)
+        self.heard_at[data_centre] = max(known, at)
+
+    def heard_ages(self, now: float) -> dict[DataCentreId, float]:
+        """Return the seconds since each data centre was heard of."""
+        return {name: now - at for name, at in self.heard_at.items()}
 
     def receive_report(self, router: VmId, report: RouterLoadReport) -> None:
         """Store the report of a router."""
--- a/src/pollenloom/routing/prompt_quarantine.py
+++ b/src/pollenloom/routing/prompt_quarantine.py
@@ -169,7 +169,7 @@
         account: AccountId,
         parts: Iterable[PromptPartId],
         now: float,
-    ) -> PromptBlock | None:
+    ) -> BlockFact | None:
         """Return the block that a request falls under, if any."""
         held = frozenset(parts)
         for fact in self.facts.blocks.facts.values():
@@ -181,7 +181,7 @@
                 continue
             remaining = self.evidence.remaining_parts(fact)
             if remaining and held.issuperset(remaining):
-                return block
+                return fact
         return None
 
     def is_suspect(
--- a/tests/routing/test_prompt_quarantine.py
+++ b/tests/routing/test_prompt_quarantine.py
@@ -70,11 +70,12 @@
         *prompts: tuple[str, ...],
         account: AccountId = ACCOUNT,
         server: str = '',
+        started_at: float = 0,
     ) -> None:
         """Crash a server that had not answered some prompts."""
         name = ServerId(server or f'i-{next(self.server_numbers)}')
         for parts in prompts:
-            crash = PromptCrash(name, SERVICE, account, ids(parts))
+            crash = PromptCrash(name, SERVICE, account, ids(parts), started_at)
             self.quarantine.record_crash(crash, self.now)
 
     def is_blocked(
@@ -287,6 +288,31 @@
     assert not fleet.block_count
 
 
+def test_path_that_is_cut_counts_once_for_each_server(fleet: Fleet) -> None:
+    """Guards against a cut server that routers lose again and again.
+
+    Requests with the same prompt are sent to the server that has it cached, so
+    they are lost there each time; on carromwerk-large one such server was
+    taken for crashed seven times in two seconds.
+    """
+    for number in range(10):
+        server = f'i-cut-{number % 2}'
+        fleet.crash((COMMON, 'session'), server=server, started_at=50)
+        fleet.answer(COMMON, times=8)
+        fleet.advance(1.2)
+    assert not fleet.block_count
+
+
+def test_server_that_starts_again_counts_each_time(fleet: Fleet) -> None:
+    """Guards against a prompt that crashes the same server again and again."""
+    for number in range(5):
+        fleet.crash((COMMON, BAD), server='i-same', started_at=50 + number)
+        fleet.answer(COMMON, times=8)
+        fleet.advance(0.6)
+    fleet.advance(MATURITY_SECONDS)
+    assert fleet.is_blocked(COMMON, BAD)
+
+
 @pytest.mark.parametrize('seed', range(20))
 def test_random_crashes_blame_nothing(seed: int) -> None:
     """Guards against blame for crashes that no request causes.
