Evaluate all servers only every 20 ms

Cause: each request, first byte and end of a response evaluated all servers of the service while some request waited.

Change: an evaluation is used for 20 ms. What this router sends and what ends there is applied to it at once, server by server, and changes of the catalogue discard it. Load reports come every 0.1 s.

--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -123,13 +123,14 @@
     async def acquire(self, ticket: Ticket) -> Result[Grant, Failure]:
         """Wait for a grant; see `Admission.acquire`."""
         now = self.kernel.clock.monotonic()
-        servers = self.catalogue.directory.usable(ticket.service, now)
-        if not servers:
+        directory = self.catalogue.directory
+        if not directory.has_usable(ticket.service, now):
             reason = 'no server is registered'
             return Error(self.reject(ticket, reason, 0))
         pool = self.pool(ticket.service)
         pool.apply_remote_load(self.exchange.remote_load(ticket.service, now))
         if pool.shares.is_due(now):
+            servers = directory.usable(ticket.service, now)
             pool.update_shares(self.rate_limits.unlimited(servers), now)
         pool.activity.accounts.record_asked(ticket)
         share_class = pool.classify(ticket)
@@ -244,6 +245,7 @@
         """Grant waiting requests of all services; drop removed servers."""
         for service, pool in tuple(self.pools.items()):
             pool.servers.retain(self.catalogue.directory.servers)
+            pool.servers.candidates = None
             self.grant_waiting(service)
 
     def grant_waiting(self, service: ServiceId) -> None:
@@ -252,18 +254,20 @@
         if not pool.backlog.queues:
             return
         now = self.kernel.clock.monotonic()
-        servers = self.catalogue.directory.usable(service, now)
-        context = SelectionContext(
-            now,
-            self.cold_turns(service),
-            self.exchange.remote_load(service, now),
-            lambda version: pool.credit.allows(version, now),
-            pool.credit.limited(
-                {known.entry.version for known in servers}, now
-            ),
-            self.rate_limits.quotas(service, pool.demand.at(now), now),
-        )
-        for waiting, placement in pool.send(servers, context):
+        if not pool.servers.is_evaluated(now):
+            servers = self.catalogue.directory.usable(service, now)
+            context = SelectionContext(
+                now,
+                self.cold_turns(service),
+                self.exchange.remote_load(service, now),
+                lambda version: pool.credit.allows(version, now),
+                pool.credit.limited(
+                    {known.entry.version for known in servers}, now
+                ),
+                self.rate_limits.quotas(service, pool.demand.at(now), now),
+            )
+            pool.evaluate(servers, context)
+        for waiting, placement in pool.send_to_candidates(now):
             grant_id = GrantId(str(next(self.grant_numbers)))
             grant = make_grant(grant_id, waiting.ticket, placement, now)
             self.held[grant_id] = HeldGrant(waiting, placement, now)
@@ -294,6 +298,8 @@
         load.window.observe(seconds, cost, objective, now)
         load.window.released(cost)
         load.health.observe_latency(seconds, now)
+        servers = self.pool(grant.server.service).servers
+        servers.server_changed(grant.server.server)
         self.grant_waiting(grant.server.service)
 
     def observe_rate_limit(self, grant: Grant, rate: float | None) -> None:
@@ -332,6 +338,7 @@
             self.moves.record_response(
                 make_response_report(settlement, held.placement)
             )
+        pool.servers.server_changed(grant.server.server)
         self.grant_waiting(grant.server.service)
 
     async def recheck(self) -> None:
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -90,17 +90,32 @@
 
         Each is removed from the backlog and counted as sent.
         """
-        if not self.backlog.queues:
-            return
-        self.backlog.usage.decay(context.now)
+        if self.backlog.queues:
+            self.evaluate(servers, context)
+            yield from self.send_to_candidates(context.now)
+
+    def evaluate(
+        self, servers: list[KnownServer], context: SelectionContext
+    ) -> None:
+        """Evaluate all servers, for the requests of the next moments."""
         self.apply_remote_load(context.remote_load)
         self.versions = {known.entry.version for known in servers}
-        candidates = self.servers.make_candidates(servers, context)
+        self.servers.evaluate(servers, context)
+
+    def send_to_candidates(
+        self, now: float
+    ) -> Iterator[tuple[WaitingTicket, Placement]]:
+        """Yield the requests that may be sent to the evaluated servers."""
+        candidates = self.servers.candidates
+        if candidates is None:
+            return
+        candidates.context = candidates.context.at(now)
+        self.backlog.usage.decay(now)
         while self.backlog.queues:
             found = self.next_placement(candidates)
             if found is None:
                 return
-            self.record_sent(*found, context)
+            self.record_sent(*found, candidates.context)
             candidates.refresh(found[1].known)
             yield found
 
--- a/src/pollenloom/admission/local_servers.py
+++ b/src/pollenloom/admission/local_servers.py
@@ -27,6 +27,11 @@
 # weighs this many times its own duration against a shorter queue.
 REPEATED_PREFILL_WEIGHT: Final = 5.0
 PREFERRED_RANKS: Final = 2
+# An evaluation of all servers is used for so long, with changes by this router
+# applied at once. Reports of other routers come every 0.1 s. With hundreds of
+# servers, an evaluation for each request would take most of the time of a
+# router.
+EVALUATION_SECONDS: Final = 0.02
 
 
 class LocalServers:
@@ -36,12 +41,14 @@
         loads: Load of each server that was looked up.
         ranking: Preferred servers of prompt prefixes.
         is_model: Whether the servers are model engines, which read prompts.
+        candidates: Latest evaluation of the servers; None before the first.
     """
 
     def __init__(self) -> None:
         self.loads: dict[ServerId, ServerLoad] = {}
         self.ranking = PrefixRanking(())
         self.is_model = False
+        self.candidates: ServerCandidates | None = None
 
     def server_load(self, server: ServerId, now: float) -> ServerLoad:
         """Return the load of a server; create an empty one if needed."""
@@ -65,16 +72,31 @@
         """Record whether the service's servers are model engines."""
         self.is_model = ticket.resource is Resource.MODEL
 
-    def make_candidates(
+    def is_evaluated(self, now: float) -> bool:
+        """Whether the evaluation of the servers is recent enough."""
+        evaluated = self.candidates
+        return evaluated is not None and (
+            now - evaluated.evaluated_at < EVALUATION_SECONDS
+        )
+
+    def server_changed(self, server: ServerId) -> None:
+        """Evaluate one server again, after its load on this router changed."""
+        if self.candidates is None:
+            return
+        known = self.candidates.healthy.get(server)
+        if known is not None:
+            self.candidates.refresh(known)
+
+    def evaluate(
         self,
         servers: list[KnownServer],
         context: SelectionContext,
-    ) -> ServerCandidates:
+    ) -> None:
         """Evaluate all servers of the service at this moment."""
         names = tuple(known.entry.server for known in servers)
         if names != self.ranking.servers:
             self.ranking = PrefixRanking(names)
-        return ServerCandidates(
+        self.candidates = ServerCandidates(
             servers,
             self.server_load,
             context,
--- a/src/pollenloom/admission/selection_context.py
+++ b/src/pollenloom/admission/selection_context.py
@@ -39,6 +39,17 @@
     trial_versions: frozenset[VersionId] = frozenset()
     find_quota: Callable[[KnownServer], RateQuota | None] | None = None
 
+    def at(self, now: float) -> 'SelectionContext':
+        """Return the context at a later time, monotonic seconds."""
+        return SelectionContext(
+            now,
+            self.find_cold_turn,
+            self.remote_load,
+            self.allows_version,
+            self.trial_versions,
+            self.find_quota,
+        )
+
     def remote_unread(self, server: ServerId) -> float:
         """Unread prompt tokens that other routers have at a server."""
         return self.remote_load.unread.get(server, 0)
--- a/src/pollenloom/admission/server_candidates.py
+++ b/src/pollenloom/admission/server_candidates.py
@@ -55,7 +55,9 @@
         healthy: Servers that are reachable and rarely fail. If too few are,
             all reachable servers; if none is, all servers.
         available: Servers of `healthy` with room.
-        ranked: Servers of `available`, the least expected delay first.
+        evaluated_at: When all servers were evaluated, monotonic seconds.
+        ranked: Servers of `available`, the least expected delay first; None if
+            it has to be computed.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self.context = context
         self.is_model = is_model
         now = context.now
+        self.evaluated_at = now
         versions = {known.entry.version for known in servers}
         allowed_versions = set(filter(context.allows_version, versions))
         allowed = {
@@ -89,13 +92,14 @@
         if len(self.healthy) < len(allowed) * MIN_HEALTHY_SHARE:
             self.healthy = self.reachable or allowed
         self.available: dict[ServerId, AvailableServer] = {}
+        self.ranked: list[AvailableServer] | None = None
         for known in self.healthy.values():
             self.update_available(known)
-        self.rank()
 
     def update_available(self, known: KnownServer) -> None:
         """Record whether a healthy server has room."""
         server = known.entry.server
+        self.ranked = None
         found = self.check_room(known)
         if found is None:
             self.available.pop(server, None)
@@ -111,10 +115,10 @@
             self.drop_version(known.entry.version)
         elif known.entry.server in self.healthy:
             self.update_available(known)
-        self.rank()
 
     def drop_version(self, version: VersionId) -> None:
         """Remove all servers of a version."""
+        self.ranked = None
         for servers in (self.reachable, self.healthy):
             for server, known in tuple(servers.items()):
                 if known.entry.version == version:
@@ -156,9 +160,11 @@
             and before.unread < load.window.limit * SPARE_SHARE
         )
 
-    def rank(self) -> None:
-        """Sort the available servers by expected delay."""
-        self.ranked = sorted(self.available.values(), key=by_delay)
+    def rank(self) -> list[AvailableServer]:
+        """Return the available servers in the order of expected delay."""
+        if self.ranked is None:
+            self.ranked = sorted(self.available.values(), key=by_delay)
+        return self.ranked
 
     def is_limited(self, server: ServerId) -> bool:
         """Whether a healthy server has named a limit on its requests."""
@@ -183,7 +189,7 @@
             found = map(self.check_room, self.reachable.values())
             ranked = sorted(filter(None, found), key=by_delay)
         else:
-            ranked = self.ranked
+            ranked = self.rank()
         return [
             server
             for server in ranked
--- a/src/pollenloom/routing/server_directory.py
+++ b/src/pollenloom/routing/server_directory.py
@@ -157,8 +157,20 @@
         return [
             known
             for known in self.servers.values()
-            if known.entry.service == service
-            and not known.entry.is_leaving
+            if known.entry.service == service and self.is_usable(known, now)
+        ]
+
+    def has_usable(self, service: ServiceId, now: float) -> bool:
+        """Whether a server of a service may receive requests."""
+        return any(
+            known.entry.service == service and self.is_usable(known, now)
+            for known in self.servers.values()
+        )
+
+    def is_usable(self, known: KnownServer, now: float) -> bool:
+        """Whether a server may receive requests."""
+        return (
+            not known.entry.is_leaving
             and (known.removed_at is None or known.removed_at > now)
             and known.entry.data_centre not in self.evacuated
-        ]
+        )
--- a/tests/admission/test_local_pool.py
+++ b/tests/admission/test_local_pool.py
@@ -14,7 +14,7 @@
 from pollenloom.admission.local_servers import PREFERRED_RANKS
 from pollenloom.admission.prefix_ranking import PrefixRanking
 from pollenloom.admission.selection_context import SelectionContext
-from pollenloom.admission.server_candidates import SPARE_SHARE
+from pollenloom.admission.server_candidates import SPARE_SHARE, AvailableServer
 from pollenloom.admission.share_class import ShareClass
 from pollenloom.admission.ticket import Ticket
 from pollenloom.admission.version_credit import VersionCredit
@@ -416,3 +416,41 @@
     pool.servers.server_load(ServerId('i-2'), NOW)
     pool.servers.retain(())
     assert list(pool.servers.loads) == [ServerId('i-1')]
+
+
+def test_servers_are_not_evaluated_for_each_request(pool: LocalPool) -> None:
+    """Guards against a router whose time goes into looking at all servers.
+
+    With 59 servers, most of the time of a busy router went there.
+    """
+    servers = [make_server(f'i-{number}') for number in range(200)]
+    pool.servers.evaluate(servers, context())
+    evaluated = pool.servers.candidates
+    assert evaluated is not None
+    checked: list[str] = []
+    check_room = evaluated.check_room
+
+    def count_checks(known: KnownServer) -> AvailableServer | None:
+        """Check a server and count it."""
+        checked.append(known.entry.server)
+        return check_room(known)
+
+    evaluated.check_room = count_checks  # type: ignore[method-assign]
+    for _ in range(100):
+        pool.put(WaitingTicket(make_ticket('shop', 10), NOW))
+        assert len(list(pool.send_to_candidates(NOW))) == 1
+    assert len(checked) == 100
+
+
+def test_room_that_a_response_frees_is_used_at_once(pool: LocalPool) -> None:
+    """Guards against requests that wait for the next evaluation."""
+    server = make_server('i-1')
+    pool.servers.evaluate([server], context())
+    load = pool.servers.server_load(server.entry.server, NOW)
+    load.in_flight = server.entry.slots
+    pool.servers.server_changed(server.entry.server)
+    pool.put(WaitingTicket(make_ticket('shop', 10), NOW))
+    assert not list(pool.send_to_candidates(NOW))
+    load.in_flight -= 1
+    pool.servers.server_changed(server.entry.server)
+    assert len(list(pool.send_to_candidates(NOW))) == 1
