Answer probes while the services of a router start

Cause: the probe server starts before the gateway, whose overload detector is only set at its start.

Change: the gateway says that it is not ready before it looks at the detector.

Measured: the new test failed before.

--- a/src/pollenloom/gateway/gateway_server.py
+++ b/src/pollenloom/gateway/gateway_server.py
@@ -88,9 +88,9 @@
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send new connections."""
-        if self.detector.is_overloaded:
+        if not self.drain_barrier.ready or self.detector.is_overloaded:
             return False
-        return self.drain_barrier.ready and self.catalogue.is_complete
+        return self.catalogue.is_complete
 
     async def record_delays(
         self,
--- a/tests/gateway/test_probe_server.py
+++ b/tests/gateway/test_probe_server.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
+from pollenloom.gateway.gateway_server import GatewayServer
 from pollenloom.gateway.probe_server import ProbeServer
+from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from tests.gateway.conftest import CallerConnection, RouterEnvironment
 
@@ -46,3 +48,11 @@
     status, body = await fetch(environment, '/metrics', 1)
     assert status == 200
     assert b'pollenloom_requests' in body
+
+
+def test_router_that_starts_is_not_ready() -> None:
+    """Guards against a probe without an answer while services start.
+
+    The probe's task failed, and the balancer waited for its time limit.
+    """
+    assert not GatewayServer(Kernel(), '127.0.0.1:0').is_ready
