Try blocked prompts only in touch with other routers

Cause: a trial is claimed by a fact that reaches the others.

Change: a router claims a trial only if it has heard of another one within the last 0.5 s, unless it is the only one.

Measured: the new test failed before on a router that hears of nobody.

--- a/src/pollenloom/gateway/prompt_guard.py
+++ b/src/pollenloom/gateway/prompt_guard.py
@@ -38,6 +38,8 @@
 # A report that comes later than this after a refused connection was sent after
 # it, so that the path to the data centre is not cut.
 TOUCH_MARGIN_SECONDS: Final = 0.1
+# A router that has heard of no other one for longer may be cut off.
+CONTACT_SECONDS: Final = 0.5
 # Time until the claims of a trial are known on all routers.
 CLAIM_SECONDS: Final = 0.7
 NO_ACCOUNT: Final = AccountId('')
@@ -140,14 +142,20 @@
 
     @property
     def is_settled(self) -> bool:
-        """Whether this router has been in touch with others for a while."""
+        """Whether this router has been in touch with others for a while.
+
+        Routers that are cut off would each claim the same trial.
+        """
         position = self.fleet_directory.position()
         if position is None or position.routers == 1:
             return position is not None
         clock = self.kernel.clock
+        now = clock.monotonic()
+        heard_at = self.load_exchange.table.heard_at.values()
+        if now - max(heard_at, default=0) > CONTACT_SECONDS:
+            return False
         fleet_clock = self.load_exchange.fleet_clock
-        time = fleet_clock.settled_time(clock.monotonic(), clock.uptime())
-        return time is not None
+        return fleet_clock.settled_time(now, clock.uptime()) is not None
 
     def is_suspect(self, call: PendingCall) -> bool:
         """Whether a prompt may have crashed a server before."""
--- a/tests/gateway/test_lost_servers.py
+++ b/tests/gateway/test_lost_servers.py
@@ -130,6 +130,22 @@
     assert await lost_server.judge() is LossVerdict.LEFT
 
 
+async def test_router_that_is_cut_off_tries_nothing(
+    lost_server: LostServer,
+) -> None:
+    """Guards against a trial by each of many routers that are cut off."""
+    guard = lost_server.guard
+    await lost_server.environment.wait_for(lambda: guard.is_settled)
+    lost_server.add_router()
+    settled = [guard.is_settled]
+    now = lost_server.environment.kernel.clock.monotonic()
+    guard.load_exchange.fleet_clock.observe(1, now - 2)
+    settled.append(guard.is_settled)
+    guard.load_exchange.table.hear(HOME, now)
+    settled.append(guard.is_settled)
+    assert settled == [False, False, True]
+
+
 @pytest.mark.parametrize('age', [0, FIRST_TRIAL_SECONDS])
 async def test_block_of_a_sound_prompt_is_lifted_by_a_trial(
     environment: RouterEnvironment, age: float
