Log corrections of the fleet time and the room of servers

Cause: why a router sends nothing to cold servers, and whether shares lag behind the capacity, could not be told from the logs.

Change: a line fleet_time_corrected, a field taken_room in capacity_short, and what they mean for operators.

--- a/src/pollenloom/admission/shortage_record.py
+++ b/src/pollenloom/admission/shortage_record.py
@@ -7,6 +7,9 @@
 from pollenloom.observability.event_log import EventLog
 from pollenloom.observability.event_name import EventName
 
+# Digits of a part between 0 and 1.
+ROOM_DIGITS = 2
+
 
 def record_shortage(
     events: EventLog,
@@ -37,6 +40,7 @@
         waiting_accounts=len(pool.backlog.queues),
         fair_level=pool.shares.level,
         begun=round(pool.begun(now)),
+        taken_room=round(pool.shares.taken_room, ROOM_DIGITS),
         sum_age_ms=None
         if age is None
         else round(age * MILLISECONDS_PER_SECOND),
--- a/src/pollenloom/catalogue/load_exchange.py
+++ b/src/pollenloom/catalogue/load_exchange.py
@@ -129,7 +129,13 @@
         if isinstance(message, RelayedMessage):
             self.handle_relayed(message, sender)
             return
-        self.fleet_clock.observe(message.fleet_time, now)
+        correction = self.fleet_clock.observe(message.fleet_time, now)
+        if correction:
+            logging.info(
+                'fleet_time_corrected by %.3f s, after %s',
+                correction,
+                message.router,
+            )
         if isinstance(message, RouterLoadMessage):
             report = RouterLoadReport(message.number, now, message.loads)
             self.table.receive_report(message.router, report)
--- a/src/pollenloom/observability/event_name.py
+++ b/src/pollenloom/observability/event_name.py
@@ -79,8 +79,8 @@
         CAPACITY_SHORT: Requests for a service waited or were refused within
             the last second; levels are decayed costs over the fleet. Subject
             service: sent, refused, timed_out, beyond_share, held_back,
-            without_room, waiting_accounts, fair_level, begun, sum_age_ms,
-            sum_routers.
+            without_room, waiting_accounts, fair_level, begun, taken_room,
+            sum_age_ms, sum_routers.
         ACCOUNT_SHARES: What client accounts asked and got of a service within
             a second, at this router: lists of the same length, costs as
             callers expect them, and the number of refused and late requests. A
--- a/src/pollenloom/routing/fleet_clock.py
+++ b/src/pollenloom/routing/fleet_clock.py
@@ -39,21 +39,26 @@
             self.offset = -monotonic
         return monotonic + self.offset
 
-    def observe(self, fleet_time: float, monotonic: float) -> None:
+    def observe(self, fleet_time: float, monotonic: float) -> float:
         """Follow the time of another router, from a report of it.
 
         Args:
             fleet_time: Fleet time at which the report was sent.
             monotonic: Present time, monotonic seconds.
+
+        Returns:
+            By how many seconds the time was corrected, if that is more than
+            `LARGEST_DRIFT_SECONDS`, else 0.
         """
         if not 0 < fleet_time <= LARGEST_TIME_SECONDS:
-            return
+            return 0
         ahead = fleet_time - self.now(monotonic)
         is_first = self.settled_at == float('inf')
         if is_first or ahead > LARGEST_DRIFT_SECONDS:
             self.settled_at = monotonic + SETTLE_SECONDS
         if ahead > 0:
             self.offset = fleet_time - monotonic
+        return ahead if ahead > LARGEST_DRIFT_SECONDS else 0
 
     def check_suspension(self, monotonic: float, uptime: float) -> None:
         """Distrust the time if the machine was suspended meanwhile."""
--- a/tests/routing/test_fleet_clock.py
+++ b/tests/routing/test_fleet_clock.py
@@ -155,7 +155,7 @@
     assert clock.settled_time(settled_at, settled_at) == pytest.approx(
         50 + SETTLE_SECONDS
     )
-    clock.observe(200, 20)
+    assert clock.observe(200, 20) == pytest.approx(200 - 59)
     assert clock.settled_time(20.5, 20.5) is None
 
 
