Send from the latest evaluation of the servers only

Cause: after servers are evaluated every 20 ms, LocalPool.send was left for tests only.

Change: send takes the requests for the servers that evaluate has looked at.

Measured: no change of behaviour; tests of the pool pass.

--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -267,7 +267,7 @@
                 self.rate_limits.quotas(service, pool.demand.at(now), now),
             )
             pool.evaluate(servers, context)
-        for waiting, placement in pool.send_to_candidates(now):
+        for waiting, placement in pool.send(now):
             grant_id = GrantId(str(next(self.grant_numbers)))
             grant = make_grant(grant_id, waiting.ticket, placement, now)
             self.held[grant_id] = HeldGrant(waiting, placement, now)
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -81,19 +81,6 @@
         self.servers.record_resource(waiting.ticket)
         self.backlog.put(waiting)
 
-    def send(
-        self,
-        servers: list[KnownServer],
-        context: SelectionContext,
-    ) -> Iterator[tuple[WaitingTicket, Placement]]:
-        """Yield the requests that may be sent now, each with its server.
-
-        Each is removed from the backlog and counted as sent.
-        """
-        if self.backlog.queues:
-            self.evaluate(servers, context)
-            yield from self.send_to_candidates(context.now)
-
     def evaluate(
         self, servers: list[KnownServer], context: SelectionContext
     ) -> None:
@@ -102,10 +89,12 @@
         self.versions = {known.entry.version for known in servers}
         self.servers.evaluate(servers, context)
 
-    def send_to_candidates(
-        self, now: float
-    ) -> Iterator[tuple[WaitingTicket, Placement]]:
-        """Yield the requests that may be sent to the evaluated servers."""
+    def send(self, now: float) -> Iterator[tuple[WaitingTicket, Placement]]:
+        """Yield the requests that may be sent now, each with its server.
+
+        The servers are those of the latest evaluation. Each request is removed
+        from the backlog and counted as sent.
+        """
         candidates = self.servers.candidates
         if candidates is None:
             return
--- a/tests/admission/test_local_pool.py
+++ b/tests/admission/test_local_pool.py
@@ -95,9 +95,10 @@
     selection: SelectionContext,
 ) -> list[tuple[str, str]]:
     """Send the requests that may be sent; return accounts and servers."""
+    pool.evaluate(servers, selection)
     return [
         (waiting.ticket.account, placement.known.entry.server)
-        for waiting, placement in pool.send(servers, selection)
+        for waiting, placement in pool.send(selection.now)
     ]
 
 
@@ -438,7 +439,7 @@
     evaluated.check_room = count_checks  # type: ignore[method-assign]
     for _ in range(100):
         pool.put(WaitingTicket(make_ticket('shop', 10), NOW))
-        assert len(list(pool.send_to_candidates(NOW))) == 1
+        assert len(list(pool.send(NOW))) == 1
     assert len(checked) == 100
 
 
@@ -450,7 +451,7 @@
     load.in_flight = server.entry.slots
     pool.servers.server_changed(server.entry.server)
     pool.put(WaitingTicket(make_ticket('shop', 10), NOW))
-    assert not list(pool.send_to_candidates(NOW))
+    assert not list(pool.send(NOW))
     load.in_flight -= 1
     pool.servers.server_changed(server.entry.server)
-    assert len(list(pool.send_to_candidates(NOW))) == 1
+    assert len(list(pool.send(NOW))) == 1
