--- a/review/standins.py
+++ b/review/standins.py
@@ -87,6 +87,8 @@
 
     Attributes:
         busy: Names of the machines that get 503 for each call.
+        open: Open channels.
+        silent: Channels on which nothing more is answered.
     """
 
     def __init__(self, record):
@@ -95,6 +97,8 @@
         self.changed = asyncio.Condition()
         self.busy = set()
         self.servers = []
+        self.open = set()
+        self.silent = set()
 
     async def listen(self, machine):
         """Open a port for one machine; return its address."""
@@ -114,7 +118,15 @@
             self.changed.notify_all()
         return len(records) - 1
 
+    def silence_open_channels(self):
+        """Answer nothing more on the open channels; new ones work."""
+        self.silent |= self.open
+        self.record.add('channels_go_silent', count=len(self.silent))
+
     async def serve(self, machine, reader, writer):
+        channel = object()
+        self.open.add(channel)
+        self.record.add('channel_opens', machine=machine)
         with contextlib.suppress(
             ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError
         ):
@@ -124,8 +136,14 @@
                     break
                 start, headers = head
                 body = await read_body(reader, headers)
-                writer.write(await self.answer(machine, start, body))
+                if channel in self.silent:
+                    continue
+                answer = await self.answer(machine, start, body)
+                if channel in self.silent:
+                    continue
+                writer.write(answer)
                 await writer.drain()
+        self.open.discard(channel)
         writer.close()
 
     async def answer(self, machine, start, body):
