--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A server says that it leaves while the store turns one machine away."""
+"""A new version lowers `max_body_bytes` while clients send orders."""
 
 import asyncio
 import sys
@@ -16,7 +16,6 @@
     Store,
     Worker,
     configuration,
-    response,
     route,
     run_case,
 )
@@ -24,111 +23,97 @@
 SERVICE = 'werkbank-app'
 ROUTES = [route('timber-order', '/timber/', 'non_idempotent', SERVICE)]
 KEY = 'asnmgkcuyj8pjbvk9m68'
-# Figures of the site, in seconds.
-DRAIN, OUTAGE = 2.0, 9.0
-# The longest work of an order on the site's sheet.
-WORK = 0.11
-PAUSE = 0.04
+# Bound of the site, in seconds: until then the version before may be in force.
+CONFIG_APPLY = 2.0
+# Bodies of orders have 600 bytes on average and at most 3,600 on this site.
+BODY_BYTES = (200, 600, 900, 1500, 3600)
+LIMIT_BEFORE, LIMIT_AFTER = 4_194_304, 1024
 
 
-class LeavingWorker(Worker):
-    """Says `Server-Leaving: 1` in all answers once it leaves."""
+class KeepingWorker(Worker):
+    """Keeps the bodies of the requests that it ran."""
 
-    is_leaving = False
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.bodies = {}
 
     async def work(self, attempt, start, headers, body, common, writer):
-        self.runs.append(attempt)
-        self.record.add('runs', server=self.name, id=attempt)
-        await asyncio.sleep(WORK)
-        sealed = self.sealed(common)
-        if self.is_leaving:
-            sealed.append(('Server-Leaving', '1'))
-        writer.write(response('200 OK', sealed, attempt.encode()))
-
-    async def leave(self):
-        """Report draining; serve for `drain_ms` and a little longer; exit."""
-        self.is_leaving = True
-        self.state = 'draining'
-        await self.announce()
-        self.record.add('says_that_it_leaves', server=self.name)
-        await asyncio.sleep(DRAIN + 2.0)
-        await self.exit()
-        await self.store.write('keyed.servers', self.name, b'')
+        self.bodies[attempt] = body
+        await super().work(attempt, start, headers, body, common, writer)
 
 
 async def play(record, directory, ended):
     store = Store(record)
     routers = []
-    for vm in ('edge-1', 'edge-2', 'edge-3'):
+    for vm in ('edge-1', 'edge-2'):
         router = Router(record, directory, vm, await store.listen(vm))
         ended.append(router)
         routers.append(router)
     workers = [
-        LeavingWorker(record, store, name, SERVICE)
+        KeepingWorker(record, store, name, SERVICE)
         for name in ('i-1', 'i-2', 'i-3')
     ]
     for worker in workers:
         await worker.start()
-    tenants = [{'name': 'hule930', 'api_keys': [KEY], 'priority': 1}]
-    await store.write(
-        'keyed.op', 'config', configuration(1, ROUTES, [SERVICE], tenants)
-    )
+
+    async def publish(version, limit):
+        tenants = [{'name': 'hule930', 'api_keys': [KEY], 'priority': 1}]
+        content = configuration(
+            version, ROUTES, [SERVICE], tenants, max_body_bytes=limit
+        )
+        await store.write('keyed.op', 'config', content)
+        return record.add('acknowledged', version=version, max_body_bytes=limit)
+
+    await publish(1, LIMIT_BEFORE)
     for router in routers:
         router.start()
     for router in routers:
         if not await router.wait_until_ready():
             raise CannotRun(f'{router.vm} is not ready')
     client = Client(record)
-    leaver = workers[0]
     sent = {}
     answers = {}
-    passed_on = []
 
-    async def order():
-        attempt, at, answer = await client.send(
-            routers[0], 'POST /timber/2f', KEY, b'walnut'
-        )
-        sent[attempt] = at
-        answers[attempt] = answer.status
-        if answer.headers.get('server-leaving') == '1':
-            passed_on.append(record.now())
-
-    async def traffic(seconds):
-        tasks = []
-        for _ in range(int(seconds / PAUSE)):
-            tasks.append(asyncio.create_task(order()))
-            await asyncio.sleep(PAUSE)
-        await asyncio.gather(*tasks)
-
-    await traffic(2)
+    async def orders(seconds, sizes):
+        """Send orders for some seconds, in turn to both routers."""
+        limit = record.now() + seconds
+        number = 0
+        while record.now() < limit:
+            size = sizes[number % len(sizes)]
+            body = (b'walnut %06d ' % number * (size // 14 + 1))[:size]
+            attempt, _, answer = await client.send(
+                routers[number % 2], 'POST /timber/2f', KEY, body
+            )
+            sent[attempt] = body
+            answers[attempt] = answer.status
+            number += 1
+
+    await orders(1.5, BODY_BYTES)
     if set(answers.values()) != {200}:
-        raise CannotRun(f'before the trouble: {set(answers.values())}')
-    if TROUBLE:
-        record.add('store_turns_away', machine='edge-1')
-        store.busy.add('edge-1')
-    await asyncio.sleep(0.5)
-    leaving = asyncio.create_task(leaver.leave())
-    await traffic(OUTAGE - 1.5)
-    store.busy.clear()
-    record.add('store_serves_all')
-    await leaving
-    await traffic(1)
-    late = []
-    if passed_on:
-        late = [
-            attempt
-            for attempt in leaver.runs
-            if sent[attempt] > passed_on[0] + DRAIN
-        ]
-    lost = [
-        attempt for attempt in leaver.runs if answers.get(attempt) != 200
+        raise CannotRun(f'before the change: {set(answers.values())}')
+    await publish(4, LIMIT_AFTER if TROUBLE else LIMIT_BEFORE)
+    # Both versions may be in force; these clients still keep to the first one.
+    await orders(CONFIG_APPLY - 0.2, BODY_BYTES)
+    # From here on they keep to the new one.
+    await orders(1.5, [size for size in BODY_BYTES if size <= LIMIT_AFTER])
+    changed = [
+        {
+            'id': attempt,
+            'server': worker.name,
+            'sent_bytes': len(sent[attempt]),
+            'run_with_bytes': len(body),
+            'status': answers[attempt],
+        }
+        for worker in workers
+        for attempt, body in worker.bodies.items()
+        if body != sent[attempt]
     ]
-    record.add('late', requests=late)
-    record.add('ran_and_not_answered', requests=lost)
-    print('answers with Server-Leaving passed on:', len(passed_on))
-    print('sent over drain_ms later and run there:', len(late))
-    print('run there and not answered:', len(lost))
-    return not late
+    for each in changed:
+        record.add('body_changed', **each)
+    print('orders sent:', len(sent))
+    print('run with another body:', len(changed))
+    print('of these answered with 200:', sum(e['status'] == 200 for e in changed))
+    return not changed
 
 
 run_case(FOLDER, play)
--- a/review/standins.py
+++ b/review/standins.py
@@ -296,6 +296,7 @@
             line=start,
             tenant=headers.get('x-pollenloom-tenant'),
             api_key=headers.get('api-key'),
+            body_bytes=len(body),
         )
         await self.work(attempt, start, headers, body, common, writer)
 
@@ -493,7 +494,8 @@
         if key is not None:
             headers.append(('Api-Key', key))
         at = self.record.add(
-            'sent', id=attempt, router=router.vm, line=line, key=key
+            'sent', id=attempt, router=router.vm, line=line, key=key,
+            body_bytes=len(body),
         )
         answer = await call(
             router.callers, line, headers, body, deadline_ms / 1000 + 1
@@ -528,7 +530,7 @@
     }
 
 
-def configuration(version, routes, services, tenants):
+def configuration(version, routes, services, tenants, **limits):
     return json.dumps(
         {
             'version': version,
@@ -551,6 +553,7 @@
                 'header_timeout_ms': 3000,
                 'idle_timeout_ms': 15000,
                 'tokens_per_s': 200000,
+                **limits,
             },
             'tenants': tenants,
         }
