--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A new version lowers `max_body_bytes` while clients send orders."""
+"""Two versions in quick succession; the second raises `max_body_bytes`."""
 
 import asyncio
 import sys
@@ -21,13 +21,13 @@
 )
 
 SERVICE = 'werkbank-app'
-ROUTES = [route('timber-order', '/timber/', 'non_idempotent', SERVICE)]
+ROUTE = route('timber-order', '/timber/', 'non_idempotent', SERVICE)
 KEY = 'asnmgkcuyj8pjbvk9m68'
-# Bound of the site, in seconds: until then the version before may be in force.
-CONFIG_APPLY = 2.0
 # Bodies of orders have 600 bytes on average and at most 3,600 on this site.
 BODY_BYTES = (200, 600, 900, 1500, 3600)
-LIMIT_BEFORE, LIMIT_AFTER = 4_194_304, 1024
+LIMIT_BEFORE, LIMIT_AFTER = 1024, 4_194_304
+# Pause between the two versions, in seconds.
+GAP = 0.08
 
 
 class KeepingWorker(Worker):
@@ -56,15 +56,17 @@
     for worker in workers:
         await worker.start()
 
-    async def publish(version, limit):
+    async def publish(version, limit, timeout_ms):
         tenants = [{'name': 'hule930', 'api_keys': [KEY], 'priority': 1}]
+        routes = [{**ROUTE, 'timeout_ms': timeout_ms}]
         content = configuration(
-            version, ROUTES, [SERVICE], tenants, max_body_bytes=limit
+            version, routes, [SERVICE], tenants, max_body_bytes=limit
         )
         await store.write('keyed.op', 'config', content)
-        return record.add('acknowledged', version=version, max_body_bytes=limit)
+        record.add('acknowledged', version=version, max_body_bytes=limit)
 
-    await publish(1, LIMIT_BEFORE)
+    before = LIMIT_BEFORE if TROUBLE else LIMIT_AFTER
+    await publish(1, before, 1000)
     for router in routers:
         router.start()
     for router in routers:
@@ -74,28 +76,34 @@
     sent = {}
     answers = {}
 
-    async def orders(seconds, sizes):
-        """Send orders for some seconds, in turn to both routers."""
-        limit = record.now() + seconds
+    async def orders(router, seconds, limit):
+        """Send orders that keep to a limit, one after the other."""
+        sizes = [size for size in BODY_BYTES if size <= limit]
+        ends_at = record.now() + seconds
         number = 0
-        while record.now() < limit:
+        while record.now() < ends_at:
             size = sizes[number % len(sizes)]
             body = (b'walnut %06d ' % number * (size // 14 + 1))[:size]
             attempt, _, answer = await client.send(
-                routers[number % 2], 'POST /timber/2f', KEY, body
+                router, 'POST /timber/2f', KEY, body
             )
             sent[attempt] = body
             answers[attempt] = answer.status
             number += 1
 
-    await orders(1.5, BODY_BYTES)
+    async def all_orders(seconds, limit):
+        await asyncio.gather(
+            *(orders(router, seconds, limit) for router in routers * 2)
+        )
+
+    await all_orders(1.5, before)
     if set(answers.values()) != {200}:
         raise CannotRun(f'before the change: {set(answers.values())}')
-    await publish(4, LIMIT_AFTER if TROUBLE else LIMIT_BEFORE)
-    # Both versions may be in force; these clients still keep to the first one.
-    await orders(CONFIG_APPLY - 0.2, BODY_BYTES)
-    # From here on they keep to the new one.
-    await orders(1.5, [size for size in BODY_BYTES if size <= LIMIT_AFTER])
+    await publish(4, before, 900)
+    await asyncio.sleep(GAP)
+    await publish(7, LIMIT_AFTER, 900)
+    # All that clients send from here on keeps to the newest version.
+    await all_orders(3, LIMIT_AFTER)
     changed = [
         {
             'id': attempt,
@@ -111,6 +119,8 @@
     for each in changed:
         record.add('body_changed', **each)
     print('orders sent:', len(sent))
+    refused = sum(status == 413 for status in answers.values())
+    print('refused as too large:', refused)
     print('run with another body:', len(changed))
     print('of these answered with 200:', sum(e['status'] == 200 for e in changed))
     return not changed
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,9 +1,7 @@
-"""Settings files change while machines start."""
+"""A server says that it leaves while the store turns one machine away."""
 
 import asyncio
-import signal
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -18,6 +16,7 @@
     Store,
     Worker,
     configuration,
+    response,
     route,
     run_case,
 )
@@ -25,31 +24,36 @@
 SERVICE = 'werkbank-app'
 ROUTES = [route('timber-order', '/timber/', 'non_idempotent', SERVICE)]
 KEY = 'asnmgkcuyj8pjbvk9m68'
-# The platform starts a process that has ended again after a short delay.
-RESTART_DELAY = 1.0
-# Changes of the settings, seconds after the machines were started, and the
-# machines that get the signal.
-CHANGES = (0.3, 1.6, 2.9)
-CHANGED = 2
+# Figures of the site, in seconds.
+DRAIN, OUTAGE = 2.0, 9.0
+# The longest work of an order on the site's sheet.
+WORK = 0.11
+PAUSE = 0.04
 
 
-class Supervised:
-    """A machine whose process is started again when it has ended."""
+class LeavingWorker(Worker):
+    """Says `Server-Leaving: 1` in all answers once it leaves."""
 
-    def __init__(self, record, router):
-        self.record = record
-        self.router = router
-        self.own_ends = 0
+    is_leaving = False
 
-    async def watch(self):
-        while True:
-            code = self.router.process.poll()
-            if code is not None:
-                self.own_ends += 1
-                self.record.add('ends', vm=self.router.vm, code=code)
-                await asyncio.sleep(RESTART_DELAY)
-                self.router.start()
-            await asyncio.sleep(0.01)
+    async def work(self, attempt, start, headers, body, common, writer):
+        self.runs.append(attempt)
+        self.record.add('runs', server=self.name, id=attempt)
+        await asyncio.sleep(WORK)
+        sealed = self.sealed(common)
+        if self.is_leaving:
+            sealed.append(('Server-Leaving', '1'))
+        writer.write(response('200 OK', sealed, attempt.encode()))
+
+    async def leave(self):
+        """Report draining; serve for `drain_ms` and a little longer; exit."""
+        self.is_leaving = True
+        self.state = 'draining'
+        await self.announce()
+        self.record.add('says_that_it_leaves', server=self.name)
+        await asyncio.sleep(DRAIN + 2.0)
+        await self.exit()
+        await self.store.write('keyed.servers', self.name, b'')
 
 
 async def play(record, directory, ended):
@@ -59,52 +63,72 @@
         router = Router(record, directory, vm, await store.listen(vm))
         ended.append(router)
         routers.append(router)
-    for name in ('i-1', 'i-2', 'i-3'):
-        await Worker(record, store, name, SERVICE).start()
+    workers = [
+        LeavingWorker(record, store, name, SERVICE)
+        for name in ('i-1', 'i-2', 'i-3')
+    ]
+    for worker in workers:
+        await worker.start()
     tenants = [{'name': 'hule930', 'api_keys': [KEY], 'priority': 1}]
     await store.write(
         'keyed.op', 'config', configuration(1, ROUTES, [SERVICE], tenants)
     )
-    machines = [Supervised(record, router) for router in routers]
     for router in routers:
         router.start()
-    watches = [asyncio.create_task(machine.watch()) for machine in machines]
-    began = time.monotonic()
-    for number, at in enumerate(CHANGES):
-        await asyncio.sleep(max(0, began + at - time.monotonic()))
-        for router in routers[:CHANGED]:
-            text = router.settings.read_text()
-            router.settings.write_text(
-                text.replace(
-                    f'retry_reserve = [{54 + number}]',
-                    f'retry_reserve = [{55 + number}]',
-                )
-            )
-            record.add('settings_change', vm=router.vm)
-            # The file may also change without a signal.
-            if TROUBLE and router.process.poll() is None:
-                router.signal(signal.SIGHUP)
     for router in routers:
-        limit = time.monotonic() + 20
-        while not await router.is_ready():
-            if time.monotonic() > limit:
-                raise CannotRun(f'{router.vm} is not ready')
-            await asyncio.sleep(0.05)
-        record.add('router_ready', vm=router.vm)
+        if not await router.wait_until_ready():
+            raise CannotRun(f'{router.vm} is not ready')
     client = Client(record)
-    for router in routers:
-        _, _, answer = await client.send(
-            router, 'POST /timber/2f', KEY, b'walnut'
+    leaver = workers[0]
+    sent = {}
+    answers = {}
+    passed_on = []
+
+    async def order():
+        attempt, at, answer = await client.send(
+            routers[0], 'POST /timber/2f', KEY, b'walnut'
         )
-        if answer.status != 200:
-            raise CannotRun(f'{router.vm} answers {answer.status}')
-    for watch in watches:
-        watch.cancel()
-    ends = {machine.router.vm: machine.own_ends for machine in machines}
-    record.add('ended_by_themselves', ends=ends)
-    print('processes that ended by themselves:', ends)
-    often = sum(count >= 3 for count in ends.values())
-    return often < 2
+        sent[attempt] = at
+        answers[attempt] = answer.status
+        if answer.headers.get('server-leaving') == '1':
+            passed_on.append(record.now())
+
+    async def traffic(seconds):
+        tasks = []
+        for _ in range(int(seconds / PAUSE)):
+            tasks.append(asyncio.create_task(order()))
+            await asyncio.sleep(PAUSE)
+        await asyncio.gather(*tasks)
+
+    await traffic(2)
+    if set(answers.values()) != {200}:
+        raise CannotRun(f'before the trouble: {set(answers.values())}')
+    if TROUBLE:
+        record.add('store_turns_away', machine='edge-1')
+        store.busy.add('edge-1')
+    await asyncio.sleep(0.5)
+    leaving = asyncio.create_task(leaver.leave())
+    await traffic(OUTAGE - 1.5)
+    store.busy.clear()
+    record.add('store_serves_all')
+    await leaving
+    await traffic(1)
+    late = []
+    if passed_on:
+        late = [
+            attempt
+            for attempt in leaver.runs
+            if sent[attempt] > passed_on[0] + DRAIN
+        ]
+    lost = [
+        attempt for attempt in leaver.runs if answers.get(attempt) != 200
+    ]
+    record.add('late', requests=late)
+    record.add('ran_and_not_answered', requests=lost)
+    print('answers with Server-Leaving passed on:', len(passed_on))
+    print('sent over drain_ms later and run there:', len(late))
+    print('run there and not answered:', len(lost))
+    return not late
 
 
 run_case(FOLDER, play)
