--- a/src/pollenloom/gateway/caller_channel.py
+++ b/src/pollenloom/gateway/caller_channel.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Final, cast
 
 from pollenloom.core.failure import Failure
@@ -16,6 +17,9 @@
 MAX_PIPELINED_REQUESTS: Final = 4
 # Bytes of a response that are buffered for a slow caller.
 WRITE_BUFFER_BYTES: Final = 65_536
+# Longest time in which a caller may read the refusal of a request that it is
+# still sending.
+DISCARD_SECONDS: Final = 1.0
 
 
 class CallerChannel(asyncio.Protocol):
@@ -126,6 +130,21 @@
             await self.may_write.wait()
         return not self.is_disconnected
 
+    async def discard_input(self) -> None:
+        """End the sending side and discard bytes until the caller closes.
+
+        Closing a connection with unread bytes resets it, and the caller could
+        lose the response.
+        """
+        if self.transport.is_closing():
+            return
+        self.transport.write_eof()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(DISCARD_SECONDS):
+                while not self.is_disconnected:
+                    self.state_changed.clear()
+                    await self.state_changed.wait()
+
     def close(self) -> None:
         """Close after the buffered bytes are sent."""
         self.transport.close()
--- a/src/pollenloom/gateway/gateway_server.py
+++ b/src/pollenloom/gateway/gateway_server.py
@@ -224,6 +224,7 @@
         if channel.failure is not None and not channel.is_disconnected:
             writer = ResponseWriter(channel, keeps_alive=False)
             await self.relay.reject(writer, channel.failure)
+            await channel.discard_input()
 
     async def serve_request(
         self,
