Give up idle connections to the store after a time-out

Cause: a read that hung was repeated on the next idle connection of the pool, which was as silent, and waited up to 3 s again.

Change: RenewableSession starts a new pool after the time-out of a call. The store client, the log service and the load reports of engines use it. Of connections to servers, those that were idle when a request got no byte for a second are closed, since each cost one more request.

--- a/src/pollenloom/admission/engine_reports/http_engine_reports.py
+++ b/src/pollenloom/admission/engine_reports/http_engine_reports.py
@@ -16,6 +16,7 @@
 from pollenloom.core.failure import Failure
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.settings.router_settings import RouterSettings
+from pollenloom.transport.renewable_session import RenewableSession
 from pollenloom.transport.shielded_connector import ShieldedConnector
 from pollenloom.validation.untrusted_bytes import decode_json
 
@@ -39,12 +40,8 @@
         return cls()
 
     async def start(self) -> None:
-        """Open the HTTP session that all polls share."""
-        self.session = aiohttp.ClientSession(
-            connector=ShieldedConnector(),
-            timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_SECONDS),
-            cookie_jar=aiohttp.DummyCookieJar(),
-        )
+        """Prepare the HTTP session that all polls share."""
+        self.session = RenewableSession(open_session)
 
     async def stop(self) -> None:
         """Close the HTTP session and its connections."""
@@ -79,7 +76,8 @@
     ) -> Result[ResponseT, Failure]:
         """Request a URL and decode the JSON response."""
         try:
-            async with self.session.get(
+            async with self.session.request(
+                'GET',
                 url,
                 params=query,
                 allow_redirects=False,
@@ -97,6 +95,15 @@
         )
 
 
+def open_session() -> aiohttp.ClientSession:
+    """Open an HTTP session for polls."""
+    return aiohttp.ClientSession(
+        connector=ShieldedConnector(),
+        timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_SECONDS),
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+
+
 async def read_bounded(response: aiohttp.ClientResponse) -> bytes:
     """Read a response body of at most `MAX_PAGE_BYTES`.
 
--- a/src/pollenloom/gateway/expected_response.py
+++ b/src/pollenloom/gateway/expected_response.py
@@ -18,15 +18,18 @@
         is_head_request: Whether the response has no body.
         overhead_bytes: Bytes received since the last part of the body, or
             since the request.
+        has_begun: Whether any byte was received since the request.
     """
 
     request_id: bytes | None = None
     is_head_request: bool = False
     overhead_bytes: int = 0
+    has_begun: bool = False
 
     def count_received(self, size: int) -> None:
         """Count received bytes."""
         self.overhead_bytes += size
+        self.has_begun = True
 
     def body_received(self) -> None:
         """Start to count again, since the body goes on."""
--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -50,6 +50,9 @@
 # monotonic time does not count. Operators expect changes, such as a server
 # that leaves, to be in force after 2 s.
 MAX_SEND_DELAY_SECONDS: Final = 1.5
+# A server that is in use sends the first byte within this time, so other
+# connections may be as silent as the one that carried the request.
+SILENCE_SECONDS: Final = 1.0
 # Ends that a crash of the server brings about.
 LOST_CONNECTION: Final = frozenset((ChannelEnd.CLOSED, ChannelEnd.RESET))
 
@@ -131,8 +134,15 @@
         """Return a connection to the pool after a complete response."""
         if channel.response_ended and not channel.events:
             connection_pool.release(self.grant.server, channel)
-        else:
-            channel.abort()
+            return
+        waited = self.clock.monotonic() - self.sent_at
+        if (
+            self.sent_at
+            and not channel.request.has_begun
+            and waited >= SILENCE_SECONDS
+        ):
+            connection_pool.discard_silent(self.grant.server, self.sent_at)
+        channel.abort()
 
     async def exchange(self, channel: ServerChannel) -> AttemptEnd:
         """Send the request and relay the response."""
--- a/src/pollenloom/gateway/server_connection_pool.py
+++ b/src/pollenloom/gateway/server_connection_pool.py
@@ -151,6 +151,24 @@
         channel.idle_since = self.kernel.clock.monotonic()
         self.idle[server.server].append(channel)
 
+    def discard_silent(self, server: BackendServer, sent_at: float) -> None:
+        """Close the connections that were idle when a request got no answer.
+
+        Open connections can go silent together while new ones work. One that
+        was used later has carried a response since.
+
+        Args:
+            server: Server that did not answer.
+            sent_at: When the request was sent, monotonic seconds.
+        """
+        channels = self.idle.pop(server.server, deque())
+        for channel in channels:
+            if channel.idle_since < sent_at:
+                channel.abort()
+        kept = deque(each for each in channels if each.is_reusable)
+        if kept:
+            self.idle[server.server] = kept
+
     def is_usable(
         self,
         channel: ServerChannel,
--- a/src/pollenloom/log_service/http_platform.py
+++ b/src/pollenloom/log_service/http_platform.py
@@ -13,6 +13,7 @@
 from pollenloom.log_service.log_page import LogPage
 from pollenloom.log_service.platform import Platform
 from pollenloom.log_service.vm_entry import VmList
+from pollenloom.transport.renewable_session import RenewableSession
 from pollenloom.transport.shielded_connector import ShieldedConnector
 from pollenloom.validation.untrusted_bytes import decode_json
 
@@ -44,7 +45,7 @@
             total=timeout_seconds,
             connect=timeout_seconds * CONNECT_SHARE,
         )
-        self.opened_session: aiohttp.ClientSession | None = None
+        self.opened_session: RenewableSession | None = None
 
     @classmethod
     def from_config(cls, settings: 'PlatformSettings') -> Self:
@@ -52,7 +53,7 @@
         return cls(settings.url, settings.timeout_seconds)
 
     @property
-    def session(self) -> aiohttp.ClientSession:
+    def session(self) -> RenewableSession:
         """The open session.
 
         Raises:
@@ -63,8 +64,12 @@
         return self.opened_session
 
     async def start(self) -> None:
-        """Open the HTTP session, without connecting to the platform."""
-        self.opened_session = aiohttp.ClientSession(
+        """Prepare the HTTP session, without connecting to the platform."""
+        self.opened_session = RenewableSession(self.open_session)
+
+    def open_session(self) -> aiohttp.ClientSession:
+        """Open an HTTP session, without connecting to the platform."""
+        return aiohttp.ClientSession(
             connector=ShieldedConnector(),
             timeout=self.timeout,
         )
@@ -102,7 +107,8 @@
 
     async def send_append(self, payload: bytes) -> tuple[int, bytes]:
         """Send an append; return the status and body of the response."""
-        async with self.session.post(
+        async with self.session.request(
+            'POST',
             f'{self.url}/log',
             data=payload,
             headers={'Content-Type': 'application/octet-stream'},
@@ -122,7 +128,8 @@
             PLATFORM_UNAVAILABLE
         """
         try:
-            async with self.session.get(
+            async with self.session.request(
+                'GET',
                 self.url + path,
                 params=query,
                 allow_redirects=False,
--- a/src/pollenloom/platform/store_client.py
+++ b/src/pollenloom/platform/store_client.py
@@ -32,6 +32,7 @@
     encode_move_status,
 )
 from pollenloom.platform.server_entry_codec import decode_server_entry
+from pollenloom.transport.renewable_session import RenewableSession
 from pollenloom.transport.shielded_connector import ShieldedConnector
 from pollenloom.validation.untrusted_bytes import decode_json
 
@@ -96,7 +97,7 @@
     def __init__(self, address: str, timeout_seconds: float) -> None:
         self.address = address
         self.timeout_seconds = timeout_seconds
-        self.opened_session: aiohttp.ClientSession | None = None
+        self.opened_session: RenewableSession | None = None
 
     @classmethod
     def from_config(cls, settings: 'StoreSettings') -> Self:
@@ -105,9 +106,7 @@
 
     async def start(self) -> None:
         """Open the HTTP session; this does not contact the store."""
-        self.opened_session = aiohttp.ClientSession(
-            connector=ShieldedConnector(),
-        )
+        self.opened_session = RenewableSession(open_session)
 
     async def stop(self) -> None:
         """Close the HTTP session and its connections."""
@@ -314,6 +313,11 @@
         return decode_server_entry(ServerId(record.key), record.payload)
 
 
+def open_session() -> aiohttp.ClientSession:
+    """Open an HTTP session; this does not contact the store."""
+    return aiohttp.ClientSession(connector=ShieldedConnector())
+
+
 def read_items(items: 'Iterable[msgspec.Raw]') -> list[KeyedRecord]:
     """Return the records of a page; log the items that are not valid."""
     decoded = [decode_json(bytes(item), NewestItem) for item in items]
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -210,19 +210,26 @@
             return body, False
 
 
+async def start_router(
+    stack: AsyncExitStack, path: Path, store_address: str
+) -> Kernel:
+    """Start a router that stops when the stack is closed."""
+    settings = make_settings('edge-1', store_address=store_address)
+    path.write_text('', encoding='utf-8')
+    kernel = Kernel()
+    for service in make_services(kernel, path, settings):
+        kernel.register(service)
+    await kernel.start()
+    stack.push_async_callback(kernel.stop)
+    return kernel
+
+
 @pytest.fixture
 async def environment(tmp_path: Path) -> AsyncIterator[RouterEnvironment]:
     """A router with a configuration and no backend servers."""
     async with AsyncExitStack() as stack:
         store, address = await open_store(stack)
-        settings = make_settings('edge-1', store_address=address)
-        path = tmp_path / 'node.toml'
-        path.write_text('', encoding='utf-8')
-        kernel = Kernel()
-        for service in make_services(kernel, path, settings):
-            kernel.register(service)
-        await kernel.start()
-        stack.push_async_callback(kernel.stop)
+        kernel = await start_router(stack, tmp_path / 'node.toml', address)
         running = RouterEnvironment(kernel, store, address, stack)
         await running.configure(make_configuration())
         yield running
--- a/tests/gateway/test_server_connection_pool.py
+++ b/tests/gateway/test_server_connection_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from contextlib import AsyncExitStack
 
 import pytest
 
@@ -11,6 +12,12 @@
 from pollenloom.gateway.server_connection_pool import ServerConnectionPool
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.platform.platform_header_codec import PlatformHeaderCodec
+from pollenloom_standins.worker.responses import server_entry
+from pollenloom_standins.worker.scripted_backend import ReceivedRequest
+from tests.fakes.silent_link import SilentLink
+from tests.gateway.conftest import RouterEnvironment, complete_response
+
+IDLE_CONNECTIONS = 3
 
 
 class ClosedTransport:
@@ -105,3 +112,50 @@
     assert connecting.result().error.kind is ErrorKind.NO_CAPACITY
     assert loop.time() < began + 2
     pending.cancel()
+
+
+async def respond_slowly(
+    request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Respond after a while, so that requests need several connections."""
+    await asyncio.sleep(0.2)
+    writer.write(complete_response(request))
+    await writer.drain()
+
+
+async def test_silent_connections_cost_one_request(
+    environment: RouterEnvironment,
+) -> None:
+    """Guards against a failed request for each idle connection to a server.
+
+    Open connections went silent together, and new ones worked.
+    """
+    server = await environment.add_server(respond_slowly)
+    async with AsyncExitStack() as stack:
+        link = await stack.enter_async_context(SilentLink.to(server.address))
+        await environment.store.write(
+            'keyed.servers', 'i-0', server_entry(link.address, seq=2)
+        )
+        catalogue = environment.gateway.catalogue
+        await environment.ready(1)
+        await environment.wait_for(
+            lambda: any(
+                known.entry.address == link.address
+                for known in catalogue.directory.servers.values()
+            )
+        )
+        callers = [await environment.connect() for _ in range(IDLE_CONNECTIONS)]
+        first = await asyncio.gather(
+            *(
+                caller.fetch('/read/x', request_id=f'first-{number}')
+                for number, caller in enumerate(callers)
+            )
+        )
+        assert {response.status for response in first} == {200}
+        assert link.accepted >= IDLE_CONNECTIONS
+        link.silence()
+        statuses = [
+            (await callers[0].fetch('/read/x', request_id=f'r{number}')).status
+            for number in range(IDLE_CONNECTIONS)
+        ]
+    assert statuses.count(200) >= IDLE_CONNECTIONS - 1
