Stop sending to servers that say in their answers that they leave

Cause: nothing read the header; only the store told a router that a server leaves.

Change: HeaderCodec.server_notice decodes what a server states of itself, of any answer that belongs to the request but 421; the limit on requests moves there too. Catalogue.server_says_leaving marks the server until it starts again, so that an entry that is read later does not undo it.

--- a/src/pollenloom/admission/admission.py
+++ b/src/pollenloom/admission/admission.py
@@ -14,6 +14,7 @@
 from pollenloom.core.ids import ServerId
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.routing.server_notice import ServerNotice
 
 
 class Admission(KernelService):
@@ -55,11 +56,10 @@
         Policies that only evaluate complete responses do nothing.
         """
 
-    def observe_rate_limit(self, grant: Grant, rate: float | None) -> None:
-        """Record the requests a second that a server named in its response.
+    def observe_notice(self, grant: Grant, notice: ServerNotice) -> None:
+        """Record what a server stated of itself in its response.
 
-        `rate` is for all routers together; None if the server named none.
-        Policies of services whose servers name no limits do nothing.
+        Policies of services whose servers state nothing do nothing.
         """
 
     @abstractmethod
--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -43,6 +43,7 @@
     ColdServerTurn,
     cold_turn,
 )
+from pollenloom.routing.server_notice import ServerNotice
 from pollenloom.routing.service_load import ServiceLoad
 
 # Longer than it takes to connect, and shorter than the time after which
@@ -302,11 +303,20 @@
         servers.server_changed(grant.server.server)
         self.grant_waiting(grant.server.service)
 
-    def observe_rate_limit(self, grant: Grant, rate: float | None) -> None:
-        """Record the limit that a server named; see `Admission`."""
+    def observe_notice(self, grant: Grant, notice: ServerNotice) -> None:
+        """Record what a server stated of itself; see `Admission`."""
         known = self.catalogue.directory.servers.get(grant.server.server)
-        if known is not None:
-            self.rate_limits.observe(known, rate)
+        if known is None:
+            return
+        if notice.states_limit:
+            self.rate_limits.observe(known, notice.rate_limit)
+        held = self.held.get(grant.grant_id)
+        if (
+            notice.is_leaving
+            and held is not None
+            and not known.has_restarted_since(held.placement.known)
+        ):
+            self.catalogue.server_says_leaving(known)
 
     def settle(self, settlement: Settlement) -> None:
         """Release what the request held and update the server's health."""
--- a/src/pollenloom/catalogue/catalogue.py
+++ b/src/pollenloom/catalogue/catalogue.py
@@ -9,7 +9,7 @@
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.routing.routing_configuration import RoutingConfiguration
-from pollenloom.routing.server_directory import ServerDirectory
+from pollenloom.routing.server_directory import KnownServer, ServerDirectory
 
 
 class Catalogue(KernelService):
@@ -32,6 +32,14 @@
     def watch(self, listener: Callable[[], None]) -> None:
         """Call the listener after each change of configuration or servers."""
 
+    @abstractmethod
+    def server_says_leaving(self, known: KnownServer) -> None:
+        """Stop sending to a server that stated in a response that it leaves.
+
+        Its entry may say so later, or never if this router does not reach the
+        store.
+        """
+
     @property
     @abstractmethod
     def is_complete(self) -> bool:
--- a/src/pollenloom/catalogue/store_catalogue.py
+++ b/src/pollenloom/catalogue/store_catalogue.py
@@ -15,13 +15,13 @@
 from pollenloom.catalogue.rejected_records import RejectedRecords
 from pollenloom.catalogue.store_topic import StoreTopic
 from pollenloom.catalogue.topic_follower import TopicFollower
-from pollenloom.core.ids import DataCentreId, ServerId, ServiceId
+from pollenloom.core.ids import DataCentreId, Offset, ServerId, ServiceId
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.observability.event_log import EventLog
 from pollenloom.observability.event_name import EventName
 from pollenloom.routing.routing_configuration import RoutingConfiguration
-from pollenloom.routing.server_directory import ServerDirectory
+from pollenloom.routing.server_directory import KnownServer, ServerDirectory
 
 # Interval of checks for removals that take effect later.
 SWEEP_SECONDS: Final = 0.1
@@ -124,7 +124,7 @@
         """Apply one record of the operators; log one that cannot be decoded."""
         decoded = self.store.read_operator_change(record)
         if decoded.is_error():
-            self.log_rejected(record, decoded.error.detail)
+            self.rejected.add(record.key, decoded.error.detail, now)
             return
         change = decoded.ok
         if isinstance(change, NewConfiguration):
@@ -212,11 +212,11 @@
         server = ServerId(record.key)
         if not record.payload:
             self.directory.remove(server, now)
-            self.record_server_state(server, 'removed', record)
+            self.record_server_state(server, 'removed', record.offset)
             return True
         decoded = self.store.read_server(record)
         if decoded.is_error():
-            self.log_rejected(record, decoded.error.detail)
+            self.rejected.add(record.key, decoded.error.detail, now)
             return False
         is_changed = self.directory.upsert(
             decoded.ok,
@@ -227,27 +227,32 @@
         )
         if is_changed:
             state = 'leaving' if decoded.ok.is_leaving else 'ready'
-            self.record_server_state(server, state, record)
+            self.record_server_state(server, state, record.offset)
         return is_changed
 
     def record_server_state(
         self,
         server: ServerId,
         state: str,
-        record: KeyedRecord,
+        offset: Offset,
     ) -> None:
         """Record a new state of a server in the event log."""
         self.events.record(
             EventName.SERVER_STATE,
             server,
             state=state,
-            offset=record.offset,
+            offset=offset,
         )
 
-    def log_rejected(self, record: KeyedRecord, detail: str) -> None:
-        """Count a record that cannot be decoded, and log it once."""
-        now = self.kernel.clock.monotonic()
-        self.rejected.add(record.key, detail, now)
+    def server_says_leaving(self, known: KnownServer) -> None:
+        """Stop sending to a leaving server; see `Catalogue`."""
+        if known.has_said_leaving:
+            return
+        known.has_said_leaving = True
+        self.record_server_state(
+            known.entry.server, 'says_leaving', Offset(known.version)
+        )
+        self.notify()
 
     def drop_removed(self, now: float) -> None:
         """Drop servers whose removal took effect."""
--- a/src/pollenloom/gateway/header_codec.py
+++ b/src/pollenloom/gateway/header_codec.py
@@ -8,6 +8,7 @@
 from pollenloom.gateway.raw_request import RawRequest
 from pollenloom.gateway.server_event import ResponseHead
 from pollenloom.routing.request_metadata import RequestMetadata
+from pollenloom.routing.server_notice import ServerNotice
 
 
 class HeaderCodec(ABC):
@@ -61,11 +62,8 @@
         """Return how many seconds the server stays cold; 0 if not stated."""
 
     @abstractmethod
-    def request_limit(self, head: ResponseHead) -> float | None:
-        """Return the requests a second that the server takes from the fleet.
-
-        None if the response names no limit.
-        """
+    def server_notice(self, head: ResponseHead) -> ServerNotice:
+        """Return what the server states of itself."""
 
     @abstractmethod
     def rejection_headers(self, retry_after: float | None) -> Iterable[Header]:
--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -167,12 +167,9 @@
                 f'status {event.status} may answer an earlier request'
             )
         self.is_cold = self.header_codec.cold_seconds(event) > 0
-        is_rejection = self.header_codec.is_not_run(event)
-        rate_limit = self.header_codec.request_limit(event)
-        # Only a server that runs requests can be known to name no limit.
-        if rate_limit is not None or not is_rejection:
-            self.admission.observe_rate_limit(self.grant, rate_limit)
-        if is_rejection:
+        notice = self.header_codec.server_notice(event)
+        self.admission.observe_notice(self.grant, notice)
+        if notice.is_rejection:
             return await self.handle_rejection(event, channel)
         return await self.handle_response(event, channel)
 
--- a/src/pollenloom/platform/platform_header_codec.py
+++ b/src/pollenloom/platform/platform_header_codec.py
@@ -16,6 +16,7 @@
 from pollenloom.platform import wire_names
 from pollenloom.routing.named_limit import MAX_RATE
 from pollenloom.routing.request_metadata import PromptPart, RequestMetadata
+from pollenloom.routing.server_notice import ServerNotice
 
 # As for bodies of the own interface. Larger numbers, of which one caller could
 # state any, would make the usage of its account infinite.
@@ -112,10 +113,18 @@
         cold = parse_number(text, MAX_MILLISECONDS)
         return 0 if cold is None else cold / MILLISECONDS_PER_SECOND
 
-    def request_limit(self, head: ResponseHead) -> float | None:
-        """Requests a second that the server takes; None if not limited."""
-        text = find_header(head.headers, wire_names.SERVER_LIMIT)
-        return parse_number(text, MAX_RATE)
+    def server_notice(self, head: ResponseHead) -> ServerNotice:
+        """Return what the server states of itself.
+
+        A misdirected request was answered by another server.
+        """
+        limit = find_header(head.headers, wire_names.SERVER_LIMIT)
+        leaving = find_header(head.headers, wire_names.SERVER_LEAVING)
+        return ServerNotice(
+            is_leaving=leaving == b'1' and not self.is_misdirected(head),
+            rate_limit=parse_number(limit, MAX_RATE),
+            is_rejection=self.is_not_run(head),
+        )
 
     def rejection_headers(self, retry_after: float | None) -> Iterable[Header]:
         """Return the headers of a response that rejects a request.
--- a/src/pollenloom/platform/wire_names.py
+++ b/src/pollenloom/platform/wire_names.py
@@ -25,6 +25,8 @@
 COLD_MS: Final = b'x-pollenloom-cold-ms'
 # Requests a second that the server takes from all routers together.
 SERVER_LIMIT: Final = b'server-limit'
+# `1` in all responses of a server that is about to stop.
+SERVER_LEAVING: Final = b'server-leaving'
 # Headers that only a router may set; those of callers are removed.
 ROUTER_HEADERS: Final = frozenset(
     (
--- a/src/pollenloom/routing/server_directory.py
+++ b/src/pollenloom/routing/server_directory.py
@@ -22,6 +22,8 @@
         version: Offset of that entry in the store.
         read_at: When the entry was read, monotonic seconds.
         cold_until: When the server is assumed to be warm, monotonic seconds.
+        has_said_leaving: Whether the server has stated in a response that it
+            leaves; holds until it starts again.
         removed_at: When its removal takes effect, monotonic seconds; None
             while it is registered.
     """
@@ -30,12 +32,17 @@
     version: int
     read_at: float
     cold_until: float
+    has_said_leaving: bool = False
     removed_at: float | None = None
 
     def is_cold(self, now: float) -> bool:
         """Whether the server is cold at `now`."""
         return now < self.cold_until
 
+    def has_restarted_since(self, earlier: 'KnownServer') -> bool:
+        """Whether the server has started again under the same id."""
+        return self.entry.started_at != earlier.entry.started_at
+
 
 class ServerDirectory:
     """Known servers, including leaving, cold and expired ones.
@@ -100,7 +107,15 @@
         elif known is not None:
             cold_until = max(cold_until, known.cold_until)
         self.servers[entry.server] = KnownServer(
-            entry, version, now, cold_until
+            entry,
+            version,
+            now,
+            cold_until,
+            # The entry may be older than the response, or come from a server
+            # that was cut off from the store.
+            has_said_leaving=known is not None
+            and known.has_said_leaving
+            and not is_restart,
         )
         is_registered_again = known is not None and known.removed_at is not None
         return known is None or is_registered_again or known.entry != entry
@@ -171,6 +186,7 @@
         """Whether a server may receive requests."""
         return (
             not known.entry.is_leaving
+            and not known.has_said_leaving
             and (known.removed_at is None or known.removed_at > now)
             and known.entry.data_centre not in self.evacuated
         )
--- a/tests/admission/local_fleet.py
+++ b/tests/admission/local_fleet.py
@@ -41,8 +41,9 @@
 from pollenloom.routing.fleet_position import FleetPosition
 from pollenloom.routing.fleet_router import FleetRouter
 from pollenloom.routing.load_table import LoadTable
-from pollenloom.routing.server_directory import ServerDirectory
+from pollenloom.routing.server_directory import KnownServer, ServerDirectory
 from pollenloom.routing.server_entry import ServerEntry
+from pollenloom.routing.server_notice import ServerNotice
 from pollenloom.routing.service_load import ServiceLoad, add_loads
 from tests.admission.simulated_loop import LoopClock
 
@@ -101,6 +102,14 @@
     def watch(self, listener: Callable[[], None]) -> None:
         """Engines never change."""
 
+    def server_says_leaving(self, known: KnownServer) -> None:
+        """Engines never leave.
+
+        Raises:
+            AssertionError: If one does.
+        """
+        raise AssertionError(known.entry.server)
+
     @property
     def is_complete(self) -> bool:
         """Engines are known from the start."""
@@ -430,7 +439,9 @@
         counts = self.seconds[ticket.account]
         counts.answered[self.second()] += 1
         counts.slow[self.second()] += first_byte > shape.objective
-        admission.observe_rate_limit(grant, engine.rate_limit)
+        admission.observe_notice(
+            grant, ServerNotice(rate_limit=engine.rate_limit)
+        )
         if engine.rate_limit is not None:
             engine.told_at.setdefault(vm, now)
         admission.observe_first_byte(grant, first_byte)
--- a/tests/platform/test_platform_header_codec.py
+++ b/tests/platform/test_platform_header_codec.py
@@ -150,7 +150,7 @@
     assert 0 <= metadata.output_tokens <= MAX_TOKENS
     assert all(0 <= part.tokens <= MAX_TOKENS for part in metadata.parts)
     assert 0 <= (metadata.timeout_seconds or 0) <= MAX_MILLISECONDS
-    assert 0 <= (header_codec.request_limit(head) or 0) <= MAX_RATE
+    assert 0 <= (header_codec.server_notice(head).rate_limit or 0) <= MAX_RATE
     assert 0 <= header_codec.cold_seconds(head) <= MAX_MILLISECONDS
     keep_alive = keep_alive_seconds(headers) or 0
     assert 0 <= keep_alive <= MAX_KEEP_ALIVE_SECONDS
@@ -173,4 +173,27 @@
     """Guards against a limit of a server that is missed or misread."""
     headers = () if text is None else ((b'server-limit', text),)
     head = ResponseHead(200, headers, is_framed=True)
-    assert header_codec.request_limit(head) == rate
+    assert header_codec.server_notice(head).rate_limit == rate
+
+
+@pytest.mark.parametrize(
+    ('text', 'status', 'is_leaving'),
+    [
+        (b'1', 200, True),
+        (b'1', 503, True),
+        (b'1', 421, False),
+        (b'0', 200, False),
+        (b'', 200, False),
+        (None, 200, False),
+    ],
+)
+def test_leaving_server_is_decoded(
+    header_codec: PlatformHeaderCodec,
+    text: bytes | None,
+    status: int,
+    is_leaving: bool,
+) -> None:
+    """Guards against a leaving server that is missed, or taken for another."""
+    headers = () if text is None else ((b'server-leaving', text),)
+    head = ResponseHead(status, headers, is_framed=True)
+    assert header_codec.server_notice(head).is_leaving is is_leaving
--- a/tests/routing/test_server_directory.py
+++ b/tests/routing/test_server_directory.py
@@ -139,3 +139,30 @@
     add(directory, entry, is_first_read=False)
     add(directory, entry, 2, NOW + 1, is_first_read=False)
     assert directory.servers[entry.server].is_cold(NOW + 2.5)
+
+
+def test_server_that_says_it_leaves_is_not_usable(
+    directory: ServerDirectory,
+    entry: ServerEntry,
+) -> None:
+    """Guards against requests to a leaving server whose entry is not read.
+
+    A later entry without the state may be older than the response.
+    """
+    add(directory, entry)
+    directory.servers[entry.server].has_said_leaving = True
+    assert not directory.usable(SERVICE, NOW)
+    assert not directory.has_usable(SERVICE, NOW)
+    add(directory, entry, 2)
+    assert not directory.usable(SERVICE, NOW)
+
+
+def test_server_that_left_is_usable_after_its_restart(
+    directory: ServerDirectory,
+    entry: ServerEntry,
+) -> None:
+    """Guards against a server that stays unused although it serves again."""
+    add(directory, entry)
+    directory.servers[entry.server].has_said_leaving = True
+    add(directory, replace(entry, started_at=entry.started_at + 9), 2)
+    assert directory.usable(SERVICE, NOW)
