Require API keys after the last one was revoked

Cause: whether keys are required was taken from the mapping of keys to accounts, which is also empty if no account has a key.

Change: RoutingConfiguration.requires_keys tells whether the record has accounts, also an empty list of them. An empty key is left out, since requests without a key would have it.

--- a/src/pollenloom/gateway/call_factory.py
+++ b/src/pollenloom/gateway/call_factory.py
@@ -117,7 +117,7 @@
 
 def requires_api_key(route: Route, configuration: RoutingConfiguration) -> bool:
     """Whether requests of a route must carry a known API key."""
-    return bool(configuration.accounts) and not route.is_public
+    return configuration.requires_keys and not route.is_public
 
 
 def make_ticket(call: PendingCall) -> Ticket:
--- a/src/pollenloom/platform/configuration_codec.py
+++ b/src/pollenloom/platform/configuration_codec.py
@@ -88,13 +88,18 @@
 
 
 class WireConfiguration(msgspec.Struct, frozen=True):
-    """The whole configuration record."""
+    """The whole configuration record.
+
+    Attributes:
+        tenants: Client accounts; unset if the record has none at all. An
+            empty list says that all were removed.
+    """
 
     version: Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
     routes: tuple[WireRoute, ...]
     services: tuple[WireService, ...] = ()
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
-    tenants: tuple[WireTenant, ...] = ()
+    tenants: tuple[WireTenant, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 def decode_configuration(
@@ -125,11 +130,8 @@
                 ServiceId(service.name): read_service(service)
                 for service in wire.services
             },
-            accounts={
-                key: AccountId(tenant.name)
-                for tenant in wire.tenants
-                for key in tenant.api_keys
-            },
+            accounts=read_accounts(wire.tenants or ()),
+            requires_keys=wire.tenants is not msgspec.UNSET,
             limits=read_limits(wire.limits),
         )
     )
@@ -183,6 +185,21 @@
     )
 
 
+def read_accounts(
+    tenants: tuple[WireTenant, ...],
+) -> dict[str, AccountId]:
+    """Return the client account of each API key.
+
+    An empty key is left out, since a request without a key would have it.
+    """
+    return {
+        key: AccountId(tenant.name)
+        for tenant in tenants
+        for key in tenant.api_keys
+        if key
+    }
+
+
 def read_limits(wire: WireLimits) -> CallerLimits:
     """Return the limits on callers."""
     return CallerLimits(
--- a/src/pollenloom/routing/routing_configuration.py
+++ b/src/pollenloom/routing/routing_configuration.py
@@ -17,7 +17,10 @@
         revision: Increases with each configuration.
         routes: Routes by host, the longest prefix first.
         services: Profile of each service.
-        accounts: Client account of each API key; empty if no keys are used.
+        accounts: Client account of each API key.
+        requires_keys: Whether routes that are not public need a known API
+            key. This does not follow from `accounts`, which is also empty
+            after the last key was revoked.
         limits: Limits on the requests of callers.
     """
 
@@ -25,6 +28,7 @@
     routes: Mapping[str, tuple[Route, ...]]
     services: Mapping[ServiceId, ServiceProfile]
     accounts: Mapping[str, AccountId]
+    requires_keys: bool = True
     limits: CallerLimits = field(default_factory=CallerLimits)
 
     def find_route(self, host: str, path: str) -> Route | None:
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import time
+from typing import Any
+
+import pytest
 
 from pollenloom_standins.worker.responses import chunk
 from pollenloom_standins.worker.scripted_backend import ReceivedRequest
@@ -473,6 +476,39 @@
     assert (await (await environment.connect()).fetch('/read/')).status == 401
 
 
+@pytest.mark.parametrize(
+    'tenants',
+    [
+        [{'name': 'shop', 'api_keys': []}],
+        [{'name': 'shop', 'api_keys': ['']}],
+        [],
+    ],
+)
+async def test_no_request_runs_after_the_last_key_was_revoked(
+    environment: RouterEnvironment, tenants: list[dict[str, Any]]
+) -> None:
+    """Guards against routes that are open once no account has a key."""
+    server = await environment.add_server(respond_ok)
+    await environment.ready(1)
+    caller = await environment.connect()
+    assert (await caller.fetch('/order/', request_id='before')).status == 200
+    await environment.configure({**make_configuration(5), 'tenants': tenants})
+    catalogue = environment.gateway.catalogue
+    await environment.wait_for(
+        lambda: bool(
+            catalogue.configuration and catalogue.configuration.revision == 5
+        ),
+    )
+    server.requests.clear()
+    for number, key in enumerate((KEY, 'never-held', '')):
+        for path in ('/read/', '/order/', '/stream/'):
+            response = await caller.fetch(
+                path, request_id=f'after-{number}', api_key=key
+            )
+            assert response.status == 401
+    assert not server.requests
+
+
 async def test_unreadable_records_are_ignored(
     environment: RouterEnvironment,
 ) -> None:
--- a/tests/platform/test_configuration_codec.py
+++ b/tests/platform/test_configuration_codec.py
@@ -1,5 +1,7 @@
 """Tests of decoding the operators' configuration."""
 
+from typing import Any
+
 import msgspec
 import pytest
 from hypothesis import given
@@ -79,6 +81,33 @@
     assert configuration.limits.idle_seconds == 15
 
 
+@pytest.mark.parametrize(
+    ('tenants', 'requires_keys'),
+    [
+        ([{'name': 'shop', 'api_keys': ['k1']}], True),
+        ([{'name': 'shop', 'api_keys': []}], True),
+        ([{'name': 'shop'}], True),
+        ([{'name': 'shop', 'api_keys': ['']}], True),
+        ([], True),
+        (None, False),
+    ],
+)
+def test_keys_are_required_unless_there_are_no_accounts(
+    tenants: list[dict[str, Any]] | None, requires_keys: bool
+) -> None:
+    """Guards against routes that are open once the last key is revoked.
+
+    Requests with a revoked, an unknown or no key ran then.
+    """
+    record = {key: CONFIGURATION[key] for key in CONFIGURATION}
+    record['tenants'] = tenants
+    if tenants is None:
+        record.pop('tenants')
+    decoded = decode_configuration(msgspec.json.encode(record)).ok
+    assert decoded.requires_keys is requires_keys
+    assert '' not in decoded.accounts
+
+
 def test_unknown_route_type_runs_at_most_once() -> None:
     """Guards against repeating a request whose route type is unknown.
 
