Bound the memory of all responses together

A server that sends bytes without end, or long bodies for callers that do not read, could take all memory of a router, and with it the requests of all other callers (report of other operators).

Cause: each response was bounded, up to 8 MiB, their sum was not. A queue of 64 reads for one slow caller could hold 16 MiB. The clients of the store and the platform read bodies without a limit.

Change: ResponseBuffers counts what all responses hold until it is passed on and ends the largest beyond 16 MiB; a caller that does not read a long body is disconnected. Clients of the store, the platform and load reports use read_bounded.

--- a/src/pollenloom/admission/engine_reports/http_engine_reports.py
+++ b/src/pollenloom/admission/engine_reports/http_engine_reports.py
@@ -16,6 +16,7 @@
 from pollenloom.core.failure import Failure
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.settings.router_settings import RouterSettings
+from pollenloom.transport.bounded_body import read_bounded
 from pollenloom.transport.renewable_session import RenewableSession
 from pollenloom.transport.shielded_connector import ShieldedConnector
 from pollenloom.validation.untrusted_bytes import decode_json
@@ -83,7 +84,7 @@
                 allow_redirects=False,
             ) as response:
                 status = response.status
-                body = await read_bounded(response)
+                body = await read_bounded(response, MAX_PAGE_BYTES)
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return Error(poll_failed(f'GET {url}: {error!r}'))
         if status != HTTPStatus.OK:
@@ -104,20 +105,6 @@
     )
 
 
-async def read_bounded(response: aiohttp.ClientResponse) -> bytes:
-    """Read a response body of at most `MAX_PAGE_BYTES`.
-
-    Raises:
-        ValueError: If the body is longer.
-    """
-    body = bytearray()
-    async for chunk in response.content.iter_any():
-        body += chunk
-        if len(body) > MAX_PAGE_BYTES:
-            raise ValueError(f'response exceeds {MAX_PAGE_BYTES} bytes')
-    return bytes(body)
-
-
 def poll_failed(detail: str) -> Failure:
     """Return the failure of a poll of a backend server."""
     return Failure(ErrorKind.BACKEND_FAILED, detail)
--- a/src/pollenloom/dispatch/http_backend_client.py
+++ b/src/pollenloom/dispatch/http_backend_client.py
@@ -29,11 +29,17 @@
 )
 from pollenloom.kernel.clock import Clock
 from pollenloom.settings.router_settings import DispatchSettings
+from pollenloom.transport.bounded_body import (
+    BodyTooLongError,
+    read_bounded,
+)
 from pollenloom.transport.shielded_connector import ShieldedConnector
 
 EVENT_STREAM: Final = 'text/event-stream'
 MAX_RESPONSE_BYTES: Final = 16_777_216
 CANCEL_TIMEOUT_SECONDS: Final = 1
+# The response to a cancellation has no content that is used.
+MAX_CANCEL_RESPONSE_BYTES: Final = 65_536
 
 # The end of the response usually arrives with the last event or directly after
 # it. If it takes longer than this, the connection is closed.
@@ -118,8 +124,8 @@
                 headers={'X-Request-Id': request_id},
                 timeout=aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_SECONDS),
             ) as response:
-                await response.read()
-        except (aiohttp.ClientError, OSError):
+                await read_bounded(response, MAX_CANCEL_RESPONSE_BYTES)
+        except (aiohttp.ClientError, OSError, BodyTooLongError):
             return
 
     async def close(self) -> None:
--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -132,7 +132,10 @@
         self, channel: ServerChannel, connection_pool: ServerConnectionPool
     ) -> None:
         """Return a connection to the pool after a complete response."""
-        if channel.response_ended and not channel.events:
+        has_events = bool(channel.queue.events)
+        self.body.clear()
+        channel.queue.clear()
+        if channel.response_ended and not has_events:
             connection_pool.release(self.grant.server, channel)
             return
         waited = self.clock.monotonic() - self.sent_at
@@ -153,6 +156,7 @@
             self.call.metadata.request_id.encode('latin-1'),
             is_head_request=request.method == HEAD_METHOD,
         )
+        channel.queue.end_caller = self.writer.drop_slow_caller
         # From here on only a response can prove that the request did not run.
         self.call.send_count += 1
         self.call.may_have_run = True
@@ -287,6 +291,7 @@
             if isinstance(event, bytes):
                 self.record_first_byte()
                 await self.write_events(head, self.splitter.feed(event))
+                channel.queue.keep_only(len(self.splitter.partial))
                 if self.splitter.is_too_long:
                     return self.fail_stream(ChannelEnd.TOO_LONG)
             elif event is ChannelEnd.COMPLETE:
--- a/src/pollenloom/gateway/response_writer.py
+++ b/src/pollenloom/gateway/response_writer.py
@@ -68,6 +68,11 @@
         self.is_complete = True
         await self.channel.write(LAST_CHUNK)
 
+    def drop_slow_caller(self) -> None:
+        """Disconnect a caller that has not read the complete response."""
+        if self.is_complete:
+            self.channel.abort()
+
     def render_head(self, status: int, headers: list[Header]) -> bytes:
         """Return the encoded head of a response."""
         if not self.keeps_alive or not self.channel.may_stay_open:
--- a/src/pollenloom/gateway/server_channel.py
+++ b/src/pollenloom/gateway/server_channel.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-from collections import deque
 from http import HTTPStatus
 from typing import Final, cast
 
@@ -17,14 +16,14 @@
     find_header,
     keep_alive_seconds,
 )
+from pollenloom.gateway.response_buffers import ResponseBuffers
+from pollenloom.gateway.response_queue import ResponseQueue
 from pollenloom.gateway.server_event import (
     ChannelEnd,
     ResponseHead,
     ServerEvent,
 )
 
-# Events that are queued for a slow caller before reading pauses.
-MAX_QUEUED_EVENTS: Final = 64
 BODILESS_STATUSES: Final = frozenset(
     (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED),
 )
@@ -38,7 +37,8 @@
     aborted if bytes arrive while no request is in progress.
 
     Attributes:
-        events: Events of the response that were not consumed yet.
+        is_paused: Whether reading has stopped until events are consumed.
+        queue: Events of the response.
         is_reusable: Whether another request may be sent.
         idle_timeout_seconds: How long the server keeps the connection open
             while it is idle; None if not stated.
@@ -50,13 +50,13 @@
         history: Requests that the connection has carried.
     """
 
-    def __init__(self, id_header: bytes) -> None:
+    def __init__(self, id_header: bytes, buffers: ResponseBuffers) -> None:
         self.id_header = id_header
         self.parser = httptools.HttpResponseParser(self)
-        self.events: deque[ServerEvent] = deque()
-        self.has_events = asyncio.Event()
+        self.queue = ResponseQueue(buffers, self.abort)
         self.is_open = False
         self.is_reusable = True
+        self.is_paused = False
         self.idle_timeout_seconds: float | None = None
         self.idle_since: float = 0
         self.request = ExpectedResponse()
@@ -81,8 +81,7 @@
             request_id, is_head_request=is_head_request
         )
         self.response_ended = False
-        self.events.clear()
-        self.has_events.clear()
+        self.queue.clear()
 
     def data_received(self, chunk: bytes) -> None:
         """Parse bytes received from the server."""
@@ -97,7 +96,8 @@
             self.reject_bytes()
         if self.request.is_overhead_too_long:
             self.reject_bytes()
-        if len(self.events) > MAX_QUEUED_EVENTS:
+        if self.queue.is_full and self.is_open:
+            self.is_paused = True
             self.transport.pause_reading()
 
     def reject_bytes(self) -> None:
@@ -157,7 +157,7 @@
         )
         self.idle_timeout_seconds = keep_alive_seconds(self.headers)
         head = ResponseHead(status, tuple(self.headers), self.is_framed)
-        self.enqueue(head)
+        self.queue.put(head)
         self.request.body_received()
         if self.request.is_head_request:
             self.is_reusable = False
@@ -175,7 +175,7 @@
         """Queue a part of the body."""
         if not self.is_skipping and not self.response_ended:
             self.request.body_received()
-            self.enqueue(part)
+            self.queue.put(part)
 
     def on_message_complete(self) -> None:
         """End the response unless it is skipped or interim."""
@@ -189,25 +189,19 @@
             self.is_reusable = False
         self.finish(ChannelEnd.COMPLETE)
 
-    def enqueue(self, event: ServerEvent) -> None:
-        """Queue an event and wake the waiting task."""
-        self.events.append(event)
-        self.has_events.set()
-
     def finish(self, end: ChannelEnd) -> None:
         """End the response, once."""
         if not self.response_ended:
             self.response_ended = True
-            self.enqueue(end)
+            self.queue.put(end)
 
     async def next_event(self) -> ServerEvent:
         """Wait for the next event of the response and return it."""
-        while not self.events:
-            self.has_events.clear()
-            await self.has_events.wait()
-        if self.is_open and len(self.events) == MAX_QUEUED_EVENTS:
+        event = await self.queue.take()
+        if self.is_paused and not self.queue.is_full and self.is_open:
+            self.is_paused = False
             self.transport.resume_reading()
-        return self.events.popleft()
+        return event
 
     def abort(self) -> None:
         """Close at once, which makes the server stop the request."""
--- a/src/pollenloom/gateway/server_connection_pool.py
+++ b/src/pollenloom/gateway/server_connection_pool.py
@@ -13,6 +13,7 @@
 from pollenloom.core.host_port import split_address
 from pollenloom.core.ids import ServerId
 from pollenloom.gateway.header_codec import HeaderCodec
+from pollenloom.gateway.response_buffers import ResponseBuffers
 from pollenloom.gateway.server_channel import ServerChannel
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
@@ -44,6 +45,7 @@
     """Keeps idle connections by backend server.
 
     Attributes:
+        buffers: Bytes of the responses on all connections.
         idle: Idle connections of each server, the most recently used last.
     """
 
@@ -52,6 +54,7 @@
     def __init__(self, kernel: Kernel, header_codec: HeaderCodec) -> None:
         self.kernel = kernel
         self.header_codec = header_codec
+        self.buffers = ResponseBuffers()
         self.idle: dict[ServerId, deque[ServerChannel]] = defaultdict(deque)
 
     async def start(self) -> None:
@@ -116,7 +119,9 @@
         loop = asyncio.get_running_loop()
         connecting = asyncio.ensure_future(
             loop.create_connection(
-                lambda: ServerChannel(self.header_codec.id_header),
+                lambda: ServerChannel(
+                    self.header_codec.id_header, self.buffers
+                ),
                 host,
                 port,
             ),
--- a/src/pollenloom/log_service/http_platform.py
+++ b/src/pollenloom/log_service/http_platform.py
@@ -13,6 +13,10 @@
 from pollenloom.log_service.log_page import LogPage
 from pollenloom.log_service.platform import Platform
 from pollenloom.log_service.vm_entry import VmList
+from pollenloom.transport.bounded_body import (
+    BodyTooLongError,
+    read_bounded,
+)
 from pollenloom.transport.renewable_session import RenewableSession
 from pollenloom.transport.shielded_connector import ShieldedConnector
 from pollenloom.validation.untrusted_bytes import decode_json
@@ -28,6 +32,8 @@
 # connection proves that an append had no effect, so connecting has a separate
 # timeout.
 CONNECT_SHARE: Final = 0.5
+# A page of the log has at most a few MiB.
+MAX_RESPONSE_BYTES: Final = 16_777_216
 
 
 class LogAppendResponse(msgspec.Struct, frozen=True):
@@ -89,7 +95,7 @@
             aiohttp.ConnectionTimeoutError,
         ) as error:
             return Error(unavailable_failure(f'append: no connection: {error}'))
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except (aiohttp.ClientError, TimeoutError, BodyTooLongError) as error:
             return Error(unknown_failure(f'append: no response: {error!r}'))
         return parse_append_response(status, body)
 
@@ -114,7 +120,8 @@
             headers={'Content-Type': 'application/octet-stream'},
             allow_redirects=False,
         ) as response:
-            return response.status, await response.read()
+            body = await read_bounded(response, MAX_RESPONSE_BYTES)
+            return response.status, body
 
     async def get(
         self,
@@ -134,8 +141,9 @@
                 params=query,
                 allow_redirects=False,
             ) as response:
-                status, body = response.status, await response.read()
-        except (aiohttp.ClientError, TimeoutError) as error:
+                status = response.status
+                body = await read_bounded(response, MAX_RESPONSE_BYTES)
+        except (aiohttp.ClientError, TimeoutError, BodyTooLongError) as error:
             return Error(unavailable_failure(f'GET {path}: {error!r}'))
         if status != HTTPStatus.OK:
             return Error(unavailable_failure(f'GET {path}: status {status}'))
--- a/src/pollenloom/platform/store_client.py
+++ b/src/pollenloom/platform/store_client.py
@@ -32,6 +32,10 @@
     encode_move_status,
 )
 from pollenloom.platform.server_entry_codec import decode_server_entry
+from pollenloom.transport.bounded_body import (
+    BodyTooLongError,
+    read_bounded,
+)
 from pollenloom.transport.renewable_session import RenewableSession
 from pollenloom.transport.shielded_connector import ShieldedConnector
 from pollenloom.validation.untrusted_bytes import decode_json
@@ -54,6 +58,8 @@
 # Keyed topics have a single partition.
 PARTITION: Final = 0
 MAX_RESPONSE_KB: Final = 1024
+# Pages have about 1 MiB, and more only if a single record is larger.
+MAX_RESPONSE_BYTES: Final = 8_388_608
 # Offsets have 64 bits in the responses to reads.
 MAX_OFFSET: Final = 2**63 - 1
 # A reachable store accepts a connection within a few milliseconds.
@@ -268,8 +274,9 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
-                return Ok((response.status, await response.read()))
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                content = await read_bounded(response, MAX_RESPONSE_BYTES)
+                return Ok((response.status, content))
+        except (aiohttp.ClientError, OSError, BodyTooLongError) as error:
             return Error(unavailable_failure(f'{path[1:]}: {error!r}'))
 
     def read_operator_change(
--- a/tests/gateway/test_server_channel.py
+++ b/tests/gateway/test_server_channel.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from pollenloom.gateway.response_buffers import ResponseBuffers
 from pollenloom.gateway.server_channel import ServerChannel
 from pollenloom.gateway.server_event import (
     ChannelEnd,
@@ -48,7 +49,7 @@
 
 def open_channel(pending_error: int = 0) -> ServerChannel:
     """Return a channel that expects the response to a request."""
-    channel = ServerChannel(ID_HEADER)
+    channel = ServerChannel(ID_HEADER, ResponseBuffers())
     transport: Any = EndedTransport(pending_error)
     channel.connection_made(transport)
     channel.expect_response(REQUEST_ID, is_head_request=False)
@@ -79,7 +80,7 @@
     channel.data_received(UNFRAMED)
     channel.eof_received()
     channel.connection_lost(None)
-    assert list(channel.events)[-1] is end
+    assert list(channel.queue.events)[-1] is end
 
 
 def test_truncated_framed_response_is_not_complete() -> None:
@@ -87,7 +88,7 @@
     channel = open_channel()
     channel.data_received(FRAMED[:-1])
     channel.eof_received()
-    assert list(channel.events)[-1] is ChannelEnd.CLOSED
+    assert list(channel.queue.events)[-1] is ChannelEnd.CLOSED
 
 
 @given(st.lists(st.integers(0, 200), max_size=6))
@@ -101,7 +102,7 @@
     offsets = sorted({0, len(content), *(cut % len(content) for cut in cuts)})
     for start, end in itertools.pairwise(offsets):
         channel.data_received(content[start:end])
-    events = list(channel.events)
+    events = list(channel.queue.events)
     heads = [entry for entry in events if isinstance(entry, ResponseHead)]
     assert [head.status for head in heads] == [200]
     assert body_of(events) == b'done'
@@ -114,7 +115,7 @@
     channel = open_channel()
     channel.data_received(content)
     channel.connection_lost(None)
-    assert list(channel.events)[-1] in set(ChannelEnd)
+    assert list(channel.queue.events)[-1] in set(ChannelEnd)
 
 
 def test_bytes_without_a_request_abort_the_connection() -> None:
@@ -151,8 +152,13 @@
     if not is_reset:
         channel.eof_received()
     channel.connection_lost(None)
-    assert not any(isinstance(entry, ResponseHead) for entry in channel.events)
-    assert list(channel.events)[-1] in {ChannelEnd.CLOSED, ChannelEnd.RESET}
+    assert not any(
+        isinstance(entry, ResponseHead) for entry in channel.queue.events
+    )
+    assert list(channel.queue.events)[-1] in {
+        ChannelEnd.CLOSED,
+        ChannelEnd.RESET,
+    }
 
 
 @pytest.mark.parametrize('head', PARTIAL_HEADS)
@@ -163,4 +169,4 @@
     channel.expect_response(REQUEST_ID, is_head_request=False)
     channel.data_received(head)
     channel.eof_received()
-    assert list(channel.events) == [ChannelEnd.CLOSED]
+    assert list(channel.queue.events) == [ChannelEnd.CLOSED]
