Keep the send windows of all routers together

An account whose callers all come in at one router got a third of what another account at another router got, for seconds, though both asked for more than their share.

Cause: each router adapted its send windows by the answers that it saw, and only one that has a quarter of a window in use can raise it. The level of the shares, idle room and the room to send follow from the windows, so the router with the larger ones let in and sent more for its accounts, and its windows grew on.

Change: load reports carry the mean window of a router with the number of answers that it rests on; each router draws its windows to the weighted mean of the fleet, and takes the part of the room that is taken from that mean. Servers keep what differs between them. It works because all routers then measure free room alike, whatever they send themselves.

--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -15,6 +15,7 @@
 from pollenloom.admission.share_class import ShareClass
 from pollenloom.admission.ticket import Ticket
 from pollenloom.admission.version_credit import VersionCredit
+from pollenloom.admission.window_alignment import WindowAlignment
 from pollenloom.core.ids import ResponseClass, VersionId, VmId
 from pollenloom.routing.account_usage import rounded_cost
 from pollenloom.routing.decaying_count import DecayingCount
@@ -49,6 +50,7 @@
         demand: Requests within the shares of their accounts that came in
             lately.
         answers: Answers that began lately.
+        alignment: Keeps the send windows near those of the other routers.
         tightest_objective: Shortest objective of any request so far, in
             seconds.
         activity: What was decided since it was last recorded.
@@ -68,6 +70,9 @@
         self.recent_cost: float = 0
         self.demand = DecayingCount()
         self.answers = DecayingCount()
+        self.alignment = WindowAlignment(
+            credit.service, self.servers, self.answers
+        )
         self.versions: set[VersionId] = set()
         self.remote_load = ServiceLoad()
         self.tightest_objective = float('inf')
@@ -122,6 +127,7 @@
             servers: Usable servers without a limit of their own.
             now: Monotonic seconds.
         """
+        self.alignment.align(self.remote_load, now)
         self.shares.update(
             self.remote_begun(), self.taken_room(servers, now), now
         )
@@ -138,13 +144,12 @@
     def taken_room(self, servers: list[KnownServer], now: float) -> float:
         """Return the part of the servers' room that is taken; 1 without any.
 
-        Room are slots, and the unread tokens that their windows allow. All
-        routers know the same sums and get about the same result.
+        Room are slots, and the unread tokens that the mean window of the fleet
+        allows. All routers know the same sums and get about the same result.
         """
         running: float = 0
         unread: float = 0
         slots = 0
-        limit: float = 0
         for known in servers:
             server = known.entry.server
             load = self.servers.server_load(server, now)
@@ -152,10 +157,10 @@
             unread += load.window.outstanding
             unread += self.remote_load.unread.get(server, 0)
             slots += known.entry.slots
-            limit += load.window.limit
         if not slots:
             return 1
-        return max(running / slots, unread / limit)
+        window = self.alignment.fleet_window(self.remote_load, now)
+        return max(running / slots, unread / (window * len(servers)))
 
     def remote_begun(self) -> float:
         """Return the recent cost that began on the other routers."""
@@ -284,4 +289,6 @@
                 self.credit.service: rounded_cost(self.shares.begun.at(now))
             },
             answers={self.credit.service: round(self.answers.at(now), 1)},
+            windows={self.credit.service: self.alignment.weighted_window(now)},
+            window_weights={self.credit.service: self.alignment.weight(now)},
         )
--- a/src/pollenloom/admission/local_servers.py
+++ b/src/pollenloom/admission/local_servers.py
@@ -63,6 +63,11 @@
         limits = [load.window.limit for load in self.loads.values()]
         return sum(limits) / max(1, len(limits))
 
+    def scale_windows(self, factor: float) -> None:
+        """Multiply the limits of all send windows by a factor."""
+        for load in self.loads.values():
+            load.window.scale(factor)
+
     def retain(self, servers: Container[ServerId]) -> None:
         """Drop removed servers with no request of this router in flight."""
         removed = [
--- a/src/pollenloom/routing/send_window.py
+++ b/src/pollenloom/routing/send_window.py
@@ -21,9 +21,10 @@
     """Limit on a server's queue, adapted to the delay that it causes.
 
     Servers process requests in order of arrival, so requests that must wait
-    do so at the routers, which keep a fair order. All routers see the same
-    queues and adapt alike. The limit applies to the tokens ahead of a request,
-    not to its own size, so that large prompts are not at a disadvantage.
+    do so at the routers, which keep a fair order. Each router adapts to the
+    responses that it sees; `WindowAlignment` keeps the limits of all routers
+    together. The limit applies to the tokens ahead of a request, not to its
+    own size, so that large prompts are not at a disadvantage.
 
     Attributes:
         limit: Unread tokens at the server below which more may be sent.
@@ -45,6 +46,10 @@
         unread = self.outstanding + remote_unread
         return not unread or unread < self.limit
 
+    def scale(self, factor: float) -> None:
+        """Multiply the limit by a factor, within its bounds."""
+        self.limit = bounded_window(self.limit * factor)
+
     def sent(self, cost: float) -> None:
         """Add the tokens of a request that is sent."""
         self.outstanding += cost
@@ -79,3 +84,8 @@
             return
         self.decreased_at = now
         self.limit = max(MIN_WINDOW_TOKENS, self.limit * DECREASE_FACTOR)
+
+
+def bounded_window(tokens: float) -> float:
+    """Return a limit within the bounds of all windows."""
+    return min(MAX_WINDOW_TOKENS, max(MIN_WINDOW_TOKENS, tokens))
--- a/src/pollenloom/routing/service_load.py
+++ b/src/pollenloom/routing/service_load.py
@@ -30,6 +30,9 @@
         begun: Recent cost of the requests that began to be answered, by
             service.
         answers: Decaying count of answers that began, by service.
+        windows: Mean send window of a router in tokens times its weight, by
+            service.
+        window_weights: Weight of the router's windows, by service.
     """
 
     unread: Mapping[ServerId, float] = field(default_factory=dict)
@@ -40,6 +43,8 @@
     demand: Mapping[ServiceId, float] = field(default_factory=dict)
     begun: Mapping[ServiceId, float] = field(default_factory=dict)
     answers: Mapping[ServiceId, float] = field(default_factory=dict)
+    windows: Mapping[ServiceId, float] = field(default_factory=dict)
+    window_weights: Mapping[ServiceId, float] = field(default_factory=dict)
 
     @property
     def is_valid(self) -> bool:
@@ -59,6 +64,8 @@
                 self.demand,
                 self.begun,
                 self.answers,
+                self.windows,
+                self.window_weights,
             )
         )
 
@@ -73,6 +80,8 @@
             demand=subtract_known(self.demand, part.demand),
             begun=subtract(self.begun, part.begun),
             answers=subtract(self.answers, part.answers),
+            windows=subtract(self.windows, part.windows),
+            window_weights=subtract(self.window_weights, part.window_weights),
         )
 
     def scaled(self, scale: float) -> 'ServiceLoad':
@@ -88,6 +97,8 @@
             demand=multiply(self.demand, scale),
             begun=multiply(self.begun, scale),
             answers=self.answers,
+            windows=multiply(self.windows, scale),
+            window_weights=multiply(self.window_weights, scale),
         )
 
 
@@ -103,6 +114,8 @@
         demand=add_up(parts, lambda load: load.demand),
         begun=add_up(parts, lambda load: load.begun),
         answers=add_up(parts, lambda load: load.answers),
+        windows=add_up(parts, lambda load: load.windows),
+        window_weights=add_up(parts, lambda load: load.window_weights),
     )
 
 
