Count requests that begin in the credit of an account's share

While servers crash or are full, an account below its share stays there, and the account with most requests at the crashed servers gets most.

Cause: a share was spent when a request was let in. One that then found no room, or whose server ended before it began, was not made up for; a repeat was let in without being counted, at any number.

Change: the credit of a request that is refused for lack of room, or that does not begin, is given back; a repeat is taken from the credit. It works because the share then counts what the rule counts, what begins. What is owed is bounded by 8 requests a router.

--- a/src/pollenloom/admission/account_shares.py
+++ b/src/pollenloom/admission/account_shares.py
@@ -29,6 +29,10 @@
 # If less than this part of the demand begins, the servers have only come back,
 # and what began says nothing about their capacity.
 MIN_BEGUN_PART: Final = 0.02
+# Requests that an account may owe or be owed at one router. Many requests end
+# at once when a server crashes; without a bound, what is owed for them would
+# decide on the account's requests for several seconds.
+MAX_OWED_REQUESTS: Final = 8.0
 # An account beyond its share has less demand left after at most this time.
 MAX_RETRY_SECONDS: Final = 2.0
 
@@ -53,8 +57,8 @@
         taken_room: Part of the room of the servers that was taken then.
         local_rate: Cost per second of the requests on this router that are
             within the shares of their accounts.
-        within_credit: Part of a request within the share that an account has
-            saved up, by account beyond the level.
+        within_credit: Requests within the share that an account has saved up,
+            by account beyond the level; negative after repeats.
         surplus_credit: The same for surplus requests.
     """
 
@@ -149,6 +153,27 @@
             return ShareClass.SURPLUS
         return ShareClass.BEYOND
 
+    def take_repeat(self, account: AccountId) -> None:
+        """Let in a request that was sent before, at the expense of new ones.
+
+        A repeat begins once more. If it were free, a crash of servers would
+        give most to the account that had most requests there.
+        """
+        self.correct_credit(account, -1)
+
+    def give_back(self, account: AccountId) -> None:
+        """Return the credit of a request that was let in and did not begin."""
+        self.correct_credit(account, 1)
+
+    def correct_credit(self, account: AccountId, requests: float) -> None:
+        """Add requests to the credit of an account beyond the level."""
+        credit = self.within_credit.get(account)
+        if credit is None:
+            return
+        self.within_credit[account] = max(
+            -MAX_OWED_REQUESTS, min(MAX_OWED_REQUESTS, credit + requests)
+        )
+
     def spend(
         self, saved: dict[AccountId, float], account: AccountId, part: float
     ) -> bool:
--- a/src/pollenloom/admission/local_admission.py
+++ b/src/pollenloom/admission/local_admission.py
@@ -334,6 +334,8 @@
                 pool.backlog.usage.refund(
                     grant.account, grant.charged, held.granted_at, now
                 )
+                if held.waiting.share_class is ShareClass.WITHIN:
+                    pool.shares.give_back(grant.account)
         directory = self.catalogue.directory
         known = directory.servers.get(
             grant.server.server,
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -138,6 +138,7 @@
         A request that was sent before stays within the share.
         """
         if ticket.retry:
+            self.shares.take_repeat(ticket.account)
             return ShareClass.WITHIN
         return self.shares.classify(ticket.account)
 
@@ -260,6 +261,8 @@
         self.activity.accounts.record_refused(ticket, cause)
         if cause is RefusalCause.BEYOND_SHARE:
             self.activity.beyond_share += 1
+        else:
+            self.shares.give_back(ticket.account)
 
     def service_load(
         self, now: float, responses: Mapping[ResponseClass, float]
