--- a/src/pollenloom_standins/keyed_store/keyed_store_service.py
+++ b/src/pollenloom_standins/keyed_store/keyed_store_service.py
@@ -3,6 +3,8 @@
 import asyncio
 import base64
 from collections import defaultdict
+from collections.abc import Awaitable, Callable, Mapping
+from functools import partial
 from http import HTTPStatus
 from typing import ClassVar, Final
 
@@ -21,6 +23,11 @@
 
 # Size of the length field before a record.
 LENGTH_BYTES: Final = 4
+ERA_HEADER: Final = 'Store-Era'
+FIRST_ERA: Final = 1
+
+Handler = Callable[[web.Request], Awaitable[web.Response]]
+StoreCopy = Mapping[str, KeyedTopic]
 
 
 class KeyedStoreService(RouteSource):
@@ -29,6 +36,7 @@
     Attributes:
         topics: Topics by name.
         is_down: Whether calls are rejected with 503.
+        era: Number of the copy that is served; told in all responses.
         calls: Number of calls, including rejected ones, by path.
         last_read: Offset at which the latest read started, by topic; 0
             before the first read.
@@ -40,6 +48,7 @@
     def __init__(self) -> None:
         self.topics: dict[str, KeyedTopic] = defaultdict(KeyedTopic)
         self.is_down = False
+        self.era = FIRST_ERA
         self.calls: dict[str, int] = defaultdict(int)
         self.last_read: dict[str, int] = defaultdict(int)
         self.changed = asyncio.Condition()
@@ -53,11 +62,40 @@
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of the store's calls."""
         return [
-            web.post('/log-append', self.append),
-            web.get('/log-read', self.read),
-            web.get('/log-newest', self.newest),
+            web.post('/log-append', partial(self.respond, self.append)),
+            web.get('/log-read', partial(self.respond, self.read)),
+            web.get('/log-newest', partial(self.respond, self.newest)),
         ]
 
+    async def respond(
+        self, handler: Handler, request: web.Request
+    ) -> web.Response:
+        """Handle a call; tell the era in its response.
+
+        Raises:
+            web.HTTPException: If the handler rejects the call.
+        """
+        try:
+            response = await handler(request)
+        except web.HTTPException as error:
+            error.headers[ERA_HEADER] = str(self.era)
+            raise
+        response.headers[ERA_HEADER] = str(self.era)
+        return response
+
+    def copy(self) -> StoreCopy:
+        """Return a copy of all topics, to restore it later."""
+        return {name: topic.copy() for name, topic in self.topics.items()}
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Serve a copy; what was written since then is lost."""
+        self.topics = defaultdict(
+            KeyedTopic, {name: topic.copy() for name, topic in copy.items()}
+        )
+        self.era += 1
+        async with self.changed:
+            self.changed.notify_all()
+
     async def write(self, topic: str, key: str, payload: bytes) -> int:
         """Append a record, wake waiting reads and return the offset."""
         offset = self.topics[topic].append(key, payload)
@@ -85,12 +123,12 @@
         """Return records from an offset on.
 
         It waits for the first one, for at most `wait_ms`. Status 410 says that
-        records from this offset on were removed.
+        records from this offset on were removed, or that it is beyond the end.
         """
         self.count_call(request)
-        topic = self.topics[request.query['topic']]
+        name = request.query['topic']
         start = read_query_number(request, 'from', 0)
-        self.last_read[request.query['topic']] = start
+        self.last_read[name] = start
         wait_seconds = (
             read_query_number(request, 'wait_ms', 0) / MILLISECONDS_PER_SECOND
         )
@@ -98,11 +136,15 @@
             try:
                 async with asyncio.timeout(wait_seconds):
                     await self.changed.wait_for(
-                        lambda: topic.end > start or topic.first > start,
+                        lambda: (
+                            self.topics[name].end != start
+                            or self.topics[name].first > start
+                        ),
                     )
             except TimeoutError:
                 """The response then has no records."""
         self.raise_if_down()
+        topic = self.topics[name]
         records = topic.read(start)
         if records is None:
             return json_response({'first': topic.first}, HTTPStatus.GONE)
--- a/src/pollenloom_standins/keyed_store/keyed_topic.py
+++ b/src/pollenloom_standins/keyed_store/keyed_topic.py
@@ -1,6 +1,7 @@
 """One topic of the keyed store."""
 
 from dataclasses import dataclass, field
+from typing import Self
 
 from pollenloom.catalogue.keyed_record import KeyedRecord
 from pollenloom.core.ids import Offset
@@ -36,11 +37,15 @@
         return record.offset
 
     def read(self, start: int) -> list[KeyedRecord] | None:
-        """Return records from an offset on; None if some were dropped."""
-        if start < self.first:
+        """Return records from an offset on; None if it has not all of them."""
+        if not self.first <= start <= self.end:
             return None
         return self.records[start - self.first :]
 
+    def copy(self) -> Self:
+        """Return a copy that later records do not change."""
+        return type(self)(list(self.records), self.first, dict(self.newest))
+
     def drop_history(self) -> None:
         """Drop all records, but keep the newest one of each key."""
         self.first = self.end
