--- a/src/pollenloom/admission/account_shares.py
+++ b/src/pollenloom/admission/account_shares.py
@@ -162,7 +162,11 @@
         self.correct_credit(account, -1)
 
     def give_back(self, account: AccountId) -> None:
-        """Return the credit of a request that was let in and did not begin."""
+        """Return the credit of a request that was sent and did not begin.
+
+        One that found no room is not made up for: replaced by another one at
+        once, routers would let in more than there is room for.
+        """
         self.correct_credit(account, 1)
 
     def correct_credit(self, account: AccountId, requests: float) -> None:
--- a/src/pollenloom/admission/local_pool.py
+++ b/src/pollenloom/admission/local_pool.py
@@ -261,8 +261,6 @@
         self.activity.accounts.record_refused(ticket, cause)
         if cause is RefusalCause.BEYOND_SHARE:
             self.activity.beyond_share += 1
-        else:
-            self.shares.give_back(ticket.account)
 
     def service_load(
         self, now: float, responses: Mapping[ResponseClass, float]
--- a/tests/admission/test_account_shares.py
+++ b/tests/admission/test_account_shares.py
@@ -51,10 +51,10 @@
 def test_request_that_did_not_begin_is_made_up_for(
     shares: AccountShares,
 ) -> None:
-    """Guards against shares that are lost at crashed or full servers.
+    """Guards against shares that are lost at crashed servers.
 
-    The share was spent when a request was let in, also if it then found no
-    room or its server crashed before it began.
+    The share was spent when a request was let in, also if its server crashed
+    before it began.
     """
     usual = count_within(shares)
     for _ in range(5):
