Order entries of servers by their own numbers after a restore

What callers would see: requests to a server that has said that it leaves or is gone, and none to one that is registered.

Cause: entries were ordered by their offset. When the store comes back from an older copy, offsets go back: a later entry at a lower offset was ignored, and the entry of a server that was dropped counted as a new one.

Change: the position of an entry is its era and offset, so that what is written after a restore is later than what was known. What the copy itself still has is compared by the start and the count that the server writes; a server that was dropped within the last minute has to write again. It works because these numbers come from the server and survive the copy.

--- a/src/pollenloom/catalogue/store_catalogue.py
+++ b/src/pollenloom/catalogue/store_catalogue.py
@@ -23,6 +23,7 @@
 from pollenloom.observability.event_name import EventName
 from pollenloom.routing.routing_configuration import RoutingConfiguration
 from pollenloom.routing.server_directory import KnownServer, ServerDirectory
+from pollenloom.routing.store_position import StorePosition
 
 # Interval of checks for removals that take effect later.
 SWEEP_SECONDS: Final = 0.1
@@ -184,7 +185,8 @@
             for record in listing.records
             if self.apply_server_record(
                 record,
-                now,
+                StorePosition(listing.era, record.offset),
+                kind,
                 is_first_read=is_first_read,
             )
         )
@@ -202,7 +204,8 @@
     def apply_server_record(
         self,
         record: KeyedRecord,
-        now: float,
+        position: StorePosition,
+        kind: ListingKind,
         *,
         is_first_read: bool,
     ) -> bool:
@@ -210,6 +213,7 @@
 
         An entry that cannot be decoded is logged and changes nothing.
         """
+        now = self.kernel.clock.monotonic()
         server = ServerId(record.key)
         if not record.payload:
             self.directory.remove(server, now)
@@ -219,9 +223,14 @@
         if decoded.is_error():
             self.rejected.add(record.key, decoded.error.detail, now)
             return False
+        if kind.has_all_keys and self.directory.is_outdated(
+            decoded.ok, position
+        ):
+            self.record_server_state(server, 'outdated', record.offset)
+            return False
         is_changed = self.directory.upsert(
             decoded.ok,
-            record.offset,
+            position,
             now,
             wall=self.kernel.clock.wall(),
             is_first_read=is_first_read,
@@ -251,7 +260,7 @@
             return
         known.has_said_leaving = True
         self.record_server_state(
-            known.entry.server, 'says_leaving', Offset(known.version)
+            known.entry.server, 'says_leaving', known.version.offset
         )
         self.notify()
 
--- a/src/pollenloom/gateway/request_event_log.py
+++ b/src/pollenloom/gateway/request_event_log.py
@@ -177,7 +177,7 @@
             server=grant.server.server,
             reason=end.failure.detail if end.failure else '',
             run=end.state.value,
-            entry_version=known.version if known else None,
+            entry_version=known.version.offset if known else None,
             entry_age_ms=round((now - known.read_at) * MILLISECONDS_PER_SECOND)
             if known
             else None,
--- a/src/pollenloom/observability/event_name.py
+++ b/src/pollenloom/observability/event_name.py
@@ -70,8 +70,9 @@
         PLATFORM_REACHABLE: A log reader can reach the platform again. Subject
             router: reason.
         SERVER_STATE: This router uses a new entry of a backend server, removed
-            it, or read in a response that the server leaves. Subject server:
-            state, offset.
+            it, read in a response that the server leaves, or found an outdated
+            entry in a store that has come back from an older copy. Subject
+            server: state, offset.
         FLEET_SIZE: The number of routers that this router sees has changed.
             Subject router: routers, is_whole.
         REQUEST_ENDED: A request of a caller ended. Subject request: route,
--- a/src/pollenloom/platform/server_entry_codec.py
+++ b/src/pollenloom/platform/server_entry_codec.py
@@ -75,5 +75,6 @@
             is_leaving=wire.state == wire_names.STATE_DRAINING,
             cold_seconds=wire.cold_remaining_ms / MILLISECONDS_PER_SECOND,
             started_at=wire.born / MILLISECONDS_PER_SECOND,
+            sequence=wire.seq,
         )
     )
--- a/src/pollenloom/routing/server_directory.py
+++ b/src/pollenloom/routing/server_directory.py
@@ -7,10 +7,14 @@
 from pollenloom.core.ids import DataCentreId, ServerId, ServiceId
 from pollenloom.routing.server_entry import ServerEntry
 from pollenloom.routing.service_profile import ServiceProfile
+from pollenloom.routing.store_position import StorePosition
 
 # Entries that expire during a store outage are written again within two
 # seconds of its end; the rest is for their delivery to this router.
 EXPIRY_GRACE_SECONDS: Final = 2.3
+# Entries of dropped servers are remembered for this time. The store comes back
+# from copies that are some seconds old.
+GONE_SECONDS: Final = 60.0
 
 
 @dataclass(slots=True)
@@ -19,7 +23,7 @@
 
     Attributes:
         entry: The newest entry.
-        version: Offset of that entry in the store.
+        version: Position of that entry in the store.
         read_at: When the entry was read, monotonic seconds.
         cold_until: When the server is assumed to be warm, monotonic seconds.
         has_said_leaving: Whether the server has stated in a response that it
@@ -29,7 +33,7 @@
     """
 
     entry: ServerEntry
-    version: int
+    version: StorePosition
     read_at: float
     cold_until: float
     has_said_leaving: bool = False
@@ -53,6 +57,8 @@
         profiles: By service, from the configuration.
         grace_until: Removals before this time take effect at this time,
             monotonic seconds.
+        gone: Servers that were dropped lately, with the time, monotonic
+            seconds.
     """
 
     def __init__(self) -> None:
@@ -60,6 +66,7 @@
         self.evacuated: set[DataCentreId] = set()
         self.profiles: Mapping[ServiceId, ServiceProfile] = {}
         self.grace_until = float('-inf')
+        self.gone: dict[ServerId, tuple[float, KnownServer]] = {}
 
     def configure(self, profiles: Mapping[ServiceId, ServiceProfile]) -> None:
         """Apply the service profiles of a new configuration."""
@@ -72,7 +79,7 @@
     def upsert(
         self,
         entry: ServerEntry,
-        version: int,
+        version: StorePosition,
         now: float,
         *,
         wall: float,
@@ -85,7 +92,7 @@
 
         Args:
             entry: Entry of the server.
-            version: Offset of the entry; older ones are ignored.
+            version: Position of the entry; earlier ones are ignored.
             now: Monotonic seconds.
             wall: Wall time in seconds.
             is_first_read: Whether this router reads all entries for the first
@@ -120,6 +127,24 @@
         is_registered_again = known is not None and known.removed_at is not None
         return known is None or is_registered_again or known.entry != entry
 
+    def is_outdated(self, entry: ServerEntry, version: StorePosition) -> bool:
+        """Whether an older copy of the store has an entry from before.
+
+        Offsets of the copy can't be compared with those of the entry that is
+        known. The numbers that the server itself counts can. A server that was
+        dropped since then has to write a later entry.
+        """
+        known = self.servers.get(entry.server)
+        if known is not None:
+            return (
+                version.era != known.version.era
+                and known.entry.is_later_than(entry)
+            )
+        gone = self.find_gone(entry.server)
+        if gone is None or version.era == gone.version.era:
+            return False
+        return not entry.is_later_than(gone.entry)
+
     def remove(self, server: ServerId, now: float) -> None:
         """Apply a removal; soon after a store outage it takes effect later."""
         known = self.servers.get(server)
@@ -139,9 +164,25 @@
             if known.removed_at is not None and known.removed_at <= now
         )
         for server in removed:
-            self.servers.pop(server)
+            self.gone[server] = (now, self.servers.pop(server))
+        if removed:
+            self.forget_gone(now)
         return removed
 
+    def forget_gone(self, now: float) -> None:
+        """Forget servers that were dropped a while ago."""
+        earliest = now - GONE_SECONDS
+        self.gone = {
+            server: dropped
+            for server, dropped in self.gone.items()
+            if dropped[0] > earliest
+        }
+
+    def find_gone(self, server: ServerId) -> KnownServer | None:
+        """Return a server that was dropped lately, as it was last known."""
+        found = self.gone.get(server)
+        return None if found is None else found[1]
+
     def evacuate(self, data_centre: DataCentreId) -> None:
         """Stop sending requests to a data centre."""
         self.evacuated.add(data_centre)
--- a/src/pollenloom/routing/server_entry.py
+++ b/src/pollenloom/routing/server_entry.py
@@ -1,7 +1,7 @@
 """Registration of a backend server in the platform's store."""
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from pollenloom.core.host_port import split_remote_address
@@ -35,6 +35,7 @@
         cold_seconds: How long it stays cold, from the time of the entry.
         started_at: Wall time of its start, seconds; distinguishes restarts
             under the same id; 0 if unknown.
+        sequence: Number of the entry, which the server counts from its start.
 
     Raises:
         ValueError: If a value is out of range.
@@ -49,6 +50,8 @@
     is_leaving: bool
     cold_seconds: float
     started_at: float
+    # Rises with each heartbeat, in which nothing else may have changed.
+    sequence: int = field(default=0, compare=False)
 
     def __post_init__(self) -> None:
         """Validate the values.
@@ -65,3 +68,10 @@
             raise ValueError('cold time out of range')
         if not 0 <= self.started_at < LATEST_START:
             raise ValueError('start out of range')
+
+    def is_later_than(self, other: 'ServerEntry') -> bool:
+        """Whether the server wrote this entry after another one of its own."""
+        return (self.started_at, self.sequence) > (
+            other.started_at,
+            other.sequence,
+        )
--- a/tests/admission/local_fleet.py
+++ b/tests/admission/local_fleet.py
@@ -22,11 +22,13 @@
 from pollenloom.core.ids import (
     AccountId,
     DataCentreId,
+    Offset,
     RequestId,
     ResponseClass,
     RouteId,
     ServerId,
     ServiceId,
+    StoreEra,
     VersionId,
     VmId,
 )
@@ -45,6 +47,7 @@
 from pollenloom.routing.server_entry import ServerEntry
 from pollenloom.routing.server_notice import ServerNotice
 from pollenloom.routing.service_load import ServiceLoad, add_loads
+from pollenloom.routing.store_position import StorePosition
 from tests.admission.simulated_loop import LoopClock
 
 if TYPE_CHECKING:
@@ -79,6 +82,7 @@
         self.configuration: RoutingConfiguration | None = None
         self.move_orders = {}
         self.directory = ServerDirectory()
+        position = StorePosition(StoreEra(1), Offset(1))
         for number in range(engines):
             entry = ServerEntry(
                 server=ServerId(f'i-{number}'),
@@ -91,7 +95,9 @@
                 cold_seconds=0,
                 started_at=0,
             )
-            self.directory.upsert(entry, 1, 0, wall=0, is_first_read=True)
+            self.directory.upsert(
+                entry, position, 0, wall=0, is_first_read=True
+            )
 
     async def start(self) -> None:
         """Do nothing."""
--- a/tests/admission/test_local_pool.py
+++ b/tests/admission/test_local_pool.py
@@ -22,10 +22,12 @@
 from pollenloom.core.ids import (
     AccountId,
     DataCentreId,
+    Offset,
     RequestId,
     RouteId,
     ServerId,
     ServiceId,
+    StoreEra,
     VersionId,
     VmId,
 )
@@ -36,8 +38,10 @@
 from pollenloom.routing.server_directory import KnownServer
 from pollenloom.routing.server_entry import ServerEntry
 from pollenloom.routing.service_load import ServiceLoad
+from pollenloom.routing.store_position import StorePosition
 
 NOW = 100.0
+POSITION = StorePosition(StoreEra(1), Offset(1))
 SERVICE = ServiceId('answers')
 
 
@@ -54,7 +58,7 @@
         cold_seconds=0,
         started_at=0,
     )
-    return KnownServer(entry, 1, 0, cold_until)
+    return KnownServer(entry, POSITION, 0, cold_until)
 
 
 def make_ticket(
--- a/tests/routing/test_server_directory.py
+++ b/tests/routing/test_server_directory.py
@@ -2,12 +2,14 @@
 
 from dataclasses import replace
 
-from pollenloom.core.ids import DataCentreId, ServerId
+from pollenloom.core.ids import DataCentreId, Offset, ServerId, StoreEra
 from pollenloom.routing.server_directory import (
     EXPIRY_GRACE_SECONDS,
+    GONE_SECONDS,
     ServerDirectory,
 )
 from pollenloom.routing.server_entry import ServerEntry
+from pollenloom.routing.store_position import StorePosition
 from tests.routing.conftest import SERVICE
 
 NOW = 1000.0
@@ -20,12 +22,13 @@
     version: int = 1,
     now: float = NOW,
     *,
+    era: int = 1,
     is_first_read: bool = True,
 ) -> None:
     """Apply an entry to the directory."""
     directory.upsert(
         entry,
-        version,
+        StorePosition(StoreEra(era), Offset(version)),
         now,
         wall=WALL,
         is_first_read=is_first_read,
@@ -166,3 +169,69 @@
     directory.servers[entry.server].has_said_leaving = True
     add(directory, replace(entry, started_at=entry.started_at + 9), 2)
     assert directory.usable(SERVICE, NOW)
+
+
+def test_entry_of_a_later_era_counts_at_a_lower_offset(
+    directory: ServerDirectory, entry: ServerEntry
+) -> None:
+    """Guards against a leaving server whose entry looks older than it is.
+
+    Offsets are given out again when the store comes back from a copy.
+    """
+    add(directory, replace(entry, sequence=5), 15)
+    add(directory, replace(entry, sequence=6, is_leaving=True), 12, era=2)
+    assert not directory.usable(SERVICE, NOW)
+
+
+def test_entry_from_before_a_restore_is_outdated(
+    directory: ServerDirectory, entry: ServerEntry
+) -> None:
+    """Guards against a copy of the store that takes back what a server said."""
+    add(directory, replace(entry, sequence=6, is_leaving=True), 15)
+    position = StorePosition(StoreEra(2), Offset(8))
+    assert directory.is_outdated(replace(entry, sequence=5), position)
+    assert not directory.is_outdated(replace(entry, sequence=7), position)
+
+
+def test_server_that_is_gone_has_to_write_again_after_a_restore(
+    directory: ServerDirectory, entry: ServerEntry
+) -> None:
+    """Guards against servers that have left and are used after a restore."""
+    add(directory, replace(entry, sequence=6), 15)
+    directory.remove(entry.server, NOW)
+    directory.drop_removed(NOW)
+    position = StorePosition(StoreEra(2), Offset(8))
+    assert directory.is_outdated(replace(entry, sequence=6), position)
+    assert not directory.is_outdated(replace(entry, sequence=7), position)
+
+
+def test_entry_in_the_era_of_the_known_one_is_not_outdated(
+    directory: ServerDirectory, entry: ServerEntry
+) -> None:
+    """Guards against a server whose numbers begin anew without a restore."""
+    add(directory, replace(entry, sequence=600), 15)
+    position = StorePosition(StoreEra(1), Offset(16))
+    assert not directory.is_outdated(replace(entry, sequence=1), position)
+
+
+def test_restarted_server_is_later_than_any_entry_before(
+    directory: ServerDirectory, entry: ServerEntry
+) -> None:
+    """Guards against a restarted server that is ignored for its low number."""
+    add(directory, replace(entry, sequence=600, is_leaving=True), 15)
+    restarted = replace(entry, sequence=1, started_at=entry.started_at + 5)
+    position = StorePosition(StoreEra(2), Offset(8))
+    assert not directory.is_outdated(restarted, position)
+
+
+def test_dropped_servers_are_forgotten(
+    directory: ServerDirectory, entry: ServerEntry
+) -> None:
+    """Guards against a directory that grows with each server that leaves."""
+    for number in range(3):
+        server = ServerId(f'i-{number}')
+        now = NOW + number * GONE_SECONDS
+        add(directory, replace(entry, server=server), number, now)
+        directory.remove(server, now)
+        directory.drop_removed(now)
+    assert set(directory.gone) == {server}
