Hold what operators ordered until a restored store has it again

What callers would see: requests to a data centre that was evacuated, as its evacuation is lost; a data centre that is empty again, as an evacuation that was over returns; a version move that is withdrawn and begins anew.

Cause: a full listing without a key meant that the operator took it back, and what it had replaced what was in force. In a store that has come back from an older copy a key may be missing or old only because the store lost what was written since. Orders were told apart by their offset alone, which is given out again.

Change: OperatorRecords decides which records of the operators' topic are applied. A record of the copy that was never read is new and applied. Orders carry the era. It works because a copy is a prefix of what was read: whatever differs from it was lost, not taken back.

`record_held` and `record_hold_ended` are logged.

--- a/src/pollenloom/catalogue/operator_change.py
+++ b/src/pollenloom/catalogue/operator_change.py
@@ -2,7 +2,14 @@
 
 from dataclasses import dataclass
 
-from pollenloom.core.ids import DataCentreId, Offset, ServiceId, VersionId
+from pollenloom.core.ids import (
+    NO_ERA,
+    DataCentreId,
+    Offset,
+    ServiceId,
+    StoreEra,
+    VersionId,
+)
 from pollenloom.routing.routing_configuration import RoutingConfiguration
 
 
@@ -35,12 +42,14 @@
             withdrawn.
         seconds: Time after which the move must have ended.
         offset: Position of the order in the store; tells repeated orders apart.
+        era: Era of the store in which it was read first.
     """
 
     service: ServiceId
     to_version: VersionId | None
     seconds: float
     offset: Offset
+    era: StoreEra = NO_ERA
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pollenloom/catalogue/store_catalogue.py
+++ b/src/pollenloom/catalogue/store_catalogue.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Final
 
 from pollenloom.catalogue.catalogue import Catalogue
@@ -13,10 +14,14 @@
     MoveOrder,
     NewConfiguration,
 )
+from pollenloom.catalogue.operator_records import (
+    HOLD_SECONDS,
+    OperatorRecords,
+)
 from pollenloom.catalogue.rejected_records import RejectedRecords
 from pollenloom.catalogue.store_topic import StoreTopic
 from pollenloom.catalogue.topic_follower import TopicFollower
-from pollenloom.core.ids import DataCentreId, Offset, ServerId, ServiceId
+from pollenloom.core.ids import Offset, ServerId, ServiceId
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.observability.event_log import EventLog
@@ -35,6 +40,7 @@
     Attributes:
         listeners: Called after each change.
         read_topics: Topics that were read at least once.
+        operator_records: Decides which records of the operators are applied.
         rejected: Records that could not be decoded.
     """
 
@@ -45,6 +51,7 @@
         self.move_orders: dict[ServiceId, MoveOrder] = {}
         self.listeners: list[Callable[[], None]] = []
         self.read_topics: set[StoreTopic] = set()
+        self.operator_records = OperatorRecords()
         self.rejected = RejectedRecords('store_record_rejected')
 
     async def start(self) -> None:
@@ -95,32 +102,35 @@
         """Apply records of the operators; return them all.
 
         A full listing also returns those data centres to service that it does
-        not take out of service, and withdraws the moves that it does not order.
+        not take out of service, and withdraws the moves that it does not
+        order; see `OperatorRecords` for a store that has lost them.
         """
         now = self.kernel.clock.monotonic()
-        if kind.has_all_keys:
-            self.move_orders = {}
-            evacuated = self.data_centres_out(listing)
-            for data_centre in tuple(self.directory.evacuated - evacuated):
-                self.apply_directive(
-                    DataCentreDirective(data_centre, is_out=False),
-                    now,
-                )
-        for record in listing.records:
+        for record in self.operator_records.select(listing, kind, now):
             self.apply_operator_record(record, now)
+        if kind is ListingKind.RESTORED:
+            for key, held in self.operator_records.held.items():
+                self.events.record(
+                    EventName.RECORD_HELD,
+                    key,
+                    offset=held.record.offset,
+                    is_lost=not held.record.payload,
+                    seconds=HOLD_SECONDS,
+                )
         self.read_topics.add(StoreTopic.OPERATOR)
         self.notify()
         return listing.records
 
-    def data_centres_out(self, listing: Listing) -> set[DataCentreId]:
-        """Return the data centres that a listing takes out of service."""
-        changes = map(self.store.read_operator_change, listing.records)
-        directives = [change.ok for change in changes if change.is_ok()]
-        return {
-            directive.data_centre
-            for directive in directives
-            if isinstance(directive, DataCentreDirective) and directive.is_out
-        }
+    def apply_expired_records(self, now: float) -> None:
+        """Apply what an older copy says and nobody has written again."""
+        expired = self.operator_records.take_expired(self.store.era, now)
+        for record in expired:
+            self.events.record(
+                EventName.RECORD_HOLD_ENDED, record.key, offset=record.offset
+            )
+            self.apply_operator_record(record, now)
+        if expired:
+            self.notify()
 
     def apply_operator_record(self, record: KeyedRecord, now: float) -> None:
         """Apply one record of the operators; log one that cannot be decoded."""
@@ -134,7 +144,8 @@
         elif isinstance(change, DataCentreDirective):
             self.apply_directive(change, now)
         elif isinstance(change, MoveOrder):
-            update_orders(self.move_orders, change)
+            order = replace(change, era=self.store.era)
+            update_orders(self.move_orders, order)
 
     def apply_directive(
         self, directive: DataCentreDirective, now: float
@@ -270,10 +281,12 @@
             self.events.record(EventName.SERVER_STATE, server, state='gone')
 
     async def sweep(self) -> None:
-        """Drop servers periodically, for removals that take effect later."""
+        """Apply periodically what takes effect later."""
         while True:
             await asyncio.sleep(SWEEP_SECONDS)
-            self.drop_removed(self.kernel.clock.monotonic())
+            now = self.kernel.clock.monotonic()
+            self.drop_removed(now)
+            self.apply_expired_records(now)
 
 
 def update_orders(orders: dict[ServiceId, MoveOrder], order: MoveOrder) -> None:
--- a/src/pollenloom/observability/event_name.py
+++ b/src/pollenloom/observability/event_name.py
@@ -124,6 +124,12 @@
         STORE_RESTORED: The platform's store has come back from an older copy;
             the newest record of each key was read again. Subject topic: era,
             before, position, position_before.
+        RECORD_HELD: An older copy of the platform's store lacks a record of
+            the operators, or has one from before it; what was in force holds
+            for some seconds, unless the key is written again. Subject key:
+            offset, is_lost, seconds.
+        RECORD_HOLD_ENDED: Nobody has written such a key again; what the store
+            has is in force. Subject key: offset.
     """
 
     REFUSAL = 'refusal'
@@ -169,3 +175,5 @@
     LOOP_DELAYED = 'loop_delayed'
     LOG_RECORDS_MISSED = 'log_records_missed'
     STORE_RESTORED = 'store_restored'
+    RECORD_HELD = 'record_held'
+    RECORD_HOLD_ENDED = 'record_hold_ended'
