Write again what a restored store has lost of the routers

What operators would see: an earlier state of a version move than the one in force, a router that the others don't count, and after a restart of all routers prompts that crash servers again.

Cause: blocks, states of moves and the records of routers were written once, or each eight seconds and more, whether or not the store still had them. A copy from before also brought back routers that had left, and a position of an earlier era could pass for the condition of a write.

Change: the store client calls listeners when the era rises. Routers then write their own record and their blocks again; the state of a move that the copy lacks is written again by the router whose turn it is. Records in a copy about routers that are known or have left are ignored. States are only written at a position of the era that the store is in.

Measured: four new tests, in tests/catalogue/test_restored_store.py and test_store_fleet_directory.py, fail without the change.

--- a/src/pollenloom/catalogue/block_store.py
+++ b/src/pollenloom/catalogue/block_store.py
@@ -20,7 +20,8 @@
 from pollenloom.validation.untrusted_bytes import decode_json
 
 RETRY_SECONDS: Final = 0.5
-# Changes that wait while the store is down; the oldest are dropped.
+# Changes that wait while the store is down, and blocks that are written again
+# when it has lost them; the oldest are dropped.
 MAX_PENDING: Final = 64
 REMOVED: Final = b''
 # Clocks of VMs differ by less. A block with a later time would be as new at
@@ -50,6 +51,7 @@
 
     Attributes:
         pending: Payloads to write, by key; empty ones remove the key.
+        written: Latest payloads that this router wrote, by key.
         has_pending: Set while there are any.
     """
 
@@ -58,6 +60,7 @@
     def __init__(self, kernel: Kernel) -> None:
         self.kernel = kernel
         self.pending: dict[str, bytes] = {}
+        self.written: dict[str, bytes] = {}
         self.has_pending = asyncio.Event()
 
     async def start(self) -> None:
@@ -66,6 +69,7 @@
         self.facts = self.kernel.find(
             KernelServiceName.FACT_EXCHANGE, FactExchange
         ).facts
+        self.store.watch_era(self.write_again)
         self.kernel.spawn('blocks-read', self.read())
         self.kernel.spawn('blocks-write', self.write())
 
@@ -92,6 +96,16 @@
         self.pending[key] = payload
         self.has_pending.set()
 
+    def write_again(self) -> None:
+        """Write all changes of this router again, which the store may lack.
+
+        Changes that are newer wait already. Expired blocks are ignored by
+        whoever reads them.
+        """
+        self.pending = {**self.written, **self.pending}
+        if self.pending:
+            self.has_pending.set()
+
     async def read(self) -> None:
         """Read all blocks once; repeat until it succeeds."""
         while True:
@@ -121,6 +135,13 @@
         fact = SharedFact(stored.fact_id, key, now - age, stored.block)
         self.facts.blocks.put(fact, now)
 
+    def remember(self, key: str, payload: bytes) -> None:
+        """Keep what was written, in case that the store loses it."""
+        self.written.pop(key, None)
+        self.written[key] = payload
+        if len(self.written) > MAX_PENDING:
+            self.written.pop(next(iter(self.written)))
+
     async def write(self) -> None:
         """Write changes one after the other; repeat failed writes."""
         while True:
@@ -134,6 +155,7 @@
                     await asyncio.sleep(RETRY_SECONDS)
                 elif self.pending.get(key) == payload:
                     self.pending.pop(key)
+                    self.remember(key, payload)
             if not self.pending:
                 self.has_pending.clear()
 
--- a/src/pollenloom/catalogue/keyed_store.py
+++ b/src/pollenloom/catalogue/keyed_store.py
@@ -1,6 +1,7 @@
 """Interface of the platform's store."""
 
 from abc import abstractmethod
+from collections.abc import Callable
 from typing import ClassVar
 
 from expression import Result
@@ -31,6 +32,14 @@
 
     era: StoreEra
 
+    @abstractmethod
+    def watch_era(self, listener: Callable[[], None]) -> None:
+        """Call the listener each time that the store has a later era.
+
+        What routers wrote since the copy is then lost. The first era that a
+        response tells is not a later one.
+        """
+
     @abstractmethod
     async def newest(self, topic: StoreTopic) -> Result[Listing, Failure]:
         """Return the newest record of each key."""
--- a/src/pollenloom/catalogue/store_fleet_directory.py
+++ b/src/pollenloom/catalogue/store_fleet_directory.py
@@ -1,23 +1,19 @@
 """Fleet directory from the records that routers write to the store."""
 
-import asyncio
 from functools import partial
-from typing import Annotated, Final
-
-import msgspec
-from absl import logging
-from expression import Result
+from typing import Final
 
 from pollenloom.catalogue.fleet_directory import FleetDirectory
 from pollenloom.catalogue.keyed_record import KeyedRecord, Listing
 from pollenloom.catalogue.keyed_store import KeyedStore
 from pollenloom.catalogue.listing_kind import ListingKind
 from pollenloom.catalogue.rejected_records import RejectedRecords
+from pollenloom.catalogue.router_announcer import RouterAnnouncer
+from pollenloom.catalogue.router_record import RouterRecord, read_router
 from pollenloom.catalogue.store_topic import StoreTopic
 from pollenloom.catalogue.topic_follower import TopicFollower
-from pollenloom.core.failure import Failure
-from pollenloom.core.host_port import split_address, split_ipv4_address
-from pollenloom.core.ids import DataCentreId, VmId
+from pollenloom.core.host_port import split_address
+from pollenloom.core.ids import VmId
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.observability.event_log import EventLog
@@ -25,7 +21,7 @@
 from pollenloom.routing.fleet_position import FleetPosition
 from pollenloom.routing.fleet_router import FleetRouter
 from pollenloom.settings.node_settings import NodeSettings
-from pollenloom.validation.untrusted_bytes import decode_json, validated
+from pollenloom.validation.untrusted_bytes import decode_json
 
 # Writes cost money, and a router that is counted although it has failed only
 # makes the shares of the others too small.
@@ -35,11 +31,6 @@
 ANNOUNCE_SECONDS_PER_ROUTER: Final = 0.2
 # Announce intervals without a new record after which a router is not counted.
 EXPIRY_INTERVALS: Final = 2.5
-# The time until a failed write is repeated doubles up to a part of the
-# interval: a store that is down gets calls of hundreds of routers, and a record
-# is only missed after `EXPIRY_INTERVALS`.
-WRITE_RETRY_SECONDS: Final = 0.3
-LONGEST_RETRY_PART: Final = 0.25
 # Reads may wait long: a late count of routers only makes shares too large or
 # too small for a while.
 READ_WAIT_SECONDS: Final = 8.0
@@ -48,41 +39,9 @@
 READ_PAUSE_SECONDS: Final = 6.0
 # Age up to which relayed records are used instead of a read of the store.
 MAX_AGE_SECONDS: Final = 20.0
-# Cores of the largest machines are some hundreds.
-MAX_CAPACITY: Final = 65_536
-
-
-class RouterRecord(msgspec.Struct, frozen=True):
-    """Record that a router writes about itself.
-
-    Attributes:
-        peers: Address at which it receives load reports, `host:port`.
-        data_centre: Data centre in which it runs.
-        capacity: Processor power; see `FleetRouter.capacity`.
-        is_leaving: Whether it is about to stop.
-    """
-
-    peers: str
-    data_centre: DataCentreId
-    capacity: Annotated[float, msgspec.Meta(ge=0, le=MAX_CAPACITY)]
-    is_leaving: bool = False
-
-
-def read_router(
-    vm: VmId, record: RouterRecord
-) -> Result[FleetRouter | None, Failure]:
-    """Return the router of a record; None if it is about to stop.
-
-    Errors:
-        PROTOCOL_ERROR: The address is not valid.
-    """
-    return validated(lambda: split_ipv4_address(record.peers)).map(
-        lambda address: (
-            None
-            if record.is_leaving
-            else FleetRouter(vm, record.data_centre, address, record.capacity)
-        )
-    )
+# A store comes back from copies that are some seconds old, and may then have an
+# earlier record of a router that has left.
+DEPARTURE_SECONDS: Final = 60.0
 
 
 class StoreFleetDirectory(FleetDirectory):
@@ -94,6 +53,7 @@
         known_routers: Routers with a record, and this one.
         recorded_size: Size of the fleet in the latest event.
         is_read: Whether the records were read at least once.
+        left_at: When routers announced that they stop, monotonic seconds.
         rejected: Records that could not be decoded.
     """
 
@@ -106,6 +66,7 @@
         }
         self.recorded_size = 0
         self.is_read = False
+        self.left_at: dict[VmId, float] = {}
         self.rejected = RejectedRecords('census_record_rejected')
 
     async def start(self) -> None:
@@ -123,7 +84,13 @@
             pause_seconds=READ_PAUSE_SECONDS,
             max_age_seconds=MAX_AGE_SECONDS,
         )
-        self.kernel.spawn('census-announce', self.announce())
+        self.announcer = RouterAnnouncer(
+            self.store, self.local_router, self.settings.listen.peers
+        )
+        self.kernel.spawn(
+            'census-announce',
+            self.announcer.announce(lambda: self.announce_seconds),
+        )
         self.kernel.spawn('census-read', follower.run())
 
     async def leave(self) -> None:
@@ -131,29 +98,7 @@
 
         A failed write is not repeated, since the record expires anyway.
         """
-        self.kernel.spawn('census-leave', self.write_leaving())
-
-    async def write_leaving(self) -> None:
-        """Write a record that this router stops."""
-        await self.write(is_leaving=True)
-
-    async def write(self, *, is_leaving: bool) -> bool:
-        """Write the record of this router; return whether it was stored."""
-        local = self.local_router
-        record = RouterRecord(
-            self.settings.listen.peers,
-            local.data_centre,
-            local.capacity,
-            is_leaving,
-        )
-        written = await self.store.put(
-            StoreTopic.NODES,
-            self.settings.vm,
-            msgspec.json.encode(record),
-        )
-        if written.is_error():
-            logging.warning('census_write_failed %s', written.error.detail)
-        return written.is_ok()
+        self.kernel.spawn('census-leave', self.announcer.write_leaving())
 
     async def stop(self) -> None:
         """Do nothing; the kernel ends the tasks."""
@@ -192,11 +137,18 @@
         listing: Listing,
         kind: ListingKind,
     ) -> tuple[KeyedRecord, ...]:
-        """Apply records of routers; return them all."""
+        """Apply records of routers; return them all.
+
+        A store that has come back from an older copy tells nothing new about
+        routers that are known or have left: those that run write again.
+        """
         now = self.kernel.clock.monotonic()
         self.is_read = True
         for record in listing.records:
-            self.apply_record(VmId(record.key), record.payload, now)
+            vm = VmId(record.key)
+            is_old = vm in self.known_routers or vm in self.left_at
+            if kind is not ListingKind.RESTORED or not is_old:
+                self.apply_record(vm, record.payload, now)
         if self.size(now) != self.recorded_size:
             self.recorded_size = self.size(now)
             self.events.record(
@@ -218,10 +170,20 @@
             return
         if decoded.ok is None:
             self.remove(vm)
+            self.record_departure(vm, now)
             return
+        self.left_at.pop(vm, None)
         self.received_at[vm] = now
         self.known_routers[vm] = decoded.ok
 
+    def record_departure(self, vm: VmId, now: float) -> None:
+        """Remember for a while that a router has left."""
+        earliest = now - DEPARTURE_SECONDS
+        self.left_at = {
+            other: at for other, at in self.left_at.items() if at > earliest
+        }
+        self.left_at[vm] = now
+
     def remove(self, vm: VmId) -> None:
         """Remove a router; this one stays among the known routers."""
         self.received_at.pop(vm, None)
@@ -248,15 +210,3 @@
             split_address(self.settings.listen.peers),
             self.settings.machine.capacity,
         )
-
-    async def announce(self) -> None:
-        """Write the record of this router periodically."""
-        retry_seconds = WRITE_RETRY_SECONDS
-        while True:
-            if await self.write(is_leaving=False):
-                retry_seconds = WRITE_RETRY_SECONDS
-                await asyncio.sleep(self.announce_seconds)
-                continue
-            await asyncio.sleep(retry_seconds)
-            longest = self.announce_seconds * LONGEST_RETRY_PART
-            retry_seconds = min(2 * retry_seconds, longest)
--- a/src/pollenloom/moves/ordered_move.py
+++ b/src/pollenloom/moves/ordered_move.py
@@ -27,6 +27,8 @@
         ordered_at: When this router read the order, monotonic seconds.
         state: Latest state in the store; None before one was read.
         is_stopped: Whether this router found the version bad.
+        is_lost: Whether the store lacks the state, so that it has to be
+            written again.
         test: Test of the responses of the whole fleet.
         due_since: When this router first found that the state must change,
             monotonic seconds; None while it need not.
@@ -37,6 +39,7 @@
     ordered_at: float
     state: MoveState | None = None
     is_stopped: bool = False
+    is_lost: bool = False
     test: ChangeTest = field(init=False)
     due_since: float | None = None
 
--- a/src/pollenloom/moves/store_moves.py
+++ b/src/pollenloom/moves/store_moves.py
@@ -146,7 +146,13 @@
     def apply_states(
         self, listing: Listing, kind: ListingKind
     ) -> tuple[KeyedRecord, ...]:
-        """Apply states that routers wrote; return the records."""
+        """Apply states that routers wrote; return the records.
+
+        A store that has come back from an older copy may lack the latest ones.
+        """
+        if kind is ListingKind.RESTORED:
+            for move in self.moves.values():
+                move.is_lost = move.state is not None
         for record in listing.records:
             decoded = self.store.read_move_status(record)
             if decoded.is_error():
@@ -165,6 +171,8 @@
         move = self.moves.get(status.service)
         if move is None or move.to_version != status.to_version:
             return
+        if move.state is status.state:
+            move.is_lost = False
         if move.has_ended or move.state is status.state:
             return
         move.state = status.state
@@ -194,12 +202,12 @@
         """Evaluate one move; write its state if it is this router's turn."""
         move = self.moves.get(service)
         # The order may have been withdrawn while another move was evaluated.
-        if move is None or move.has_ended:
+        if move is None or (move.has_ended and not move.is_lost):
             return
         now = self.kernel.clock.monotonic()
         self.observe(service, move, now)
         state = move.next_state(now, sees_fleet=self.sees_fleet(now))
-        if state is move.state:
+        if state is move.state and not move.is_lost:
             move.due_since = None
             return
         if move.due_since is None:
@@ -230,10 +238,15 @@
         return seen >= self.fleet_directory.size(now) * MIN_FLEET_SHARE
 
     async def write(self, move: OrderedMove, status: MoveStatus) -> None:
-        """Write a state if no other router wrote one that is not read yet."""
-        end = self.follower.state.position if self.follower else None
-        if end is None:
+        """Write a state if no other router wrote one that is not read yet.
+
+        A position of an earlier era proves nothing about that.
+        """
+        if self.follower is None or self.follower.state.position is None:
+            return
+        if self.follower.state.era != self.store.era:
             return
+        end = self.follower.state.position
         written = await self.store.put_move_status(status, end)
         if written.is_error():
             logging.warning(
@@ -243,6 +256,7 @@
             )
             return
         move.due_since = None
+        move.is_lost = False
         if move.state is not status.state:
             move.state = status.state
             self.record_state(move, status, 'written by this router')
--- a/src/pollenloom/platform/store_client.py
+++ b/src/pollenloom/platform/store_client.py
@@ -50,7 +50,7 @@
 from pollenloom.validation.untrusted_bytes import decode_json
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping, Sequence
+    from collections.abc import Callable, Iterable, Mapping, Sequence
 
     from pollenloom.routing.server_entry import ServerEntry
     from pollenloom.settings.node_settings import StoreSettings
@@ -139,6 +139,7 @@
         self.timeout_seconds = timeout_seconds
         self.opened_session: RenewableSession | None = None
         self.era = NO_ERA
+        self.era_listeners: list[Callable[[], None]] = []
 
     @classmethod
     def from_config(cls, settings: 'StoreSettings') -> Self:
@@ -338,9 +339,17 @@
             era = StoreEra(int(told))
         if era < self.era:
             return Error(unavailable_failure(f'a response of era {era}'))
+        is_restored = NO_ERA < self.era < era
         self.era = era
+        if is_restored:
+            for listener in self.era_listeners:
+                listener()
         return Ok(era)
 
+    def watch_era(self, listener: 'Callable[[], None]') -> None:
+        """Call the listener with each later era; see `KeyedStore`."""
+        self.era_listeners.append(listener)
+
     def read_operator_change(
         self,
         record: KeyedRecord,
--- a/tests/catalogue/test_restored_store.py
+++ b/tests/catalogue/test_restored_store.py
@@ -9,15 +9,29 @@
 
 import msgspec
 
+from pollenloom.catalogue.block_store import BlockStore
 from pollenloom.catalogue.load_exchange import LARGEST_DIRECT_FLEET
 from pollenloom.catalogue.operator_change import MoveOrder
 from pollenloom.catalogue.store_catalogue import StoreCatalogue
-from pollenloom.core.ids import DataCentreId, ServerId
+from pollenloom.catalogue.store_fleet_directory import StoreFleetDirectory
+from pollenloom.core.ids import (
+    DataCentreId,
+    Offset,
+    PromptPartId,
+    ServerId,
+    VersionId,
+)
+from pollenloom.core.states import MoveState
+from pollenloom.moves.store_moves import StoreMoves
+from pollenloom.routing.prompt_facts import PromptBlock
+from pollenloom.routing.shared_fact import SharedFact
 from pollenloom_standins.keyed_store.keyed_store_service import StoreCopy
 from pollenloom_standins.worker.responses import server_entry
 from tests.catalogue.conftest import SERVER, SERVICE, CatalogueFleet
+from tests.fakes.router_fixtures import make_settings
 
 OUT = DataCentreId('almelo')
+BLOCK = PromptBlock(SERVICE, (PromptPartId('p'),), (), 5)
 OPERATORS = 'keyed.op'
 SERVERS = 'keyed.servers'
 # Changes are in force within this time after the store has taken them.
@@ -269,3 +283,68 @@
 def is_another(catalogue: StoreCatalogue, order: MoveOrder) -> bool:
     """Whether the move of the service was ordered anew."""
     return catalogue.move_orders[SERVICE] != order
+
+
+async def test_router_writes_its_record_again(fleet: CatalogueFleet) -> None:
+    """Guards against routers that the others don't count for a while.
+
+    A router writes its record every eight seconds and more.
+    """
+    await start(fleet)
+    copy = fleet.store.copy()
+    directory = StoreFleetDirectory(fleet.kernels[0], make_settings('vm-9'))
+    await directory.start()
+    nodes = fleet.store.topics['keyed.nodes']
+    await fleet.wait_for(lambda: 'vm-9' in nodes.newest)
+    await restore(fleet, copy)
+    await fleet.wait_for(
+        lambda: 'vm-9' in fleet.store.topics['keyed.nodes'].newest,
+        SETTLED_SECONDS,
+    )
+
+
+async def test_block_is_written_again(fleet: CatalogueFleet) -> None:
+    """Guards against prompts that crash servers after a restart of all."""
+    await start(fleet)
+    blocks = BlockStore(fleet.kernels[0])
+    await blocks.start()
+    copy = fleet.store.copy()
+    fact = SharedFact('vm-0/1/1', 'key', 0, BLOCK)
+    blocks.save(fact)
+    await fleet.wait_for(
+        lambda: bool(fleet.store.topics['keyed.blocks'].newest)
+    )
+    await restore(fleet, copy)
+    await fleet.wait_for(
+        lambda: bool(fleet.store.topics['keyed.blocks'].newest),
+        SETTLED_SECONDS,
+    )
+
+
+async def test_state_of_a_move_is_written_again(fleet: CatalogueFleet) -> None:
+    """Guards against operators who see an earlier state of a version move.
+
+    The move has ended, and the copy has a state from before its end.
+    """
+    catalogue = await start(fleet)
+    kernel = fleet.kernels[0]
+    moves = StoreMoves(kernel, make_settings('vm-0'))
+    await moves.start()
+    order = MoveOrder(SERVICE, VersionId('v2'), 60, Offset(0))
+    catalogue.move_orders[SERVICE] = order
+    moves.begin(SERVICE, order, VersionId('v2'))
+    statuses = 'keyed.status'
+    key = 'rollout/answers'
+    await fleet.wait_for(lambda: key in fleet.store.topics[statuses].newest)
+    copy = fleet.store.copy()
+    moves.moves[SERVICE].is_stopped = True
+    await fleet.wait_for(
+        lambda: moves.moves[SERVICE].state is MoveState.REVERTED
+    )
+    await restore(fleet, copy)
+    await fleet.wait_for(
+        lambda: (
+            b'rolled_back' in fleet.store.topics[statuses].newest[key].payload
+        ),
+        SETTLED_SECONDS,
+    )
--- a/tests/catalogue/test_store_fleet_directory.py
+++ b/tests/catalogue/test_store_fleet_directory.py
@@ -5,9 +5,14 @@
 import msgspec
 import pytest
 
+from pollenloom.catalogue.keyed_record import KeyedRecord, Listing
+from pollenloom.catalogue.listing_kind import ListingKind
+from pollenloom.catalogue.router_announcer import RouterAnnouncer
 from pollenloom.catalogue.store_fleet_directory import StoreFleetDirectory
-from pollenloom.core.ids import VmId
+from pollenloom.core.ids import Offset, VmId
 from pollenloom.kernel.kernel import Kernel
+from pollenloom.observability.event_log import EventLog
+from pollenloom.platform.store_client import StoreClient
 from tests.admission.simulated_loop import simulate
 from tests.fakes.odd_records import ODD_VALUES, encode_record
 from tests.fakes.router_fixtures import make_settings
@@ -97,8 +102,13 @@
         await asyncio.sleep(0)
         return False
 
-    fleet_directory.write = fail  # type: ignore[method-assign]
-    announcing = loop.create_task(fleet_directory.announce())
+    announcer = RouterAnnouncer(
+        StoreClient('127.0.0.1:9', 1), fleet_directory.local_router, ADDRESS
+    )
+    announcer.write = fail  # type: ignore[method-assign]
+    announcing = loop.create_task(
+        announcer.announce(lambda: fleet_directory.announce_seconds)
+    )
     await asyncio.sleep(seconds)
     announcing.cancel()
     return written_at
@@ -116,3 +126,21 @@
     assert len(written_at) <= 8
     # A short outage must not keep a router out of the fleet for long.
     assert sum(at < written_at[0] + 1 for at in written_at) >= 2
+
+
+def test_copy_from_before_does_not_bring_back_a_router_that_left(
+    fleet_directory: StoreFleetDirectory,
+) -> None:
+    """Guards against turns at cold servers for a router that is gone."""
+    fleet_directory.events = EventLog(fleet_directory.kernel.clock)
+    fleet_directory.apply_record(VmId('vm-a'), record(), NOW)
+    fleet_directory.apply_record(VmId('vm-a'), record(is_leaving=True), NOW)
+    stored = KeyedRecord('vm-a', record(), Offset(3))
+    fleet_directory.apply_listing(
+        Listing((stored,), Offset(4)), ListingKind.RESTORED
+    )
+    assert known_routers(fleet_directory) == ['vm-b']
+    fleet_directory.apply_listing(
+        Listing((stored,), Offset(5)), ListingKind.CHANGES
+    )
+    assert known_routers(fleet_directory) == ['vm-a', 'vm-b']
