Let the store of the node soak come back from an older copy

A restore excuses nothing that was in force before it: a key that was revoked two seconds earlier and a server that announced its leave stay out of use. Both checks fail on a history that breaks this; before, any fault of the store excused them.

The plan's other faults are drawn as before.

--- a/src/pollenloom_standins/keyed_store/keyed_topic.py
+++ b/src/pollenloom_standins/keyed_store/keyed_topic.py
@@ -42,6 +42,10 @@
             return None
         return self.records[start - self.first :]
 
+    def since(self, offset: int) -> list[KeyedRecord]:
+        """Return the retained records from an offset on."""
+        return self.records[max(0, offset - self.first) :]
+
     def copy(self) -> Self:
         """Return a copy that later records do not change."""
         return type(self)(list(self.records), self.first, dict(self.newest))
--- a/src/pollenloom_standins/node_soak/node_drain_checker.py
+++ b/src/pollenloom_standins/node_soak/node_drain_checker.py
@@ -1,16 +1,13 @@
 """Checks that a leaving server gets no new requests after 2 s."""
 
 from collections.abc import Iterator
-from typing import Final
 
 from pollenloom_standins.history.promise_checker import PromiseChecker
 from pollenloom_standins.node_soak.node_history import (
-    CATCH_UP_SECONDS,
+    IN_FORCE_SECONDS,
     NodeHistory,
 )
 
-LEAVING_LIMIT_SECONDS: Final = 2.0
-
 
 class NodeDrainChecker(PromiseChecker[NodeHistory]):
     """A leaving server gets no new requests after two seconds.
@@ -25,15 +22,11 @@
         """Return requests that arrived too late."""
         nodes = {call.request_id: call.node for call in history.calls}
         for leaving in history.leaving:
-            due = leaving.at + LEAVING_LIMIT_SECONDS
+            due = leaving.at + IN_FORCE_SECONDS
             for run in history.runs:
                 node = nodes.get(run.request_id, '')
                 is_late = run.server == leaving.subject and run.at > due
-                if is_late and not history.is_disturbed(
-                    node,
-                    leaving.at - CATCH_UP_SECONDS,
-                    run.at,
-                ):
+                if is_late and not history.is_excused(node, leaving.at, run.at):
                     yield (
                         f'{run.request_id} arrived at {run.server} '
                         f'{run.at - leaving.at:.2f} s after its announcement'
--- a/src/pollenloom_standins/node_soak/node_fault_record.py
+++ b/src/pollenloom_standins/node_soak/node_fault_record.py
@@ -17,6 +17,7 @@
     STORE_CUT_ONE_WAY = 'store-cut-one-way'
     STORE_HELD = 'store-held'
     STORE_SLOW = 'store-slow'
+    STORE_RESTORED = 'store-restored'
     BACKEND_CUT = 'worker-cut'
     BACKEND_FAIL = 'worker-fail'
     BACKEND_REJECT = 'worker-reject'
--- a/src/pollenloom_standins/node_soak/node_history.py
+++ b/src/pollenloom_standins/node_soak/node_history.py
@@ -6,7 +6,10 @@
 
 from pollenloom_standins.node_soak.announcement import Announcement
 from pollenloom_standins.node_soak.node_call import NodeCall
-from pollenloom_standins.node_soak.node_fault_record import NodeFaultRecord
+from pollenloom_standins.node_soak.node_fault_record import (
+    NodeFaultKind,
+    NodeFaultRecord,
+)
 from pollenloom_standins.node_soak.node_run import NodeRun
 
 DEFAULT_NODES: Final = 4
@@ -14,6 +17,8 @@
 STORE: Final = 'store'
 # Time in which a node that was cut off or frozen learns what it missed.
 CATCH_UP_SECONDS: Final = 3.0
+# Time after which changes are in force.
+IN_FORCE_SECONDS: Final = 2.0
 
 
 class NodeHistory(msgspec.Struct, kw_only=True):
@@ -43,3 +48,20 @@
             fault.target in {target, STORE} and fault.overlaps(start, end)
             for fault in self.faults
         )
+
+    def is_excused(self, node: str, at: float, until: float) -> bool:
+        """Whether a fault kept a node from a change at a time, or made it late.
+
+        A store that comes back from an older copy excuses nothing that was in
+        force before it went away.
+        """
+        in_force_at = at + IN_FORCE_SECONDS
+        return any(
+            fault.target in {node, STORE}
+            and fault.overlaps(at - CATCH_UP_SECONDS, until)
+            and not (
+                fault.kind is NodeFaultKind.STORE_RESTORED
+                and fault.started > in_force_at
+            )
+            for fault in self.faults
+        )
--- a/src/pollenloom_standins/node_soak/node_round.py
+++ b/src/pollenloom_standins/node_soak/node_round.py
@@ -16,6 +16,7 @@
 from pollenloom_standins.node_soak.node_round_environment import (
     NodeRoundEnvironment,
 )
+from pollenloom_standins.node_soak.store_faults import StoreRestore
 from pollenloom_standins.soak.soak_fleet import FinishedRound
 
 FIRST_FAULT_SECONDS: Final = 1.0
@@ -56,13 +57,23 @@
         limit_source.uniform(FIRST_FAULT_SECONDS, LAST_LIMIT_SECONDS),
         limit_source.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS),
     )
-    return limit, *(
-        PlannedNodeFault(
-            random_source.choice(FAULTS),
-            random_source.uniform(FIRST_FAULT_SECONDS, ROUND_SECONDS),
-            random_source.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS),
-        )
-        for _ in range(count)
+    restore_source = random.Random(f'restore {seed}')
+    restore = PlannedNodeFault(
+        StoreRestore(),
+        restore_source.uniform(FIRST_FAULT_SECONDS, ROUND_SECONDS),
+        restore_source.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS),
+    )
+    return (
+        limit,
+        restore,
+        *(
+            PlannedNodeFault(
+                random_source.choice(FAULTS),
+                random_source.uniform(FIRST_FAULT_SECONDS, ROUND_SECONDS),
+                random_source.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS),
+            )
+            for _ in range(count)
+        ),
     )
 
 
--- a/src/pollenloom_standins/node_soak/revoked_key_checker.py
+++ b/src/pollenloom_standins/node_soak/revoked_key_checker.py
@@ -2,16 +2,13 @@
 
 from collections.abc import Iterator
 from http import HTTPStatus
-from typing import Final
 
 from pollenloom_standins.history.promise_checker import PromiseChecker
 from pollenloom_standins.node_soak.node_history import (
-    CATCH_UP_SECONDS,
+    IN_FORCE_SECONDS,
     NodeHistory,
 )
 
-REVOCATION_LIMIT_SECONDS: Final = 2.0
-
 
 class RevokedKeyChecker(PromiseChecker[NodeHistory]):
     """A revoked key is refused after two seconds and stays refused.
@@ -29,13 +26,8 @@
             at = revoked.get(call.key)
             if at is None or call.status != HTTPStatus.OK:
                 continue
-            if (
-                call.started > at + REVOCATION_LIMIT_SECONDS
-                and not history.is_disturbed(
-                    call.node,
-                    at - CATCH_UP_SECONDS,
-                    call.ended,
-                )
+            if call.started > at + IN_FORCE_SECONDS and not history.is_excused(
+                call.node, at, call.ended
             ):
                 late = call.started - at
                 yield f'{call.describe()}: {late:.2f} s after the revocation'
--- a/src/pollenloom_standins/node_soak/store_faults.py
+++ b/src/pollenloom_standins/node_soak/store_faults.py
@@ -18,6 +18,10 @@
 from pollenloom_standins.node_soak.soak_node import SoakNode
 from pollenloom_standins.relay.link_rules import LinkRule
 
+# Time for which the store is away, and until lost records are written again.
+RESTORE_SECONDS = 0.5
+# Topics that operators and servers write to.
+OTHERS_TOPICS = ('keyed.op', 'keyed.servers')
 # A read whose response was lost in a cut ends by its timeout within this time.
 READ_TIMEOUT_SECONDS = 3.5
 
@@ -41,6 +45,41 @@
         environment.finish_fault(fault)
 
 
+class StoreRestore(InjectedFault):
+    """Makes the store come back from an older copy of itself."""
+
+    async def run(
+        self, environment: NodeRoundEnvironment, seconds: float
+    ) -> None:
+        """Lose what was written for some seconds; see `InjectedFault.run`.
+
+        Operators and servers write again what they wrote meanwhile.
+        """
+        if STORE in environment.busy:
+            environment.record_skipped_fault(NodeFaultKind.STORE_RESTORED)
+            return
+        fault = environment.begin_fault(NodeFaultKind.STORE_RESTORED, STORE)
+        store = environment.store
+        copy = store.copy()
+        await asyncio.sleep(seconds)
+        fault.started = time.time()
+        store.is_down = True
+        await asyncio.sleep(RESTORE_SECONDS)
+        lost = {
+            name: store.topics[name].since(copy[name].end)
+            for name in OTHERS_TOPICS
+        }
+        await store.restore(copy)
+        store.is_down = False
+        await asyncio.sleep(RESTORE_SECONDS)
+        for name, records in lost.items():
+            for record in records:
+                await store.write(name, record.key, record.payload)
+        fault.ended = time.time()
+        await asyncio.sleep(1)
+        environment.finish_fault(fault)
+
+
 class StoreHistoryLoss(InjectedFault):
     """Makes the store drop its history; the newest records stay."""
 
--- a/tests/standins/node_soak/test_node_checkers.py
+++ b/tests/standins/node_soak/test_node_checkers.py
@@ -11,7 +11,7 @@
     NodeFaultKind,
     NodeFaultRecord,
 )
-from pollenloom_standins.node_soak.node_history import NodeHistory
+from pollenloom_standins.node_soak.node_history import STORE, NodeHistory
 from pollenloom_standins.node_soak.node_promises import NODE_PROMISES
 from pollenloom_standins.node_soak.node_run import NodeRun
 from pollenloom_standins.node_soak.soak_backend import EVENT_COUNT, make_event
@@ -133,6 +133,20 @@
     history.revoked.append(Announcement(subject='key-1', at=START - 5))
 
 
+def forget_changes_in_a_restore(history: NodeHistory) -> None:
+    """Break what was in force before the store came back from a copy."""
+    use_a_leaving_server(history)
+    serve_a_revoked_key(history)
+    restore = NodeFaultRecord(
+        kind=NodeFaultKind.STORE_RESTORED,
+        target=STORE,
+        started=START - 2,
+        ended=START - 1,
+        recovered=START - 1,
+    )
+    history.faults.append(restore)
+
+
 def cut_at_a_stop(history: NodeHistory) -> None:
     """Cut a response while the node stops."""
     history.calls[2].is_whole = False
@@ -178,6 +192,8 @@
         (change_the_account, 'request'),
         (use_a_leaving_server, 'drain'),
         (serve_a_revoked_key, 'revoked'),
+        (forget_changes_in_a_restore, 'drain'),
+        (forget_changes_in_a_restore, 'revoked'),
         (cut_at_a_stop, 'stop'),
         (exit_with_failure, 'stop'),
         (refuse_all_calls, 'served'),
