Write the secrets of a fleet of processes once

Cause, suspected from reading: each start of a router wrote fleet.key and operator.token anew, and routers start at the same time, so that one may read a file that another has just emptied. No other file is written while a router may read it. Change: the secrets are written once, before the first router starts.

--- a/src/pollenloom_standins/fleet/process_fleet.py
+++ b/src/pollenloom_standins/fleet/process_fleet.py
@@ -111,6 +111,7 @@
             ProcessError: If a process does not become ready or the publication
                 fails.
         """
+        self.write_secrets()
         await self.platform.start()
         await asyncio.gather(
             self.operator.publish(self.platform_url, *self.plan.directories),
@@ -162,10 +163,17 @@
         listening = process.ready['ready']['peers']
         self.seeds[plan.vm] = plan.advertise or listening
 
-    def write_settings(self, plan: RouterPlan) -> Path:
-        """Write the settings file and the secrets of one router."""
+    def write_secrets(self) -> None:
+        """Write the secrets that all routers share.
+
+        They are written before any router starts: a router that reads a file
+        while it is written anew finds it empty.
+        """
         (self.directory / 'fleet.key').write_text(FLEET_KEY)
         (self.directory / 'operator.token').write_text(OPERATOR_TOKEN)
+
+    def write_settings(self, plan: RouterPlan) -> Path:
+        """Write the settings file of one router."""
         seeds = [seed for vm, seed in self.seeds.items() if vm != plan.vm]
         path = self.directory / f'{plan.vm}.toml'
         path.write_text(
