Test that a slow router does not shrink the windows of a fleet

The router with most requests has most weight in their mean; its event loop was late by up to 388 ms, and its own delays count as queues at servers. No logic changes.

--- a/tests/admission/local_fleet.py
+++ b/tests/admission/local_fleet.py
@@ -280,6 +280,8 @@
         self.admissions: list[LocalAdmission] = []
         self.seconds: dict[str, AccountSeconds] = defaultdict(AccountSeconds)
         self.request_numbers = count()
+        # Seconds by which routers notice first bytes later than they arrive.
+        self.router_delays: dict[VmId, float] = {}
         self.started_at: float = 0
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -450,7 +452,9 @@
         )
         if engine.rate_limit is not None:
             engine.told_at.setdefault(vm, now)
-        admission.observe_first_byte(grant, first_byte)
+        admission.observe_first_byte(
+            grant, first_byte + self.router_delays.get(vm, 0)
+        )
         await asyncio.sleep(shape.output * SECONDS_PER_OUTPUT_TOKEN)
         engine.slots.release()
         admission.settle(
--- a/tests/admission/test_local_fleet_windows.py
+++ b/tests/admission/test_local_fleet_windows.py
@@ -6,6 +6,8 @@
 import pytest
 
 from pollenloom.admission.local_admission import LocalAdmission
+from pollenloom.core.ids import VmId
+from pollenloom.routing.send_window import INITIAL_WINDOW_TOKENS
 from tests.admission.local_fleet import SERVICE, LocalFleet, RequestShape
 from tests.admission.simulated_loop import simulate
 
@@ -82,3 +84,41 @@
     usual = fmean(windows)
     assert max(windows) <= (1 + TOLERANCE) * usual, windows
     assert min(windows) >= (1 - TOLERANCE) * usual, windows
+
+
+LARGE_FLEET_ROUTERS = 64
+# Requests a second at the router with most requests and at all routers
+# together; the engines have room for several times as many.
+BUSY_DEMAND = 60
+SPREAD_DEMAND = 60
+# More than a queue may take of the objective of these requests.
+ROUTER_DELAY = 0.9
+
+
+async def run_delayed_router(seed: int) -> LocalFleet:
+    """Run a large fleet in which the busiest router is slow itself."""
+    fleet = LocalFleet(LARGE_FLEET_ROUTERS, 2 * ENGINES, SLOTS, seed)
+    await fleet.start()
+    fleet.router_delays[VmId('r-0')] = ROUTER_DELAY
+    fleet.spawn(fleet.ask('busy', LABEL, BUSY_DEMAND, (0,)))
+    fleet.spawn(
+        fleet.ask('spread', LABEL, SPREAD_DEMAND, range(LARGE_FLEET_ROUTERS))
+    )
+    await asyncio.sleep(END_SECOND)
+    await fleet.stop()
+    return fleet
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_delay_of_a_router_is_not_taken_for_the_queue_of_servers(
+    seed: int,
+) -> None:
+    """Guards against one slow router that shrinks the windows of the fleet.
+
+    The router with most requests noticed first bytes late, as its event loop
+    was busy, while servers were idle. The smaller windows of all routers moved
+    requests away from the servers that had read their shared parts.
+    """
+    fleet = simulate(run_delayed_router(seed))
+    windows = [mean_window(admission) for admission in fleet.admissions]
+    assert min(windows) >= (1 - TOLERANCE) * INITIAL_WINDOW_TOKENS, windows
