Don't pass on half an answer when its server ends

Cause: an answer without length and chunks ends with its connection. Class: an end that several causes share is taken for the good one. Change: when only the closed connection marks the end, ServerChecks asks the server for a new connection, which is kept for requests. If the server refuses it and had not said that it leaves, the answer is broken off: repeatable requests are sent again, others fail. The checks of lost connections move there from PromptGuard.

--- a/src/pollenloom/console/node_process.py
+++ b/src/pollenloom/console/node_process.py
@@ -22,6 +22,7 @@
 from pollenloom.gateway.probe_server import ProbeServer
 from pollenloom.gateway.prompt_guard import PromptGuard
 from pollenloom.gateway.relay import Relay
+from pollenloom.gateway.server_checks import ServerChecks
 from pollenloom.gateway.server_connection_pool import ServerConnectionPool
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
@@ -72,6 +73,7 @@
         FactExchange(kernel, settings.vm),
         BlockStore(kernel),
         ServerConnectionPool(kernel, header_codec),
+        ServerChecks(kernel),
         StoreMoves(kernel, settings),
         PromptGuard(kernel),
         LocalAdmission(kernel),
--- a/src/pollenloom/gateway/prompt_guard.py
+++ b/src/pollenloom/gateway/prompt_guard.py
@@ -13,10 +13,10 @@
 from pollenloom.core.backend_server import BackendServer
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
-from pollenloom.core.ids import AccountId, DataCentreId, ServerId
+from pollenloom.core.ids import AccountId, ServerId
 from pollenloom.gateway.loss_verdict import LossVerdict
 from pollenloom.gateway.pending_call import PendingCall
-from pollenloom.gateway.server_connection_pool import ServerConnectionPool
+from pollenloom.gateway.server_checks import ServerChecks
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
@@ -32,12 +32,6 @@
 from pollenloom.routing.shared_fact import SharedFact
 
 EVALUATION_SECONDS: Final = 0.1
-# Time in which a router that can be reached is heard of: reports come every
-# 0.1 s, and another collector takes over after 0.5 s.
-TOUCH_WAIT_SECONDS: Final = 1.2
-# A report that comes later than this after a refused connection was sent after
-# it, so that the path to the data centre is not cut.
-TOUCH_MARGIN_SECONDS: Final = 0.1
 # A router that has heard of no other one for longer may be cut off.
 CONTACT_SECONDS: Final = 0.5
 # Time until the claims of a trial are known on all routers.
@@ -51,10 +45,8 @@
     """Refuses prompts that the fleet has found to crash backend servers.
 
     A lost connection alone says little: servers also reset connections. Only
-    if the server then refuses a new connection are the requests that it had
-    hardly answered reported as evidence of a crash. A server that leaves as
-    planned refuses them too, and so does a network whose path is cut; then
-    nothing is heard of the routers in the server's data centre either.
+    if `ServerChecks` finds that the server has ended are the requests that it
+    had hardly answered reported as evidence of a crash.
 
     Attributes:
         quarantine: Evidence and decisions.
@@ -74,9 +66,8 @@
     async def start(self) -> None:
         """Start to evaluate the evidence."""
         self.events = self.kernel.find(KernelServiceName.EVENTS, EventLog)
-        self.connection_pool = self.kernel.find(
-            KernelServiceName.SERVER_CONNECTION_POOL,
-            ServerConnectionPool,
+        self.server_checks = self.kernel.find(
+            KernelServiceName.SERVER_CHECKS, ServerChecks
         )
         self.fleet_directory = self.kernel.find(
             KernelServiceName.FLEET_DIRECTORY,
@@ -219,7 +210,7 @@
 
     async def check_server(self, server: BackendServer) -> None:
         """Report the requests of a server as evidence if it has crashed."""
-        verdict = await self.judge(server)
+        verdict = await self.server_checks.judge(server)
         is_crashed = verdict is LossVerdict.CRASHED
         lost = self.lost.pop(server.server, [])
         self.events.record(
@@ -233,36 +224,6 @@
             for crash, lost_at in lost:
                 self.quarantine.record_crash(crash, lost_at)
 
-    async def judge(self, server: BackendServer) -> LossVerdict:
-        """Return what follows from a lost connection to a server."""
-        known = self.catalogue.directory.servers.get(server.server)
-        if not await self.connection_pool.is_refused(server):
-            return LossVerdict.RUNNING
-        if known is None or known.entry.is_leaving or known.removed_at:
-            return LossVerdict.LEFT
-        if await self.is_in_touch(server.data_centre):
-            return LossVerdict.CRASHED
-        return LossVerdict.OUT_OF_TOUCH
-
-    async def is_in_touch(self, data_centre: DataCentreId) -> bool:
-        """Whether routers in a data centre are heard of from now on.
-
-        True where this router is the only one there.
-        """
-        clock = self.kernel.clock
-        refused_at = clock.monotonic()
-        others = any(
-            router.data_centre == data_centre
-            and router.vm != self.load_exchange.vm
-            for router in self.fleet_directory.routers()
-        )
-        while others and clock.monotonic() < refused_at + TOUCH_WAIT_SECONDS:
-            heard_at = self.load_exchange.table.heard_at.get(data_centre, 0)
-            if heard_at > refused_at + TOUCH_MARGIN_SECONDS:
-                return True
-            await asyncio.sleep(EVALUATION_SECONDS)
-        return not others
-
     async def run(self) -> None:
         """Evaluate the evidence until the kernel ends the task."""
         while True:
--- a/src/pollenloom/gateway/relay.py
+++ b/src/pollenloom/gateway/relay.py
@@ -30,6 +30,7 @@
 from pollenloom.gateway.request_attempt import RequestAttempt
 from pollenloom.gateway.request_event_log import RequestEventLog
 from pollenloom.gateway.response_writer import ResponseWriter
+from pollenloom.gateway.server_checks import ServerChecks
 from pollenloom.gateway.server_connection_pool import ServerConnectionPool
 from pollenloom.gateway.server_event import ResponseHead
 from pollenloom.kernel.kernel import Kernel
@@ -79,6 +80,10 @@
             KernelServiceName.PROMPT_GUARD,
             PromptGuard,
         )
+        self.server_checks = self.kernel.find(
+            KernelServiceName.SERVER_CHECKS,
+            ServerChecks,
+        )
         self.event_log = RequestEventLog.from_kernel(self.kernel)
 
     async def stop(self) -> None:
@@ -236,6 +241,7 @@
             header_codec=self.header_codec,
             admission=self.admission,
             prompt_guard=self.prompt_guard,
+            server_checks=self.server_checks,
             stop_limits=self.stop_limits,
             began_at=self.kernel.clock.uptime(),
         )
--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -31,6 +31,7 @@
 from pollenloom.gateway.prompt_guard import PromptGuard
 from pollenloom.gateway.response_writer import ResponseWriter
 from pollenloom.gateway.server_channel import ServerChannel
+from pollenloom.gateway.server_checks import ServerChecks
 from pollenloom.gateway.server_connection_pool import ServerConnectionPool
 from pollenloom.gateway.server_event import (
     ChannelEnd,
@@ -86,6 +87,7 @@
     header_codec: HeaderCodec
     admission: Admission
     prompt_guard: PromptGuard
+    server_checks: ServerChecks
     stop_limits: StopLimits
     began_at: float
     outcome: Outcome = Outcome.UNUSED
@@ -247,7 +249,9 @@
             )
         if is_success and self.call.is_stream:
             return await self.relay_stream(head, channel)
-        end = await self.read_body(channel)
+        end = await self.server_checks.confirm_end(
+            self.grant.server, head, await self.read_body(channel)
+        )
         if end is not ChannelEnd.COMPLETE:
             return self.fail_response('incomplete response', end)
         body = b''.join(self.body)
@@ -288,6 +292,10 @@
         """Relay the events of a stream as they arrive."""
         while True:
             event = await channel.next_event()
+            if isinstance(event, ChannelEnd):
+                event = await self.server_checks.confirm_end(
+                    self.grant.server, head, event
+                )
             if isinstance(event, bytes):
                 self.record_first_byte()
                 await self.write_events(head, self.splitter.feed(event))
--- a/src/pollenloom/kernel/kernel_service_name.py
+++ b/src/pollenloom/kernel/kernel_service_name.py
@@ -32,6 +32,7 @@
     PROBES = 'probes'
     PROMPT_GUARD = 'prompt_guard'
     REGISTERS = 'registers'
+    SERVER_CHECKS = 'server_checks'
     SERVER_CONNECTION_POOL = 'server_links'
     SETTINGS = 'settings'
     TOPIC_RELAY = 'topic_relay'
--- a/tests/gateway/test_lost_servers.py
+++ b/tests/gateway/test_lost_servers.py
@@ -17,6 +17,7 @@
 )
 from pollenloom.gateway.loss_verdict import LossVerdict
 from pollenloom.gateway.prompt_guard import PromptGuard
+from pollenloom.gateway.server_checks import ServerChecks
 from pollenloom.kernel.kernel_service_name import KernelServiceName
 from pollenloom.routing.block_trials import FIRST_TRIAL_SECONDS
 from pollenloom.routing.fleet_facts import block_key
@@ -44,16 +45,16 @@
     """A server that refuses connections, as one router knows it."""
 
     environment: RouterEnvironment
-    guard: PromptGuard
+    checks: ServerChecks
     server: BackendServer
 
     async def judge(self) -> LossVerdict:
         """Return what the router concludes."""
-        return await self.guard.judge(self.server)
+        return await self.checks.judge(self.server)
 
     def add_router(self) -> None:
         """Add another router to the server's data centre."""
-        directory = self.guard.fleet_directory
+        directory = self.checks.fleet_directory
         assert isinstance(directory, StoreFleetDirectory)
         vm = VmId('edge-other')
         router = FleetRouter(vm, HOME, ('127.0.0.1', 9), 1)
@@ -61,7 +62,7 @@
 
     async def hear_of_it(self) -> None:
         """Receive reports from that data centre for a while."""
-        table = self.guard.load_exchange.table
+        table = self.checks.load_exchange.table
         for _ in range(20):
             table.hear(HOME, self.environment.kernel.clock.monotonic())
             await asyncio.sleep(0.05)
@@ -73,8 +74,10 @@
     backend = await environment.add_server(respond_ok)
     await environment.ready(1)
     await backend.stop()
-    guard = environment.kernel.find(KernelServiceName.PROMPT_GUARD, PromptGuard)
-    entry = guard.catalogue.directory.servers[SERVER].entry
+    checks = environment.kernel.find(
+        KernelServiceName.SERVER_CHECKS, ServerChecks
+    )
+    entry = checks.catalogue.directory.servers[SERVER].entry
     server = BackendServer(
         SERVER,
         entry.service,
@@ -84,7 +87,7 @@
         entry.slots,
         1,
     )
-    return LostServer(environment, guard, server)
+    return LostServer(environment, checks, server)
 
 
 async def test_server_is_crashed_where_no_other_router_is(
@@ -123,7 +126,7 @@
     environment = lost_server.environment
     payload = server_entry(lost_server.server.address, state='draining')
     await environment.store.write('keyed.servers', SERVER, payload)
-    directory = lost_server.guard.catalogue.directory
+    directory = lost_server.checks.catalogue.directory
     await environment.wait_for(
         lambda: directory.servers[SERVER].entry.is_leaving
     )
@@ -134,7 +137,9 @@
     lost_server: LostServer,
 ) -> None:
     """Guards against a trial by each of many routers that are cut off."""
-    guard = lost_server.guard
+    guard = lost_server.environment.kernel.find(
+        KernelServiceName.PROMPT_GUARD, PromptGuard
+    )
     await lost_server.environment.wait_for(lambda: guard.is_settled)
     lost_server.add_router()
     settled = [guard.is_settled]
--- a/tests/gateway/test_stuttering_servers.py
+++ b/tests/gateway/test_stuttering_servers.py
@@ -121,5 +121,5 @@
             for number in range(CALLERS)
         )
     )
-    assert not [wrong for each in found for wrong in each]
+    assert found == [[] for _ in range(CALLERS)]
     assert max(map(len, servers.texts.values())) > 1 or path == '/order/'
