Refuse a request that crashes servers again and again

Cause: the quarantine knew only shared parts of prompts. Requests of applications have none, so neither their crashes nor their answers were evidence, and nothing stopped their repeats. Class: evidence that is kept by one attribute of a request and lacking for requests without it. Change: the identity of a request (path, caller, and body, or prompt if it has no body) is evidence like a part that comes last in a prompt, in crashes, answers, blocks and repeats. Three crashes at separate moments with no answer in between prove it if no other request is common to all of them; a service that is mostly down answers too little for the usual proof. Trials of one request begin after 60 s instead of 10, as its block keeps out no others.

--- a/src/pollenloom/gateway/call_factory.py
+++ b/src/pollenloom/gateway/call_factory.py
@@ -16,6 +16,7 @@
 from pollenloom.dispatch.retry_budget import RetryBudget
 from pollenloom.gateway.pending_call import PendingCall
 from pollenloom.gateway.raw_request import RawRequest
+from pollenloom.routing.request_identity import request_identity
 from pollenloom.routing.request_metadata import RequestMetadata
 from pollenloom.routing.route import Route
 from pollenloom.routing.routing_configuration import RoutingConfiguration
@@ -99,6 +100,12 @@
             account=account,
             revision=configuration.revision,
             deadline=request.received_at + timeout_seconds,
+            identity=request_identity(
+                request.target,
+                account,
+                request.body,
+                (part.part_id for part in metadata.parts),
+            ),
             has_retry_budget=lambda now: self.retry_budget(
                 service, now
             ).has_room(now),
--- a/src/pollenloom/gateway/pending_call.py
+++ b/src/pollenloom/gateway/pending_call.py
@@ -3,7 +3,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from pollenloom.core.ids import AccountId, Revision, ServerId, ServiceId
+from pollenloom.core.ids import (
+    AccountId,
+    PromptPartId,
+    Revision,
+    ServerId,
+    ServiceId,
+)
 from pollenloom.gateway.raw_request import RawRequest
 from pollenloom.routing.request_metadata import RequestMetadata
 from pollenloom.routing.route import Route
@@ -19,6 +25,7 @@
             configured.
         revision: Revision of the configuration that routed the request.
         deadline: Monotonic time in seconds; nothing is sent after it.
+        identity: Identity of the request, the same when it comes again.
         has_retry_budget: Returns whether the retry budget has room at a
             monotonic time.
         send_count: How often the request was sent to a backend server.
@@ -39,6 +46,7 @@
     account: AccountId | None
     revision: Revision
     deadline: float
+    identity: PromptPartId
     has_retry_budget: Callable[[float], bool]
     send_count: int = 0
     grant_count: int = 0
@@ -54,6 +62,14 @@
         """Whether the response is an event stream."""
         return self.route.kind is RouteKind.STREAMING
 
+    @property
+    def evidence_parts(self) -> tuple[PromptPartId, ...]:
+        """Shared parts of the prompt, and the identity of the request.
+
+        In a crash of its server, one of them may have been the cause.
+        """
+        return (*self.metadata.shared_part_ids, self.identity)
+
     def has_sends_left(self) -> bool:
         """Whether the route allows sending to one more backend server."""
         return self.send_count < self.route.max_attempts
--- a/src/pollenloom/gateway/prompt_guard.py
+++ b/src/pollenloom/gateway/prompt_guard.py
@@ -99,7 +99,7 @@
         if block is None:
             return None
         detail = (
-            f'prompt parts {",".join(block.content.parts)} were in '
+            f'{",".join(block.content.parts)} was in '
             f'{block.content.crashes} crashes of servers'
         )
         return Failure(ErrorKind.PROMPT_QUARANTINED, detail)
@@ -109,7 +109,7 @@
         return self.quarantine.find_block(
             call.service,
             call.account or NO_ACCOUNT,
-            call.metadata.shared_part_ids,
+            call.evidence_parts,
             self.kernel.clock.monotonic(),
         )
 
@@ -150,23 +150,14 @@
 
     def is_suspect(self, call: PendingCall) -> bool:
         """Whether a prompt may have crashed a server before."""
-        return self.quarantine.is_suspect(
-            call.service, call.metadata.shared_part_ids
-        )
-
-    def answer_began(
-        self, call: PendingCall, grant: Grant, now: float
-    ) -> int | None:
-        """Record the first byte of an answer; return a number for it.
+        return self.quarantine.is_suspect(call.service, call.evidence_parts)
 
-        Prompts without shared parts are not recorded.
-        """
-        parts = call.metadata.shared_part_ids
-        if not parts:
-            return None
-        return self.quarantine.answer_began(
-            BegunAnswer(grant.server.server, call.service, parts, now)
+    def answer_began(self, call: PendingCall, grant: Grant, now: float) -> int:
+        """Record the first byte of an answer; return a number for it."""
+        answer = BegunAnswer(
+            grant.server.server, call.service, call.evidence_parts, now
         )
+        return self.quarantine.answer_began(answer)
 
     def connection_lost(
         self,
@@ -183,12 +174,12 @@
             answered_seconds: Time since the first byte; None without one.
             answer: Number of the answer, if it had begun.
         """
-        parts = call.metadata.shared_part_ids
+        parts = call.evidence_parts
         is_answered = (
             answered_seconds is not None
             and answered_seconds >= SURVIVAL_SECONDS
         )
-        if is_answered or not parts:
+        if is_answered:
             return
         if answer is not None:
             self.quarantine.answer_lost(answer)
--- a/src/pollenloom/gateway/request_event_log.py
+++ b/src/pollenloom/gateway/request_event_log.py
@@ -18,8 +18,8 @@
 from pollenloom.observability.metrics import Metrics
 from pollenloom.routing.request_metadata import RequestMetadata
 
-# Shared parts of a prompt in a log line: the last ones, which fewest requests
-# have.
+# Shared parts of a prompt, and the identity of the request, in a log line: the
+# last ones, which fewest requests have.
 LOGGED_PARTS: Final = 8
 
 
@@ -184,7 +184,7 @@
             answered_ms=None
             if answered_seconds is None
             else round(answered_seconds * MILLISECONDS_PER_SECOND),
-            parts=','.join(call.metadata.shared_part_ids[-LOGGED_PARTS:]),
+            parts=','.join(call.evidence_parts[-LOGGED_PARTS:]),
         )
 
     def retried(self, call: PendingCall, end: AttemptEnd) -> None:
--- a/src/pollenloom/routing/block_trials.py
+++ b/src/pollenloom/routing/block_trials.py
@@ -6,11 +6,14 @@
 from pollenloom.routing.crash_evidence import BlockFact
 from pollenloom.routing.fleet_facts import FleetFacts
 from pollenloom.routing.prompt_facts import BlockTrial
+from pollenloom.routing.request_identity import is_identity
 from pollenloom.routing.shared_fact import SharedFact
 
 # Time from the latest crash that proves a block until one request is tried; the
 # time doubles with each further trial.
 FIRST_TRIAL_SECONDS: Final = 10.0
+# The same for a block of one request, which keeps out no others.
+FIRST_REQUEST_TRIAL_SECONDS: Final = 60.0
 
 TrialClaim = SharedFact[BlockTrial]
 
@@ -36,7 +39,10 @@
             block: Block that the request falls under.
             now: Monotonic seconds.
         """
-        periods = max(0, now - block.observed_at) / FIRST_TRIAL_SECONDS
+        first = FIRST_TRIAL_SECONDS
+        if any(map(is_identity, block.content.parts)):
+            first = FIRST_REQUEST_TRIAL_SECONDS
+        periods = max(0, now - block.observed_at) / first
         number = int(math.log2(periods + 1))
         trial = BlockTrial(block.key, number)
         if number < 1 or self.claims(trial):
--- a/src/pollenloom/routing/prompt_quarantine.py
+++ b/src/pollenloom/routing/prompt_quarantine.py
@@ -20,6 +20,7 @@
 )
 from pollenloom.routing.fleet_facts import FleetFacts, block_key, part_key
 from pollenloom.routing.prompt_facts import PartAnswer, PromptBlock, PromptCrash
+from pollenloom.routing.request_identity import is_identity
 
 # A server that is about to crash may send a first event. An answer counts if
 # its server has not crashed this long after its first byte.
@@ -277,7 +278,9 @@
     ) -> CommonParts | None:
         """Return what requests with a part have in common, if chance is out.
 
-        One crash renews a block, of which only its own parts are known.
+        One crash renews a block, of which only its own parts are known. A
+        request that comes again and was never answered in between needs no
+        more than the smallest number of crashes.
 
         Args:
             key: Key of the part.
@@ -290,6 +293,8 @@
         moments = count_moments(crashes)
         if moments < MIN_CRASHES:
             return None
+        if is_only_common_request(key, crashes):
+            return CommonParts(key, crashes)
         needed = self.needed_crashes(key, crashes)
         if needed is None or moments < needed:
             return None
@@ -332,3 +337,21 @@
         )
         needed = math.ceil(math.log(MAX_CHANCE) / math.log(share))
         return min(MAX_CRASHES, max(MIN_CRASHES, needed))
+
+
+def is_only_common_request(key: str, crashes: list[ServerCrash]) -> bool:
+    """Whether a key is the only request that some crashes have in common.
+
+    After crashes with another cause, a request that comes often may be among
+    those lost in each, but then so are others.
+    """
+    identities = [
+        {
+            part_key(request.service, part)
+            for request in crash.requests
+            for part in request.parts
+            if is_identity(part)
+        }
+        for crash in crashes
+    ]
+    return set.intersection(*identities) == {key}
--- a/tests/routing/test_block_trials.py
+++ b/tests/routing/test_block_trials.py
@@ -3,7 +3,11 @@
 import pytest
 
 from pollenloom.core.ids import PromptPartId, ServiceId, VmId
-from pollenloom.routing.block_trials import FIRST_TRIAL_SECONDS, BlockTrials
+from pollenloom.routing.block_trials import (
+    FIRST_REQUEST_TRIAL_SECONDS,
+    FIRST_TRIAL_SECONDS,
+    BlockTrials,
+)
 from pollenloom.routing.crash_evidence import BlockFact
 from pollenloom.routing.fleet_facts import FleetFacts, block_key
 from pollenloom.routing.prompt_facts import PromptBlock
@@ -86,3 +90,19 @@
     due = BLOCKED_AT + FIRST_TRIAL_SECONDS
     assert fleet[0].claim(block, due) is not None
     assert fleet[0].claim(other, due) is not None
+
+
+def test_request_that_crashes_servers_is_tried_later_than_a_part(
+    fleet: list[BlockTrials],
+) -> None:
+    """Guards against trials that end more servers than the users allow.
+
+    A request is blocked alone, so that nobody else waits for its trial.
+    """
+    parts = (PromptPartId('part'), PromptPartId('request:bad'))
+    content = PromptBlock(ServiceId('app'), parts, (), 3)
+    block = fleet[0].facts.make_fact(block_key(content), content, BLOCKED_AT)
+    early = BLOCKED_AT + FIRST_REQUEST_TRIAL_SECONDS - 0.1
+    assert fleet[0].claim(block, early) is None
+    due = BLOCKED_AT + FIRST_REQUEST_TRIAL_SECONDS
+    assert fleet[0].claim(block, due) is not None
--- a/tests/routing/test_prompt_quarantine.py
+++ b/tests/routing/test_prompt_quarantine.py
@@ -402,3 +402,57 @@
     facts = fleet.quarantine.facts.crashes.facts
     assert len(facts) == MAX_CRASHES
     assert max(len(fact.content.parts) for fact in facts.values()) < 100
+
+
+REQUEST = 'request:bad'
+OTHER_REQUEST = 'request:common'
+
+
+def blocked_request(fleet: Fleet, request: str) -> bool:
+    """Whether a request is refused."""
+    parts = ids((request,))
+    found = fleet.quarantine.find_block(SERVICE, ACCOUNT, parts, fleet.now)
+    return found is not None
+
+
+def test_request_in_three_crashes_is_blocked(fleet: Fleet) -> None:
+    """Guards against a request that ends server after server.
+
+    Its service is down most of the time, so hardly anything is answered.
+    """
+    for number in range(3):
+        assert not blocked_request(fleet, REQUEST)
+        fleet.crash((REQUEST,), (f'request:{number}',))
+        fleet.advance(3)
+    assert blocked_request(fleet, REQUEST)
+    assert not blocked_request(fleet, 'request:0')
+
+
+def test_answered_request_is_not_blocked(fleet: Fleet) -> None:
+    """Guards against a sound request that was in three crashes."""
+    for _ in range(3):
+        fleet.crash((REQUEST,))
+        fleet.advance(2)
+        fleet.answer(REQUEST)
+        fleet.advance(2)
+    assert not blocked_request(fleet, REQUEST)
+
+
+def test_requests_that_share_all_crashes_are_not_blocked(fleet: Fleet) -> None:
+    """Guards against frequent requests blamed for crashes with another cause.
+
+    Which of them it would be is unknown while hardly anything is answered.
+    """
+    for _ in range(3):
+        fleet.crash((REQUEST,), (OTHER_REQUEST,))
+        fleet.advance(3)
+    assert not blocked_request(fleet, REQUEST)
+    assert not blocked_request(fleet, OTHER_REQUEST)
+
+
+def test_crashes_of_one_moment_block_no_request(fleet: Fleet) -> None:
+    """Guards against a request blamed for a power failure."""
+    for _ in range(4):
+        fleet.crash((REQUEST,))
+    fleet.advance(3)
+    assert not blocked_request(fleet, REQUEST)
