--- a/src/pollenloom/core/error_responses.py
+++ b/src/pollenloom/core/error_responses.py
@@ -45,7 +45,7 @@
         # A client error, since the same request must not be sent again.
         ErrorKind.PROMPT_QUARANTINED: ErrorResponse(
             HTTPStatus.BAD_REQUEST,
-            'A part of the prompt crashes backend servers',
+            'The request or a part of its prompt crashes backend servers',
         ),
         ErrorKind.QUEUE_FULL: ErrorResponse(
             HTTPStatus.TOO_MANY_REQUESTS,
