Prove a crashing request by its first wave, and keep parts apart from it

Cause: crashes by one request follow each other within 0.1 s and counted as one moment, so the first wave proved nothing. Identities of requests that are sent again also counted as common parts: a block of a crashing part then held for one request only, and its crashes were explained. Change: crashes 0.03 s apart count for a request, which is only sent on when a server has ended. Blocks of parts leave identities out. A request is not proven while a part of its prompt may be the cause.

--- a/src/pollenloom/routing/common_parts.py
+++ b/src/pollenloom/routing/common_parts.py
@@ -10,6 +10,7 @@
     count_moments,
 )
 from pollenloom.routing.fleet_facts import part_key
+from pollenloom.routing.request_identity import is_identity, is_identity_key
 
 
 class CommonParts:
@@ -32,6 +33,11 @@
         self.parts: frozenset[PromptPartId] = frozenset.intersection(
             *(frozenset(request.parts) for request in flat)
         )
+        if not is_identity_key(key):
+            # A block of a part must hold for other requests with it.
+            self.parts = frozenset(
+                part for part in self.parts if not is_identity(part)
+            )
         self.deeper_parts = (
             frozenset[PromptPartId]().union(
                 *(parts_after(key, request) for request in flat)
--- a/src/pollenloom/routing/crash_evidence.py
+++ b/src/pollenloom/routing/crash_evidence.py
@@ -202,12 +202,19 @@
     return by_part
 
 
-def count_moments(crashes: Iterable[ServerCrash]) -> int:
-    """Return the number of separate moments of crashes in order of time."""
+def count_moments(
+    crashes: Iterable[ServerCrash], seconds: float = MOMENT_SECONDS
+) -> int:
+    """Return the number of separate moments of crashes in order of time.
+
+    Args:
+        crashes: The crashes.
+        seconds: Least time between two moments.
+    """
     moments = 0
     latest = float('-inf')
     for crash in crashes:
-        if crash.at >= latest + MOMENT_SECONDS:
+        if crash.at >= latest + seconds:
             moments += 1
             latest = crash.at
     return moments
--- a/src/pollenloom/routing/prompt_quarantine.py
+++ b/src/pollenloom/routing/prompt_quarantine.py
@@ -20,7 +20,10 @@
 )
 from pollenloom.routing.fleet_facts import FleetFacts, block_key, part_key
 from pollenloom.routing.prompt_facts import PartAnswer, PromptBlock, PromptCrash
-from pollenloom.routing.request_identity import is_identity
+from pollenloom.routing.request_identity import (
+    is_identity,
+    is_identity_key,
+)
 
 # A server that is about to crash may send a first event. An answer counts if
 # its server has not crashed this long after its first byte.
@@ -31,6 +34,10 @@
 # Probability at which crashes with a sound part in common count as a proof.
 MAX_CHANCE: Final = 0.001
 MIN_CRASHES: Final = 3
+# A request that crashes servers is sent to the next one after the one before
+# has ended, so its crashes may follow each other within less than a tenth of a
+# second. Servers that lose power end within a few milliseconds.
+REQUEST_MOMENT_SECONDS: Final = 0.03
 # Counts beside the observed ones, so that few observations prove little.
 PRIOR_CRASHED: Final = 2.0
 PRIOR_ATTEMPTS: Final = 4.0
@@ -257,13 +264,21 @@
         """
         by_part = crashes_by_part(crashes)
         lapsed = self.evidence.lapsed_parts(now)
+        # A client sends a request again that holds a crashing part, so its
+        # identity explains no crash that the part explains.
         repeated = frozenset(
-            key for key, found in by_part.items() if len(found) >= MIN_REPEATED
+            key
+            for key, found in by_part.items()
+            if len(found) >= MIN_REPEATED and not is_identity_key(key)
         )
         proven = [
             common
             for key, found in by_part.items()
-            if (common := self.prove(key, found, lapsed, repeated)) is not None
+            if (
+                common := prove_request(key, found)
+                or self.prove(key, found, lapsed, repeated)
+            )
+            is not None
         ]
         if not proven:
             return None
@@ -278,9 +293,7 @@
     ) -> CommonParts | None:
         """Return what requests with a part have in common, if chance is out.
 
-        One crash renews a block, of which only its own parts are known. A
-        request that comes again and was never answered in between needs no
-        more than the smallest number of crashes.
+        One crash renews a block, of which only its own parts are known.
 
         Args:
             key: Key of the part.
@@ -293,12 +306,13 @@
         moments = count_moments(crashes)
         if moments < MIN_CRASHES:
             return None
-        if is_only_common_request(key, crashes):
-            return CommonParts(key, crashes)
         needed = self.needed_crashes(key, crashes)
         if needed is None or moments < needed:
             return None
         common = CommonParts(key, crashes)
+        if is_identity_key(key) and len(common.parts) > 1:
+            # A part of the prompt may be the cause as well.
+            return None
         return common if common.moments_without(repeated) >= needed else None
 
     def make_block(self, common: CommonParts) -> BlockFact:
@@ -312,7 +326,7 @@
             common.service,
             tuple(sorted(common.parts)),
             tuple(accounts) if len(accounts) == 1 else (),
-            count_moments(common.crashes),
+            len(common.crashes),
         )
         return self.facts.make_fact(
             block_key(block), block, common.crashes[-1].at
@@ -339,6 +353,24 @@
         return min(MAX_CRASHES, max(MIN_CRASHES, needed))
 
 
+def prove_request(key: str, crashes: list[ServerCrash]) -> CommonParts | None:
+    """Return what a request that came again holds, if it is proven.
+
+    Nothing else may explain the crashes: neither another request that is in
+    all of them, nor a part of its prompt that was not answered since.
+
+    Args:
+        key: Key of the identity of a request, or of a part.
+        crashes: Crashes with such requests, in order of time.
+    """
+    if count_moments(crashes, REQUEST_MOMENT_SECONDS) < MIN_CRASHES:
+        return None
+    if not is_only_common_request(key, crashes):
+        return None
+    common = CommonParts(key, crashes)
+    return common if len(common.parts) == 1 else None
+
+
 def is_only_common_request(key: str, crashes: list[ServerCrash]) -> bool:
     """Whether a key is the only request that some crashes have in common.
 
--- a/src/pollenloom/routing/request_identity.py
+++ b/src/pollenloom/routing/request_identity.py
@@ -40,3 +40,8 @@
 def is_identity(part: PromptPartId) -> bool:
     """Whether a part is the identity of a request."""
     return part.startswith(PREFIX)
+
+
+def is_identity_key(key: str) -> bool:
+    """Whether a key of facts, see `part_key`, is that of a request."""
+    return is_identity(PromptPartId(key.partition('/')[2]))
--- a/tests/routing/test_prompt_quarantine.py
+++ b/tests/routing/test_prompt_quarantine.py
@@ -456,3 +456,32 @@
         fleet.crash((REQUEST,))
     fleet.advance(3)
     assert not blocked_request(fleet, REQUEST)
+
+
+def test_repeats_of_one_request_prove_it_within_a_moment(fleet: Fleet) -> None:
+    """Guards against a second wave of crashes by repeats at all servers.
+
+    A router sends the request to the next server when one has ended.
+    """
+    for _ in range(3):
+        fleet.crash((REQUEST,))
+        fleet.now += 0.06
+    fleet.advance(2)
+    assert blocked_request(fleet, REQUEST)
+
+
+def test_repeated_requests_do_not_hide_a_crashing_part(fleet: Fleet) -> None:
+    """Guards against crashes by a part that are put down to single requests.
+
+    Clients send each request twice or three times.
+    """
+    fleet.answer('sound', times=100)
+    fleet.advance(1)
+    for number in range(2):
+        for _ in range(3 - number):
+            fleet.crash((BAD, f'request:{number}'))
+            fleet.answer('sound', times=40)
+            fleet.advance(2)
+    assert fleet.quarantine.find_block(
+        SERVICE, ACCOUNT, ids((BAD, 'request:new')), fleet.now
+    )
