Tell in the logs how an answer marked its end, and of second answers

Cause: users saw successes where servers had failed, and the log could not tell an answer that ended with its connection, one on a kept connection after a second answer, and one of a later attempt.

--- a/src/pollenloom/gateway/connection_history.py
+++ b/src/pollenloom/gateway/connection_history.py
@@ -1,5 +1,12 @@
 """Requests that a connection to a backend server has carried."""
 
+from typing import TYPE_CHECKING
+
+from pollenloom.gateway.server_event import UnrequestedBytes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 
 class ConnectionHistory:
     """Tells responses to the request in progress from repeated ones.
@@ -10,12 +17,15 @@
         request_id: Id of the request in progress; None before the first one.
         is_reused: Whether the connection carried a request before it.
         refused_ids: Ids of the requests that the server refused.
+        on_unrequested: Called when bytes arrive that answer no request in
+            progress.
     """
 
     def __init__(self) -> None:
         self.request_id: bytes | None = None
         self.is_reused = False
         self.refused_ids: set[bytes] = set()
+        self.on_unrequested: Callable[[UnrequestedBytes], object] = ignore
 
     def begin(self, request_id: bytes) -> None:
         """Record that a request is sent."""
@@ -36,3 +46,7 @@
         if response_id is None:
             return not self.is_reused
         return response_id not in self.refused_ids
+
+
+def ignore(_where: UnrequestedBytes) -> None:
+    """Default for `on_unrequested`."""
--- a/src/pollenloom/gateway/pending_call.py
+++ b/src/pollenloom/gateway/pending_call.py
@@ -11,6 +11,7 @@
     ServiceId,
 )
 from pollenloom.gateway.raw_request import RawRequest
+from pollenloom.gateway.response_trace import ResponseTrace
 from pollenloom.routing.request_metadata import RequestMetadata
 from pollenloom.routing.route import Route
 from pollenloom.routing.route_kind import RouteKind
@@ -37,6 +38,7 @@
         server: Backend server of the latest attempt.
         is_trial: Whether it tries a prompt that is blocked.
         failed_servers: Backend servers on which an attempt failed.
+        trace: How the latest response arrived; None before its head.
     """
 
     request: RawRequest
@@ -56,6 +58,7 @@
     server: ServerId | None = None
     is_trial: bool = False
     failed_servers: set[ServerId] = field(default_factory=set)
+    trace: ResponseTrace | None = None
 
     @property
     def is_stream(self) -> bool:
@@ -70,6 +73,11 @@
         """
         return (*self.metadata.shared_part_ids, self.identity)
 
+    def count_body(self, part: bytes) -> None:
+        """Add a part of the body to what is recorded of the response."""
+        if self.trace is not None:
+            self.trace.body_bytes += len(part)
+
     def has_sends_left(self) -> bool:
         """Whether the route allows sending to one more backend server."""
         return self.send_count < self.route.max_attempts
--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -29,6 +29,7 @@
 )
 from pollenloom.gateway.pending_call import PendingCall
 from pollenloom.gateway.prompt_guard import PromptGuard
+from pollenloom.gateway.response_trace import Framing, ResponseTrace
 from pollenloom.gateway.response_writer import ResponseWriter
 from pollenloom.gateway.server_channel import ServerChannel
 from pollenloom.gateway.server_checks import ServerChecks
@@ -163,9 +164,14 @@
         self.call.send_count += 1
         self.call.may_have_run = True
         channel.transport.write(self.render_request())
+        self.call.trace = None
         event = await channel.next_event()
         if not isinstance(event, ResponseHead):
             return self.fail_response('no response', event)
+        trace = ResponseTrace(
+            Framing.from_head(event), channel.history.is_reused
+        )
+        self.call.trace = trace
         response_id = find_header(event.headers, channel.id_header)
         if not channel.history.is_answer(response_id):
             self.first_byte_seconds = self.clock.monotonic() - self.sent_at
@@ -279,6 +285,7 @@
                 return event
             if isinstance(event, bytes):
                 received_bytes += len(event)
+                self.call.count_body(event)
                 self.body.append(event)
             if received_bytes > MAX_BODY_BYTES:
                 channel.abort()
@@ -297,6 +304,7 @@
                     self.grant.server, head, event
                 )
             if isinstance(event, bytes):
+                self.call.count_body(event)
                 self.record_first_byte()
                 await self.write_events(head, self.splitter.feed(event))
                 channel.queue.keep_only(len(self.splitter.partial))
--- a/src/pollenloom/gateway/request_event_log.py
+++ b/src/pollenloom/gateway/request_event_log.py
@@ -9,10 +9,11 @@
 from pollenloom.core.units import MILLISECONDS_PER_SECOND
 from pollenloom.gateway.attempt_end import AttemptEnd, AttemptState
 from pollenloom.gateway.pending_call import PendingCall
+from pollenloom.gateway.response_trace import ResponseTrace
 from pollenloom.kernel.clock import Clock
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service_name import KernelServiceName
-from pollenloom.observability.event_log import EventLog
+from pollenloom.observability.event_log import EventLog, EventValue
 from pollenloom.observability.event_name import EventName
 from pollenloom.observability.line_budget import LineBudget
 from pollenloom.observability.metrics import Metrics
@@ -151,6 +152,7 @@
             if first_byte_seconds is None
             else round(first_byte_seconds * MILLISECONDS_PER_SECOND),
             total_ms=round(seconds * MILLISECONDS_PER_SECOND),
+            **trace_fields(call.trace),
         )
 
     def attempt_failed(
@@ -185,6 +187,7 @@
             if answered_seconds is None
             else round(answered_seconds * MILLISECONDS_PER_SECOND),
             parts=','.join(call.evidence_parts[-LOGGED_PARTS:]),
+            **trace_fields(call.trace),
         )
 
     def retried(self, call: PendingCall, end: AttemptEnd) -> None:
@@ -197,3 +200,14 @@
             attempt=call.send_count,
             run=end.state.value,
         )
+
+
+def trace_fields(trace: ResponseTrace | None) -> dict[str, EventValue]:
+    """Return the fields on how a response arrived; empty without one."""
+    if trace is None:
+        return {}
+    return {
+        'framing': trace.framing,
+        'kept_connection': trace.is_kept_connection,
+        'body_bytes': trace.body_bytes,
+    }
--- a/src/pollenloom/gateway/server_channel.py
+++ b/src/pollenloom/gateway/server_channel.py
@@ -22,6 +22,7 @@
     ChannelEnd,
     ResponseHead,
     ServerEvent,
+    UnrequestedBytes,
 )
 
 BODILESS_STATUSES: Final = frozenset(
@@ -86,7 +87,7 @@
     def data_received(self, chunk: bytes) -> None:
         """Parse bytes received from the server."""
         if self.response_ended:
-            self.is_reusable = False
+            self.history.on_unrequested(UnrequestedBytes.IDLE)
             self.abort()
             return
         self.request.count_received(len(chunk))
@@ -143,12 +144,14 @@
         if status < FIRST_FINAL_STATUS:
             return
         if self.response_ended:
+            self.history.on_unrequested(UnrequestedBytes.BEHIND)
             self.is_reusable = False
             self.is_skipping = True
             return
         response_id = find_header(self.headers, self.id_header)
         if response_id is not None and response_id != self.request.request_id:
             # A late response to an earlier request on this connection.
+            self.history.on_unrequested(UnrequestedBytes.BEFORE)
             self.is_skipping = True
             self.is_reusable = False
             return
--- a/src/pollenloom/gateway/server_connection_pool.py
+++ b/src/pollenloom/gateway/server_connection_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections import defaultdict, deque
+from functools import partial
 from typing import Any, ClassVar, Final
 
 from expression import Error, Ok, Result
@@ -15,9 +16,13 @@
 from pollenloom.gateway.header_codec import HeaderCodec
 from pollenloom.gateway.response_buffers import ResponseBuffers
 from pollenloom.gateway.server_channel import ServerChannel
+from pollenloom.gateway.server_event import UnrequestedBytes
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
 from pollenloom.kernel.kernel_service_name import KernelServiceName
+from pollenloom.observability.event_log import EventLog
+from pollenloom.observability.event_name import EventName
+from pollenloom.observability.line_budget import LineBudget
 
 # A reachable server accepts within a few milliseconds; ten steps, 0.5 s, leave
 # time for the retransmission of a lost packet, which TCP sends after 200 ms.
@@ -47,6 +52,7 @@
     Attributes:
         buffers: Bytes of the responses on all connections.
         idle: Idle connections of each server, the most recently used last.
+        unrequested_lines: Limit on the lines of bytes that nobody asked for.
     """
 
     name: ClassVar[KernelServiceName] = KernelServiceName.SERVER_CONNECTION_POOL
@@ -56,9 +62,11 @@
         self.header_codec = header_codec
         self.buffers = ResponseBuffers()
         self.idle: dict[ServerId, deque[ServerChannel]] = defaultdict(deque)
+        self.unrequested_lines = LineBudget()
 
     async def start(self) -> None:
         """Start closing connections that were idle for too long."""
+        self.events = self.kernel.find(KernelServiceName.EVENTS, EventLog)
         self.kernel.spawn('server-links-sweep', self.sweep())
 
     async def stop(self) -> None:
@@ -86,7 +94,33 @@
             if self.is_usable(channel, now, is_repeatable=is_repeatable):
                 return Ok(channel)
             channel.abort()
-        return await self.connect(server.address)
+        opened = await self.connect(server.address)
+        if opened.is_ok():
+            self.watch(server.server, opened.ok)
+        return opened
+
+    def watch(self, server: ServerId, channel: ServerChannel) -> None:
+        """Record bytes of a connection that answer no request."""
+        channel.history.on_unrequested = partial(
+            self.record_unrequested, server, channel
+        )
+
+    def record_unrequested(
+        self,
+        server: ServerId,
+        channel: ServerChannel,
+        where: UnrequestedBytes,
+    ) -> None:
+        """Record bytes that answer no request, within a limit on lines."""
+        if not self.unrequested_lines.may_write(self.kernel.clock.monotonic()):
+            return
+        request_id = channel.history.request_id or b''
+        self.events.record(
+            EventName.BYTES_UNREQUESTED,
+            server,
+            where=where.value,
+            request=request_id.decode('latin-1'),
+        )
 
     async def connect(self, address: str) -> Result[ServerChannel, Failure]:
         """Open a connection to a `host:port` address.
@@ -107,6 +141,7 @@
         """
         opened = await self.open_channel(server.address)
         if opened.is_ok():
+            self.watch(server.server, opened.ok)
             self.release(server, opened.ok)
             return False
         return isinstance(opened.error, ConnectionRefusedError)
--- a/src/pollenloom/gateway/server_event.py
+++ b/src/pollenloom/gateway/server_event.py
@@ -21,6 +21,17 @@
     TOO_LONG = 'too_long'
 
 
+@unique
+class UnrequestedBytes(Enum):
+    """Where bytes arrived that answer no request in progress."""
+
+    IDLE = 'idle'
+    # In the same packet as the end of a response.
+    BEHIND = 'behind'
+    # Before the response that was expected.
+    BEFORE = 'before'
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of a response.
--- a/src/pollenloom/observability/event_name.py
+++ b/src/pollenloom/observability/event_name.py
@@ -77,7 +77,8 @@
             Subject router: routers, is_whole.
         REQUEST_ENDED: A request of a caller ended. Subject request: route,
             service, account, server, outcome, status, attempts, reason,
-            revision, waited_ms, first_byte_ms, total_ms.
+            revision, waited_ms, first_byte_ms, total_ms; with a response of a
+            server also framing, kept_connection, body_bytes.
         CAPACITY_SHORT: Requests for a service waited or were refused within
             the last second; levels are decayed costs over the fleet. Subject
             service: sent, refused, timed_out, beyond_share, held_back,
@@ -94,7 +95,8 @@
             left_out.
         ATTEMPT_FAILED: An attempt at a request on a backend server failed.
             Subject request: server, reason, run, entry_version, entry_age_ms,
-            answered_ms, parts.
+            answered_ms, parts; with the head of a response also framing,
+            kept_connection, body_bytes.
         SERVER_LIMITED: A backend server named a new limit on the requests that
             it takes from the fleet in a second, or no longer names one.
             Subject server: rate, before.
@@ -102,6 +104,9 @@
             answered. It has crashed if it refuses new ones, had not said that
             it leaves, and routers near it are heard of. Subject server:
             is_crashed, unanswered, verdict.
+        BYTES_UNREQUESTED: A backend server sent bytes that answer no request
+            in progress on their connection, such as a response for the second
+            time. Subject server: where, request.
         PROMPT_BLOCKED: Prompts with these parts are refused from now on,
             since servers crashed under them; without accounts, those of all.
             Subject prompt parts: service, accounts, crashes, origin.
@@ -167,6 +172,7 @@
     ATTEMPT_FAILED = 'attempt_failed'
     SERVER_LIMITED = 'server_limited'
     SERVER_CHECKED = 'server_checked'
+    BYTES_UNREQUESTED = 'bytes_unrequested'
     PROMPT_BLOCKED = 'prompt_blocked'
     PROMPT_TRIED = 'prompt_tried'
     PROMPT_RELEASED = 'prompt_released'
