--- a/tests/gateway/test_crashed_servers.py
+++ b/tests/gateway/test_crashed_servers.py
@@ -1,6 +1,8 @@
 """Servers that end while they write an answer whose end is not marked."""
 
 import asyncio
+import socket
+import struct
 
 import pytest
 
@@ -34,6 +36,14 @@
     writer.close()
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset."""
+    tcp_socket = writer.get_extra_info('socket')
+    linger = struct.pack('ii', 1, 0)
+    tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 async def add_crashing_server(environment: RouterEnvironment) -> None:
     """Add a server that ends after two events of an answer."""
 
@@ -124,3 +134,71 @@
     assert response.status == 200
     assert response.is_complete
     assert response.body == WHOLE
+
+
+@pytest.mark.parametrize('path', ['/read/', '/order/', '/stream/'])
+@pytest.mark.parametrize('how', ['reset', 'closed'])
+async def test_server_that_ends_behind_an_open_address_is_noticed(
+    environment: RouterEnvironment, path: str, how: str
+) -> None:
+    """Guards against half an answer of a server whose address still accepts.
+
+    A supervisor or proxy holds the address and drops connections that it
+    cannot pass on.
+    """
+    is_ended = False
+
+    async def respond(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        nonlocal is_ended
+        writer.write(unframed_head(request) + event(1) + event(2))
+        await writer.drain()
+        is_ended = True
+        writer.close()
+
+    async def drop_when_ended(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if is_ended:
+            drop = reset if how == 'reset' else asyncio.StreamWriter.close
+            drop(writer)
+            return
+        await server.serve(reader, writer)
+
+    server = ScriptedBackend(respond)
+    listener = await asyncio.start_server(drop_when_ended, '127.0.0.1', 0)
+    environment.stack.callback(listener.close)
+    server.address = '{}:{}'.format(*listener.sockets[0].getsockname())
+    environment.servers.append(server)
+    await environment.register(server)
+    await environment.ready(1)
+    caller = await environment.connect()
+    response = await caller.fetch(path)
+    assert response.status == 502 or not response.is_complete
+
+
+@pytest.mark.parametrize('path', ['/read/', '/order/', '/stream/'])
+@pytest.mark.parametrize('delay', [0, 0.005])
+async def test_close_that_a_reset_follows_ends_no_answer(
+    environment: RouterEnvironment, path: str, delay: float
+) -> None:
+    """Guards against half an answer whose connection ends in two steps.
+
+    A server that gives up shuts down its side first; the reset comes a moment
+    after the end of file.
+    """
+
+    async def respond(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(unframed_head(request) + event(1) + event(2))
+        writer.write_eof()
+        await asyncio.sleep(delay)
+        reset(writer)
+
+    await environment.add_server(respond)
+    await environment.ready(1)
+    caller = await environment.connect()
+    response = await caller.fetch(path)
+    assert response.status == 502 or not response.is_complete
