Don't pass on answers that hold bytes of another one

What callers saw: a success with a foreign or doubled body, where the server had broken off its answer or sent another.

Cause: the length of a body, or the end of its connection, was the only check. A server whose tasks write to one connection at the same time puts the second copy of an answer into the next one, or behind it, or in place of what it broke off; the count of bytes is then right. Class: framing is trusted as proof that the bytes between belong together.

Change: a body, and each part of a stream before it is relayed, is searched for the head of a server's answer, told by its seal or request id. One that has it fails the attempt. A rejection with status 400 is relayed only if its body is complete and sound; otherwise it counts as any other rejection.

--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -18,6 +18,7 @@
     AttemptState,
     make_unanswered_end,
 )
+from pollenloom.gateway.embedded_response import has_embedded_response
 from pollenloom.gateway.event_splitter import EventSplitter
 from pollenloom.gateway.header_codec import HeaderCodec
 from pollenloom.gateway.headers import (
@@ -208,7 +209,7 @@
         head: ResponseHead,
         channel: ServerChannel,
     ) -> AttemptEnd:
-        """Read the body of a rejection; relay the response if it is a 400.
+        """Read the body of a rejection; relay a 400 that is complete.
 
         After any other rejection the request may be sent to another server.
         """
@@ -219,12 +220,12 @@
         self.first_byte_seconds = self.clock.monotonic() - self.sent_at
         try:
             async with asyncio.timeout(REJECTION_BODY_SECONDS):
-                await self.read_body(channel)
+                end = await self.read_body(channel)
         except TimeoutError:
-            # The connection is closed, as the response has not ended.
-            self.body.clear()
+            end = ChannelEnd.SILENT
         if (
             head.status == HTTPStatus.BAD_REQUEST
+            and end is ChannelEnd.COMPLETE
             and not self.writer.has_started
         ):
             await self.writer.write_response(head, b''.join(self.body))
@@ -282,7 +283,7 @@
         while True:
             event = await channel.next_event()
             if isinstance(event, ChannelEnd):
-                return event
+                return check_body(event, self.body, self.header_codec)
             if isinstance(event, bytes):
                 received_bytes += len(event)
                 self.call.count_body(event)
@@ -306,6 +307,9 @@
             if isinstance(event, bytes):
                 self.call.count_body(event)
                 self.record_first_byte()
+                started = self.splitter.partial + event
+                if has_embedded_response(started, self.header_codec):
+                    return self.fail_stream(ChannelEnd.MIXED)
                 await self.write_events(head, self.splitter.feed(event))
                 channel.queue.keep_only(len(self.splitter.partial))
                 if self.splitter.is_too_long:
@@ -426,6 +430,17 @@
     return 'used for unexpected bytes'
 
 
+def check_body(
+    end: ChannelEnd, body: list[bytes], header_codec: HeaderCodec
+) -> ChannelEnd:
+    """Return how a response ended, which may contain bytes of another one."""
+    if end is ChannelEnd.COMPLETE and has_embedded_response(
+        b''.join(body), header_codec
+    ):
+        return ChannelEnd.MIXED
+    return end
+
+
 def is_event_stream(head: ResponseHead) -> bool:
     """Whether the body of a response is an event stream."""
     content_type = find_header(head.headers, CONTENT_TYPE) or b''
--- /dev/null
+++ b/tests/gateway/test_embedded_response.py
@@ -0,0 +1,40 @@
+"""Responses inside the body of another one."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollenloom.gateway.embedded_response import has_embedded_response
+from pollenloom.platform.platform_header_codec import PlatformHeaderCodec
+from pollenloom_standins.worker.responses import (
+    sealed_response,
+    sealed_stream_head,
+)
+
+CODEC = PlatformHeaderCodec()
+
+
+@given(st.binary(max_size=200), st.binary(max_size=200))
+def test_response_is_found_anywhere_in_a_body(
+    before: bytes, after: bytes
+) -> None:
+    """Guards against a copy that is missed because of where it stands."""
+    for response in (sealed_response('a1', b'ok'), sealed_stream_head('a1')):
+        assert has_embedded_response(before + response + after, CODEC)
+
+
+@pytest.mark.parametrize('header', ['X-Pollenloom-Attempt-Id', 'X-Other'])
+@pytest.mark.parametrize('seal', ['x-pollenloom-response-seal', 'x-seal'])
+def test_header_of_a_server_tells_a_response_from_text(
+    header: str, seal: str
+) -> None:
+    """Guards against failing bodies that only quote some HTTP."""
+    text = f'HTTP/1.1 200 OK\r\n{header}: a1\r\n{seal}: s\r\n\r\nok'
+    is_response = 'x-pollenloom' in f'{header}{seal}'.lower()
+    assert has_embedded_response(text.encode(), CODEC) is is_response
+
+
+@given(st.text(alphabet='HTTP/1.0 2\r\n:ab', max_size=300))
+def test_text_without_headers_of_servers_is_left_alone(text: str) -> None:
+    """Guards against failing sound bodies."""
+    assert not has_embedded_response(text.encode(), CODEC)
--- a/tests/gateway/test_mixed_answers.py
+++ b/tests/gateway/test_mixed_answers.py
@@ -43,7 +43,9 @@
     return unframed_head(request) + WHOLE + earlier
 
 
-async def add_mixing_server(environment: RouterEnvironment, kind: str) -> None:
+async def add_mixing_server(
+    environment: RouterEnvironment, kind: str, packet_bytes: int
+) -> None:
     """Add a server whose first answer on a connection is sound."""
     answered: dict[asyncio.StreamWriter, bytes] = {}
 
@@ -55,8 +57,10 @@
             writer.write(answered[writer])
             await writer.drain()
             return
-        writer.write(mixed_answer(kind, request, answered[writer]))
-        await writer.drain()
+        answer = mixed_answer(kind, request, answered[writer])
+        for start in range(0, len(answer), packet_bytes):
+            writer.write(answer[start : start + packet_bytes])
+            await asyncio.sleep(0)
         if kind == 'at the end':
             writer.close()
 
@@ -65,8 +69,9 @@
 
 @pytest.mark.parametrize('path', PATHS)
 @pytest.mark.parametrize('kind', KINDS)
+@pytest.mark.parametrize('packet_bytes', [7, 10_000])
 async def test_answer_with_bytes_of_another_one_is_not_a_success(
-    environment: RouterEnvironment, kind: str, path: str
+    environment: RouterEnvironment, kind: str, path: str, packet_bytes: int
 ) -> None:
     """Guards against a success that holds the answer to another request.
 
@@ -74,7 +79,7 @@
     second copy of an answer into the next one, or fills up one that it had
     broken off. The length of the body then says that it is complete.
     """
-    await add_mixing_server(environment, kind)
+    await add_mixing_server(environment, kind, packet_bytes)
     await environment.ready(1)
     for request_id in ('sound', 'mixed'):
         caller = await environment.connect()
