Use connections once to servers that answer twice

Cause: a late answer can be mixed with another one only on a connection that is used again, and the router went on using connections to servers that had already sent bytes nobody asked for. Class: a fault of a server that has shown itself is awaited again on the same path.

Change: for 10 s after such bytes, connections to that server are not kept, and idle ones are closed.

--- a/src/pollenloom/gateway/server_connection_pool.py
+++ b/src/pollenloom/gateway/server_connection_pool.py
@@ -44,6 +44,9 @@
 # recently, since the server may be closing an older one.
 UNREPEATABLE_IDLE_SECONDS: Final = 0.7
 SWEEP_INTERVAL_SECONDS: Final = 1.0
+# A server that has sent bytes nobody asked for may send more for some seconds.
+# They meet no other response on connections that carry one request each.
+SINGLE_USE_SECONDS: Final = 10.0
 
 
 class ServerConnectionPool(KernelService):
@@ -52,7 +55,9 @@
     Attributes:
         buffers: Bytes of the responses on all connections.
         idle: Idle connections of each server, the most recently used last.
-        unrequested_lines: Limit on the lines of bytes that nobody asked for.
+        unrequested_at: When servers last sent bytes that answered no request,
+            monotonic seconds.
+        unrequested_lines: Limit on the lines of such bytes.
     """
 
     name: ClassVar[KernelServiceName] = KernelServiceName.SERVER_CONNECTION_POOL
@@ -62,6 +67,7 @@
         self.header_codec = header_codec
         self.buffers = ResponseBuffers()
         self.idle: dict[ServerId, deque[ServerChannel]] = defaultdict(deque)
+        self.unrequested_at: dict[ServerId, float] = {}
         self.unrequested_lines = LineBudget()
 
     async def start(self) -> None:
@@ -100,19 +106,23 @@
         return opened
 
     def watch(self, server: ServerId, channel: ServerChannel) -> None:
-        """Record bytes of a connection that answer no request."""
+        """Get told of bytes on a connection that answer no request."""
         channel.history.on_unrequested = partial(
-            self.record_unrequested, server, channel
+            self.unrequested_received, server, channel
         )
 
-    def record_unrequested(
+    def unrequested_received(
         self,
         server: ServerId,
         channel: ServerChannel,
         where: UnrequestedBytes,
     ) -> None:
-        """Record bytes that answer no request, within a limit on lines."""
-        if not self.unrequested_lines.may_write(self.kernel.clock.monotonic()):
+        """Close idle connections to a server whose bytes answer no request."""
+        now = self.kernel.clock.monotonic()
+        self.unrequested_at[server] = now
+        for idle in self.idle.pop(server, ()):
+            idle.abort()
+        if not self.unrequested_lines.may_write(now):
             return
         request_id = channel.history.request_id or b''
         self.events.record(
@@ -185,12 +195,21 @@
 
     def release(self, server: BackendServer, channel: ServerChannel) -> None:
         """Keep a connection for reuse, or close it if it is not reusable."""
-        if not channel.is_reusable or not channel.is_open:
+        now = self.kernel.clock.monotonic()
+        is_single_use = self.is_single_use(server.server, now)
+        if is_single_use or not channel.is_reusable or not channel.is_open:
             channel.abort()
             return
-        channel.idle_since = self.kernel.clock.monotonic()
+        channel.idle_since = now
         self.idle[server.server].append(channel)
 
+    def is_single_use(self, server: ServerId, now: float) -> bool:
+        """Whether connections to a server carry one request each."""
+        received_at = self.unrequested_at.get(server)
+        return (
+            received_at is not None and now - received_at < SINGLE_USE_SECONDS
+        )
+
     def discard_silent(self, server: BackendServer, sent_at: float) -> None:
         """Close the connections that were idle when a request got no answer.
 
@@ -233,6 +252,9 @@
             now = self.kernel.clock.monotonic()
             for server in tuple(self.idle):
                 self.close_unusable(server, now)
+            for server in tuple(self.unrequested_at):
+                if not self.is_single_use(server, now):
+                    self.unrequested_at.pop(server)
 
     def close_unusable(self, server: ServerId, now: float) -> None:
         """Close the connections to a server that may no longer be reused."""
