Take an unmarked end of an answer for complete only if the server runs

Cause: the router asked the server for a new connection and took everything but a refusal for a sign of life. A supervisor, a proxy or a full connection table accepts and drops, and a path that is cut gives no answer.

Change: the new connection must open and stay open for 20 ms. A server that drops connections at its limit is taken for lost too; its answers without length then fail, or are sent again where that is allowed, since a part must not look complete.

--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -57,7 +57,9 @@
 # connections may be as silent as the one that carried the request.
 SILENCE_SECONDS: Final = 1.0
 # Ends that a crash of the server brings about.
-LOST_CONNECTION: Final = frozenset((ChannelEnd.CLOSED, ChannelEnd.RESET))
+LOST_CONNECTION: Final = frozenset(
+    (ChannelEnd.CLOSED, ChannelEnd.RESET, ChannelEnd.SERVER_LOST)
+)
 
 
 @dataclass(slots=True)
--- a/src/pollenloom/gateway/server_checks.py
+++ b/src/pollenloom/gateway/server_checks.py
@@ -74,8 +74,9 @@
         """Return how a response ended, which its server may have broken off.
 
         The end of a server closes its connections like the end of a response
-        that does not mark its own. A server that leaves as planned completes
-        its responses before.
+        that does not mark its own, so such a response is complete only if the
+        server is seen to run. A server that leaves as planned completes its
+        responses before.
 
         Args:
             server: Server that sent the response.
@@ -84,9 +85,10 @@
         """
         if head.is_framed or end is not ChannelEnd.COMPLETE:
             return end
-        if not await self.connection_pool.is_refused(server):
+        is_running = await self.connection_pool.keeps_connection(server)
+        if is_running or self.has_left(server.server):
             return end
-        return end if self.has_left(server.server) else ChannelEnd.CLOSED
+        return ChannelEnd.SERVER_LOST
 
     def has_left(self, server: ServerId) -> bool:
         """Whether a server leaves as planned, or is not registered."""
--- a/src/pollenloom/gateway/server_connection_pool.py
+++ b/src/pollenloom/gateway/server_connection_pool.py
@@ -30,6 +30,9 @@
 # processor time the connection is open before the loop gets to see it.
 CONNECT_STEP_SECONDS: Final = 0.05
 CONNECT_STEPS: Final = 10
+# What holds the address of a server that has ended drops new connections within
+# a few milliseconds.
+DROP_SECONDS: Final = 0.02
 # A connection is closed if sent bytes stay unacknowledged for this long, which
 # detects servers behind a network partition.
 USER_TIMEOUT_MS: Final = 2500
@@ -156,6 +159,20 @@
             return False
         return isinstance(opened.error, ConnectionRefusedError)
 
+    async def keeps_connection(self, server: BackendServer) -> bool:
+        """Whether a server accepts a new connection and does not drop it.
+
+        Such a connection is kept for requests.
+        """
+        opened = await self.open_channel(server.address)
+        if opened.is_error():
+            return False
+        self.watch(server.server, opened.ok)
+        await asyncio.sleep(DROP_SECONDS)
+        is_kept = opened.ok.is_open
+        self.release(server, opened.ok)
+        return is_kept
+
     async def open_channel(
         self, address: str
     ) -> Result[ServerChannel, OSError]:
--- a/src/pollenloom/gateway/server_event.py
+++ b/src/pollenloom/gateway/server_event.py
@@ -19,6 +19,8 @@
     SILENT = 'silent'
     # The router closed a response that is longer than any may be.
     TOO_LONG = 'too_long'
+    # The server has ended, or does not show that it runs.
+    SERVER_LOST = 'lost with its server'
     # The body has bytes of another response.
     MIXED = 'used for another response'
 
