Watch for a reset behind the end of an answer without length

What callers saw: half an answer as a success.

Cause: a server that gives up may shut down its side of a connection and reset it a moment later. The router looked for the reset once, as it read the end of file, and closed its own side. Class: as before, a close is taken for the end.

--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -259,7 +259,7 @@
         if is_success and self.call.is_stream:
             return await self.relay_stream(head, channel)
         end = await self.server_checks.confirm_end(
-            self.grant.server, head, await self.read_body(channel)
+            self.grant.server, channel, head, await self.read_body(channel)
         )
         if end is not ChannelEnd.COMPLETE:
             return self.fail_response('incomplete response', end)
@@ -304,7 +304,7 @@
             event = await channel.next_event()
             if isinstance(event, ChannelEnd):
                 event = await self.server_checks.confirm_end(
-                    self.grant.server, head, event
+                    self.grant.server, channel, head, event
                 )
             if isinstance(event, bytes):
                 self.call.count_body(event)
--- a/src/pollenloom/gateway/server_channel.py
+++ b/src/pollenloom/gateway/server_channel.py
@@ -107,24 +107,32 @@
         self.abort()
 
     def eof_received(self) -> bool:
-        """End the response, which is complete if only closing marks its end."""
+        """End the response, which is complete if only closing marks its end.
+
+        Then the connection stays open on this side until it is released, as a
+        reset may follow.
+        """
         self.is_reusable = False
         is_started = bool(self.headers)
         if not is_started or self.is_framed or self.is_skipping:
             self.finish(ChannelEnd.CLOSED)
-        elif self.was_reset():
+            return False
+        if self.was_reset():
             self.finish(ChannelEnd.RESET)
-        else:
-            self.finish(ChannelEnd.COMPLETE)
-        return False
+            return False
+        self.finish(ChannelEnd.COMPLETE)
+        return True
 
     def was_reset(self) -> bool:
         """Whether the connection ended by a reset.
 
         After a partial read libuv reports a hang-up as end of file even if the
-        peer sent a reset. The socket error is still pending in that case.
+        peer sent a reset. The socket error is still pending in that case, and
+        also if the reset came after the end of file.
         """
         tcp_socket = self.transport.get_extra_info('socket')
+        if tcp_socket is None:
+            return True
         pending = tcp_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         return bool(pending)
 
--- a/src/pollenloom/gateway/server_checks.py
+++ b/src/pollenloom/gateway/server_checks.py
@@ -9,6 +9,7 @@
 from pollenloom.core.backend_server import BackendServer
 from pollenloom.core.ids import DataCentreId, ServerId
 from pollenloom.gateway.loss_verdict import LossVerdict
+from pollenloom.gateway.server_channel import ServerChannel
 from pollenloom.gateway.server_connection_pool import ServerConnectionPool
 from pollenloom.gateway.server_event import ChannelEnd, ResponseHead
 from pollenloom.kernel.kernel import Kernel
@@ -69,23 +70,30 @@
         return LossVerdict.OUT_OF_TOUCH
 
     async def confirm_end(
-        self, server: BackendServer, head: ResponseHead, end: ChannelEnd
+        self,
+        server: BackendServer,
+        channel: ServerChannel,
+        head: ResponseHead,
+        end: ChannelEnd,
     ) -> ChannelEnd:
         """Return how a response ended, which its server may have broken off.
 
         The end of a server closes its connections like the end of a response
         that does not mark its own, so such a response is complete only if the
-        server is seen to run. A server that leaves as planned completes its
-        responses before.
+        server is seen to run and no reset has followed the close. A server that
+        leaves as planned completes its responses before.
 
         Args:
             server: Server that sent the response.
+            channel: Connection of the response.
             head: Head of the response.
             end: How the connection ended the response.
         """
         if head.is_framed or end is not ChannelEnd.COMPLETE:
             return end
         is_running = await self.connection_pool.keeps_connection(server)
+        if channel.was_reset():
+            return ChannelEnd.RESET
         if is_running or self.has_left(server.server):
             return end
         return ChannelEnd.SERVER_LOST
