Let servers of the node soak end answers with their connections, and answer late

Cause: users saw successes that no server gave on real processes, and the soak had no answers without length, no resets, no second answers that come late, and a crash left connections open. Its check of whole answers did not ask whether the server had completed one.

Change: a quarter of the answers have no length; cuts are resets or orderly closes, those of answers without length always resets; second answers come late for half of the requests; a crash closes all connections. The check demands a server that sent its answer to the end. Docstrings of prompt evidence name the identity of requests.

--- a/src/pollenloom/gateway/prompt_guard.py
+++ b/src/pollenloom/gateway/prompt_guard.py
@@ -42,7 +42,9 @@
 
 
 class PromptGuard(KernelService):
-    """Refuses prompts that the fleet has found to crash backend servers.
+    """Refuses what the fleet has found to crash backend servers.
+
+    That is a shared part of prompts, or one request that comes again.
 
     A lost connection alone says little: servers also reset connections. Only
     if `ServerChecks` finds that the server has ended are the requests that it
--- a/src/pollenloom/routing/prompt_facts.py
+++ b/src/pollenloom/routing/prompt_facts.py
@@ -13,7 +13,7 @@
         server: The server.
         service: Service of the server.
         account: Client account; empty if there is none.
-        parts: Shared parts of the prompt.
+        parts: Shared parts of the prompt, and the identity of the request.
         started_at: Wall time of the server's start, as it states it, seconds;
             0 if unknown.
     """
--- a/src/pollenloom/routing/prompt_quarantine.py
+++ b/src/pollenloom/routing/prompt_quarantine.py
@@ -59,7 +59,7 @@
     Attributes:
         server: The server.
         service: Service of the server.
-        parts: Shared parts of the prompt.
+        parts: Shared parts of the prompt, and the identity of the request.
         began_at: When its first byte arrived, monotonic seconds.
     """
 
--- a/src/pollenloom_standins/node_soak/complete_response_checker.py
+++ b/src/pollenloom_standins/node_soak/complete_response_checker.py
@@ -10,7 +10,10 @@
 
 
 class CompleteResponseChecker(PromiseChecker[NodeHistory]):
-    """A response that is complete by its framing is the server's response."""
+    """A response that is complete by its framing is the server's response.
+
+    The server has also sent it to its end.
+    """
 
     requirement = 'whole'
     promise = "a response that looks complete is the server's response"
@@ -19,11 +22,15 @@
         """Return responses that have missing or unexpected content."""
         servers: dict[str, set[str]] = {}
         for run in history.runs:
-            servers.setdefault(run.request_id, set()).add(run.server)
+            if run.is_sealed:
+                servers.setdefault(run.request_id, set()).add(run.server)
         for call in history.calls:
             if call.status != HTTPStatus.OK or not call.is_whole:
                 continue
-            if call.body not in expected_bodies(call, servers):
+            if (
+                call.request_id not in servers
+                or call.body not in expected_bodies(call, servers)
+            ):
                 yield f'{call.describe()} {call.body[-60:]!r}'
 
     def checked(self, history: NodeHistory) -> int:
--- a/src/pollenloom_standins/node_soak/soak_backend.py
+++ b/src/pollenloom_standins/node_soak/soak_backend.py
@@ -16,23 +16,32 @@
     server_entry,
 )
 from pollenloom_standins.worker.scripted_backend import (
+    HEAD_END,
     ReceivedRequest,
     ScriptedBackend,
+    reset,
 )
 
 EVENT_COUNT: Final = 8
 SLOTS: Final = 40
 EVENT_INTERVAL_SECONDS: Final = 0.02
 PROCESSING_SECONDS: Final = 0.02
+# A late second response meets the next one on the connection, or an idle one.
+LATE_SECONDS: Final = 0.06
+
+
+# Requests are told apart by the last digits of their ids.
+HEX_BASE: Final = 16
 
 
 @unique
 class ResponseFault(Enum):
     """Faults of a server's responses.
 
-    CUT breaks the connection within a response, FAIL responds with status 500,
-    REJECT with 503 as not run, EXTRA adds a second response that was not
-    requested, and SILENT never responds.
+    CUT breaks the connection within a response, by a reset or, where the
+    response marks its end, also by an orderly close. FAIL responds with status
+    500, REJECT with 503 as not run, EXTRA adds a second response that was not
+    requested, at once or late, and SILENT never responds.
     """
 
     NONE = 'none'
@@ -78,6 +87,10 @@
         """Stop listening; open connections stay until the round ends."""
         await self.scripted_backend.stop()
 
+    async def crash(self) -> None:
+        """End like a process: no listener, no connections."""
+        await self.scripted_backend.crash()
+
     def entry(self, *, is_leaving: bool) -> bytes:
         """Return the entry that the server writes to the store."""
         state = wire_names.STATE_READY
@@ -148,15 +161,23 @@
                 writer, sealed_response(run.request_id, b'failed', '500 Error')
             )
             return
-        response = name_limit(run, sealed_response(run.request_id, body))
+        framed = name_limit(run, sealed_response(run.request_id, body))
+        is_framed = marks_end(run.request_id)
+        response = framed if is_framed else without_length(framed)
         if fault is ResponseFault.CUT:
             await send(writer, response[:-3])
-            writer.transport.abort()
+            cut(run.request_id, writer)
             return
+        run.is_sealed = True
         if fault is ResponseFault.EXTRA:
-            response += sealed_response(run.request_id, b'not asked for')
+            extra = sealed_response(run.request_id, b'not asked for')
+            if is_late(run.request_id):
+                send_later(writer, extra)
+            elif is_framed:
+                response += extra
         await send(writer, response)
-        run.is_sealed = True
+        if not is_framed:
+            writer.close()
 
     async def send_stream(
         self,
@@ -166,18 +187,65 @@
         fault: ResponseFault,
     ) -> None:
         """Respond with events after the last one that the caller has."""
-        await send(writer, name_limit(run, sealed_stream_head(run.request_id)))
+        is_framed = marks_end(run.request_id)
+        head = name_limit(run, sealed_stream_head(run.request_id))
+        await send(writer, head if is_framed else without_length(head))
         first = int(request.headers.get('last-event-id') or 0) + 1
         for number in range(first, EVENT_COUNT + 1):
             await asyncio.sleep(EVENT_INTERVAL_SECONDS)
             event = make_event(run.request_id, number)
+            part = chunk(event) if is_framed else event
             if fault is ResponseFault.CUT and number > EVENT_COUNT // 2:
-                await send(writer, chunk(event)[:-6])
-                writer.transport.abort()
+                await send(writer, part[:-6])
+                cut(run.request_id, writer)
                 return
-            await send(writer, chunk(event))
-        await send(writer, LAST_CHUNK)
-        run.is_sealed = True
+            run.is_sealed = number == EVENT_COUNT
+            await send(writer, part)
+        if is_framed:
+            await send(writer, LAST_CHUNK)
+        else:
+            writer.close()
+
+
+def marks_end(request_id: str) -> bool:
+    """Whether the response to a request marks its own end."""
+    return int(request_id[-1], HEX_BASE) >= HEX_BASE // 4
+
+
+def is_late(request_id: str) -> bool:
+    """Whether a second response to a request is sent late."""
+    return int(request_id[-2], HEX_BASE) < HEX_BASE // 2
+
+
+def without_length(response: bytes) -> bytes:
+    """Return a response that ends with its connection."""
+    head, end, body = response.partition(HEAD_END)
+    lines = [
+        line
+        for line in head.split(b'\r\n')
+        if not line.startswith((b'Content-Length', b'Transfer-Encoding'))
+    ]
+    return b'\r\n'.join(lines) + end + body
+
+
+def cut(request_id: str, writer: asyncio.StreamWriter) -> None:
+    """End the connection of a response that is not complete."""
+    if marks_end(request_id) and is_late(request_id):
+        writer.transport.abort()
+    else:
+        reset(writer)
+
+
+def send_later(writer: asyncio.StreamWriter, content: bytes) -> None:
+    """Write bytes after a while, whatever the connection is used for then."""
+    loop = asyncio.get_running_loop()
+    loop.call_later(LATE_SECONDS, write_if_open, writer, content)
+
+
+def write_if_open(writer: asyncio.StreamWriter, content: bytes) -> None:
+    """Write bytes unless the connection is closed."""
+    if not writer.is_closing():
+        writer.write(content)
 
 
 def name_limit(run: NodeRun, response: bytes) -> bytes:
--- a/src/pollenloom_standins/node_soak/soak_backends.py
+++ b/src/pollenloom_standins/node_soak/soak_backends.py
@@ -62,7 +62,7 @@
     async def crash(self, backend: SoakBackend) -> None:
         """Stop a server without a change of its entry."""
         self.running.pop(backend.server)
-        await backend.stop()
+        await backend.crash()
 
     async def remove_entry(self, backend: SoakBackend) -> None:
         """Remove a server's entry from the store."""
--- a/src/pollenloom_standins/worker/scripted_backend.py
+++ b/src/pollenloom_standins/worker/scripted_backend.py
@@ -1,6 +1,8 @@
 """A backend server whose responses are bytes written by a script."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Final
@@ -34,6 +36,7 @@
         requests: All received requests.
         lost: Number of connections that ended while the script ran.
         address: `host:port`; empty before the start.
+        writers: Open connections.
     """
 
     script: Callable[[ReceivedRequest, asyncio.StreamWriter], Awaitable[None]]
@@ -41,6 +44,7 @@
     lost: int = 0
     address: str = ''
     server: asyncio.Server | None = None
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def start(self) -> None:
         """Listen and set `address`."""
@@ -53,12 +57,19 @@
         if self.server is not None:
             self.server.close()
 
+    async def crash(self) -> None:
+        """Stop listening and close all connections, as a process that ends."""
+        await self.stop()
+        for writer in tuple(self.writers):
+            writer.transport.abort()
+
     async def serve(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Handle the requests of one connection until it ends."""
+        self.writers.add(writer)
         try:
             while True:
                 request = await read_request(reader)
@@ -66,6 +77,8 @@
                 await self.run_script(request, reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
+        finally:
+            self.writers.discard(writer)
 
     async def run_script(
         self,
@@ -105,3 +118,11 @@
         headers[name.lower()] = text.strip()
     body = await reader.readexactly(int(headers.get('content-length', 0)))
     return ReceivedRequest(start_line, headers, body)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset; unsent bytes are lost."""
+    tcp_socket = writer.get_extra_info('socket')
+    linger = struct.pack('ii', 1, 0)
+    tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
--- a/tests/gateway/test_crashed_servers.py
+++ b/tests/gateway/test_crashed_servers.py
@@ -1,8 +1,6 @@
 """Servers that end while they write an answer whose end is not marked."""
 
 import asyncio
-import socket
-import struct
 
 import pytest
 
@@ -10,6 +8,7 @@
 from pollenloom_standins.worker.scripted_backend import (
     ReceivedRequest,
     ScriptedBackend,
+    reset,
 )
 from tests.gateway.conftest import (
     RouterEnvironment,
@@ -36,14 +35,6 @@
     writer.close()
 
 
-def reset(writer: asyncio.StreamWriter) -> None:
-    """Close a connection with a reset."""
-    tcp_socket = writer.get_extra_info('socket')
-    linger = struct.pack('ii', 1, 0)
-    tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    writer.transport.abort()
-
-
 async def add_crashing_server(environment: RouterEnvironment) -> None:
     """Add a server that ends after two events of an answer."""
 
--- a/tests/standins/node_soak/test_node_checkers.py
+++ b/tests/standins/node_soak/test_node_checkers.py
@@ -112,6 +112,11 @@
     history.calls[0].body = history.calls[1].body
 
 
+def succeed_where_the_server_failed(history: NodeHistory) -> None:
+    """Let a server break off a response that its caller got as complete."""
+    history.runs[0].is_sealed = False
+
+
 def pass_the_key(history: NodeHistory) -> None:
     """Pass an API key to a server."""
     history.runs[0].has_key = True
@@ -188,6 +193,7 @@
         (refuse_after_run, 'refusal'),
         (lose_an_event, 'whole'),
         (return_response_of_another_call, 'whole'),
+        (succeed_where_the_server_failed, 'whole'),
         (pass_the_key, 'request'),
         (change_the_account, 'request'),
         (use_a_leaving_server, 'drain'),
