Don't read the lines of two heads as one

What callers saw: a success with one's own id and the rest of another answer.

Cause: a server that breaks off within a header value and then writes another answer leaves a head that parses: the start of its own, with its status and id, and the lines of the other, whose length and body follow. The router compared the first id only. Class: as for bodies, framing is trusted.

Change: a head with two different ids, or with a status line within a header value, ends the attempt.

--- a/src/pollenloom/gateway/embedded_response.py
+++ b/src/pollenloom/gateway/embedded_response.py
@@ -1,16 +1,32 @@
-"""Finds responses of backend servers inside the body of another one."""
+"""Finds responses of backend servers inside another one."""
 
 import re
+from collections.abc import Iterable
 from typing import Final
 
 from pollenloom.gateway.header_codec import HeaderCodec
-from pollenloom.gateway.headers import find_header
+from pollenloom.gateway.headers import Header, find_header
 from pollenloom.gateway.server_event import ResponseHead
 
 VERSION: Final = b'HTTP/1.'
 HEAD: Final = re.compile(
     rb'HTTP/1\.[01] (\d{3})[^\r\n]*\r?\n((?:[^\r\n]+\r?\n)+)\r?\n'
 )
+STATUS_LINE: Final = re.compile(rb'HTTP/1\.[01] \d{3}')
+
+
+def is_merged_head(headers: Iterable[Header], id_header: bytes) -> bool:
+    """Whether the lines of two responses were read as one head.
+
+    A server that breaks off within a head may write another response next. Its
+    status line then is a part of a header value, and there may be two ids.
+
+    Args:
+        headers: Headers as received.
+        id_header: Lower-case name of the header that carries the request id.
+    """
+    ids = {text for name, text in headers if name == id_header}
+    return len(ids) > 1 or any(STATUS_LINE.search(text) for _, text in headers)
 
 
 def has_embedded_response(content: bytes, header_codec: HeaderCodec) -> bool:
--- a/src/pollenloom/gateway/server_channel.py
+++ b/src/pollenloom/gateway/server_channel.py
@@ -8,6 +8,7 @@
 import httptools
 
 from pollenloom.gateway.connection_history import ConnectionHistory
+from pollenloom.gateway.embedded_response import is_merged_head
 from pollenloom.gateway.expected_response import ExpectedResponse
 from pollenloom.gateway.headers import (
     CONTENT_LENGTH,
@@ -156,6 +157,11 @@
             self.is_reusable = False
             self.is_skipping = True
             return
+        if is_merged_head(self.headers, self.id_header):
+            self.is_skipping = True
+            self.is_reusable = False
+            self.finish(ChannelEnd.MIXED)
+            return
         response_id = find_header(self.headers, self.id_header)
         if response_id is not None and response_id != self.request.request_id:
             # A late response to an earlier request on this connection.
--- a/tests/gateway/test_embedded_response.py
+++ b/tests/gateway/test_embedded_response.py
@@ -4,7 +4,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pollenloom.gateway.embedded_response import has_embedded_response
+from pollenloom.gateway.embedded_response import (
+    has_embedded_response,
+    is_merged_head,
+)
 from pollenloom.platform.platform_header_codec import PlatformHeaderCodec
 from pollenloom_standins.worker.responses import (
     sealed_response,
@@ -34,6 +37,22 @@
     assert has_embedded_response(text.encode(), CODEC) is is_response
 
 
+@pytest.mark.parametrize(
+    ('headers', 'is_merged'),
+    [
+        ([(b'id', b'a1'), (b'via', b'1.1 proxy')], False),
+        ([(b'id', b'a1'), (b'id', b'a1')], False),
+        ([(b'id', b'a1'), (b'id', b'a2')], True),
+        ([(b'id', b'a1'), (b'seal', b'3eHTTP/1.1 200 OK')], True),
+    ],
+)
+def test_lines_of_two_heads_are_told_from_one(
+    headers: list[tuple[bytes, bytes]], is_merged: bool
+) -> None:
+    """Guards against a success with the id of one and the rest of another."""
+    assert is_merged_head(headers, b'id') is is_merged
+
+
 @given(st.text(alphabet='HTTP/1.0 2\r\n:ab', max_size=300))
 def test_text_without_headers_of_servers_is_left_alone(text: str) -> None:
     """Guards against failing sound bodies."""
--- a/tests/gateway/test_mixed_answers.py
+++ b/tests/gateway/test_mixed_answers.py
@@ -89,6 +89,39 @@
         assert b'HTTP/1.1' not in response.body
 
 
+@pytest.mark.parametrize('path', PATHS)
+@pytest.mark.parametrize('has_own_id', [True, False])
+async def test_head_with_lines_of_another_one_is_not_a_success(
+    environment: RouterEnvironment, path: str, has_own_id: bool
+) -> None:
+    """Guards against the answer to another request below one's own id.
+
+    A server breaks off within a head, and the copy of an earlier answer follows
+    on the connection. The lines of both heads are read as one.
+    """
+    earlier: list[bytes] = []
+
+    async def respond(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if not earlier:
+            earlier.append(complete_response(request, WHOLE))
+            writer.write(earlier[0])
+            await writer.drain()
+            return
+        lines = stream_head(request).splitlines(keepends=True)
+        start = b''.join(lines[: 2 if has_own_id else 1])
+        writer.write(start + b'Content-Type: text/' + earlier[0])
+        await writer.drain()
+
+    await environment.add_server(respond)
+    await environment.ready(1)
+    for request_id in ('sound', 'merged'):
+        caller = await environment.connect()
+        response = await caller.fetch(path, request_id=request_id)
+    assert response.status in {502, 504}
+
+
 async def add_stuttering_server(
     environment: RouterEnvironment,
     delay: float,
