Bound the time to search a body for other answers

What callers would have seen: a router that stands still, as one server sends a body of status lines.

Change: at most 100 status lines of a body are looked at, and 4 KiB of each.

--- a/src/pollenloom/gateway/embedded_response.py
+++ b/src/pollenloom/gateway/embedded_response.py
@@ -1,18 +1,22 @@
 """Finds responses of backend servers inside another one."""
 
+import itertools
 import re
 from collections.abc import Iterable
+from http import HTTPStatus
 from typing import Final
 
 from pollenloom.gateway.header_codec import HeaderCodec
 from pollenloom.gateway.headers import Header, find_header
 from pollenloom.gateway.server_event import ResponseHead
 
-VERSION: Final = b'HTTP/1.'
-HEAD: Final = re.compile(
-    rb'HTTP/1\.[01] (\d{3})[^\r\n]*\r?\n((?:[^\r\n]+\r?\n)+)\r?\n'
-)
 STATUS_LINE: Final = re.compile(rb'HTTP/1\.[01] \d{3}')
+HEAD_END: Final = re.compile(rb'\r?\n\r?\n')
+# Heads of servers have a few hundred bytes.
+MAX_HEAD_BYTES: Final = 4096
+# A body that quotes more status lines is not searched further, which bounds the
+# time for any body.
+MAX_STATUS_LINES: Final = 100
 
 
 def is_merged_head(headers: Iterable[Header], id_header: bytes) -> bool:
@@ -42,20 +46,27 @@
             event.
         header_codec: Knows the headers of backend servers.
     """
-    if VERSION not in content:
-        return False
+    status_lines = itertools.islice(
+        STATUS_LINE.finditer(content), MAX_STATUS_LINES
+    )
     return any(
-        is_server_head(int(found[1]), found[2], header_codec)
-        for found in HEAD.finditer(content)
+        is_server_head(
+            content[found.start() : found.start() + MAX_HEAD_BYTES],
+            header_codec,
+        )
+        for found in status_lines
     )
 
 
-def is_server_head(
-    status: int, lines: bytes, header_codec: HeaderCodec
-) -> bool:
-    """Whether header lines are those of a backend server's response."""
-    split = [line.partition(b':') for line in lines.splitlines()]
+def is_server_head(content: bytes, header_codec: HeaderCodec) -> bool:
+    """Whether bytes start with the head of a backend server's response."""
+    end = HEAD_END.search(content)
+    if end is None:
+        return False
+    split = [
+        line.partition(b':') for line in content[: end.start()].split(b'\n')
+    ]
     headers = tuple((name.lower(), text.strip()) for name, _, text in split)
-    head = ResponseHead(status, headers, is_framed=True)
+    head = ResponseHead(HTTPStatus.OK, headers, is_framed=True)
     has_id = find_header(headers, header_codec.id_header) is not None
     return has_id or header_codec.is_sealed(head)
--- a/tests/gateway/test_embedded_response.py
+++ b/tests/gateway/test_embedded_response.py
@@ -1,5 +1,7 @@
 """Responses inside the body of another one."""
 
+import time
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -15,6 +17,8 @@
 )
 
 CODEC = PlatformHeaderCodec()
+# The event loop may stand still for 0.1 s.
+MAX_SEARCH_NANOSECONDS = 100_000_000
 
 
 @given(st.binary(max_size=200), st.binary(max_size=200))
@@ -37,6 +41,20 @@
     assert has_embedded_response(text.encode(), CODEC) is is_response
 
 
+@pytest.mark.parametrize(
+    'line', [b'HTTP/1.1 200 ', b'HTTP/1.1 200\n', b'HTTP/1.1 200 a\r\nb: c\r\n']
+)
+def test_time_to_search_a_body_is_bounded(line: bytes) -> None:
+    """Guards against a body of status lines that stops the event loop.
+
+    The time must not grow with the square of the length.
+    """
+    body = line * (8_388_608 // len(line))
+    began = time.process_time_ns()
+    assert not has_embedded_response(body, CODEC)
+    assert time.process_time_ns() - began < MAX_SEARCH_NANOSECONDS
+
+
 @pytest.mark.parametrize(
     ('headers', 'is_merged'),
     [
