--- a/review/7/case.py
+++ b/review/7/case.py
@@ -41,8 +41,7 @@
             outcome = 'no answer'
         waited = time.monotonic() - began
         waits.append((waited, outcome))
-        if waited > 0.3:
-            record(f'client {number} {request_id}: {outcome}, {waited:.2f} s')
+        record(f'client {number} {request_id}: {outcome}, {waited:.2f} s')
         if outcome != '200':
             channel[1].close()
             channel = None
@@ -91,6 +90,10 @@
             ],
             [('app', 100), ('llm', 620)],
         ))
+        tasks += [
+            asyncio.ensure_future(s.log_lines(worker, record))
+            for worker in workers
+        ]
         await store.write('keyed.servers', 'i-good',
                           s.entry('app', workers[0].address))
         await store.write('keyed.servers', 'i-bad',
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -91,6 +91,10 @@
             ],
             [('good', 620), ('bad', 620)],
         ))
+        tasks += [
+            asyncio.ensure_future(s.log_lines(worker, record))
+            for worker in workers
+        ]
         for worker, service in zip(workers, ('good', 'bad'), strict=True):
             await store.write('keyed.servers', worker.name,
                               s.entry(service, worker.address, slots=128))
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -374,6 +374,14 @@
             await self.process.wait()
 
 
+async def log_lines(worker, record, on_line=None) -> None:
+    """Record what a worker says it did; pass each line on."""
+    async for line in worker.lines():
+        record(f'{worker.name}: {line}')
+        if on_line is not None:
+            on_line(line)
+
+
 class CannotRun(Exception):
     """The case could not be set up."""
 
