--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -17,6 +17,7 @@
 import time
 from contextlib import suppress
 from pathlib import Path
+from urllib.parse import parse_qs, urlsplit
 
 ROOT = Path(__file__).resolve().parent.parent
 HEAD_END = b'\r\n\r\n'
@@ -106,8 +107,6 @@
 
     async def answer(self, method, target, body) -> tuple[int, str, bytes]:
         """Return status, content type and body of the answer to a call."""
-        from urllib.parse import parse_qs, urlsplit
-
         parts = urlsplit(target)
         query = {k: v[0] for k, v in parse_qs(parts.query).items()}
         topic = query.get('topic', '')
