Give each part of a response one search and others their turns

Cause: two faults. Each part was searched together with all that was held of the event, for the end of the event and for heads of other responses, which takes the product of the bytes and the number of parts. And a read of up to 256 KiB was queued as one event for each chunk, so that the task of the request went on through tens of thousands of events without waiting; libuv makes up to 32 such reads in one turn.

Change: EventBuffer and EmbeddedResponseSearch search new bytes only and keep their place between parts. ResponseQueue joins the parts that wait, so that the task has one turn for all of them. ReadFlow lets the other tasks run after each long read, of callers too: an upload in chunks of one byte had the same effect. The relay of the own front end had the same search and uses EventBuffer. The queue of a connection pauses reading at 64 KiB instead of 64 events or 256 KiB.

--- a/src/pollenloom/dispatch/event_relay.py
+++ b/src/pollenloom/dispatch/event_relay.py
@@ -2,13 +2,16 @@
 
 from typing import Final
 
+from pollenloom.core.event_buffer import (
+    EVENT_END,
+    EVENT_END_CRLF,
+    EventBuffer,
+)
 from pollenloom.dispatch.caller_disconnected_error import (
     CallerDisconnectedError,
 )
 from pollenloom.dispatch.event_sink import EventSink
 
-EVENT_END: Final = b'\n\n'
-EVENT_END_CRLF: Final = b'\r\n\r\n'
 LAST_EVENT: Final = frozenset((b'data: [DONE]', b'data:[DONE]'))
 # Bytes at the end of a piece that are searched for the last event, which is
 # shorter, also with its line endings.
@@ -27,7 +30,7 @@
         sink: Receiver of the complete events.
         events: Number of events relayed so far, without comments.
         finished: Whether the last event, `[DONE]`, was relayed.
-        partial: Start of an event whose end has not arrived.
+        buffer: Start of an event whose end has not arrived.
         recent: The last two relayed pieces, which contain the usage record if
             there is one.
     """
@@ -36,7 +39,7 @@
         self.sink = sink
         self.events = 0
         self.finished = False
-        self.partial = b''
+        self.buffer = EventBuffer()
         self.recent: tuple[bytes, bytes] = (b'', b'')
 
     async def feed(self, piece: bytes) -> None:
@@ -46,12 +49,11 @@
             CallerDisconnectedError: If the sink is closed.
             ValueError: If an event is too long.
         """
-        complete = piece
-        # Engines flush after each event, so pieces usually end with one.
-        if self.partial or not piece.endswith(EVENT_END):
-            complete = self.split_complete_events(piece)
-            if not complete:
-                return
+        complete = self.buffer.feed(piece)
+        if len(self.buffer.partial) > MAX_EVENT_BYTES:
+            raise ValueError('an event is longer than 1 MiB')
+        if not complete:
+            return
         try:
             await self.sink.write(complete)
         except ConnectionError as error:
@@ -60,38 +62,9 @@
         self.finished = ends_with_last_event(complete)
         self.recent = (self.recent[1], complete)
 
-    def split_complete_events(self, piece: bytes) -> bytes:
-        """Buffer an incomplete event; return the complete ones before it.
-
-        Raises:
-            ValueError: If an event is too long.
-        """
-        buffered = self.partial + piece
-        end = end_of_complete_events(buffered)
-        self.partial = buffered[end:]
-        if len(self.partial) > MAX_EVENT_BYTES:
-            raise ValueError('an event is longer than 1 MiB')
-        return buffered[:end]
-
     def drop_partial(self) -> None:
         """Discard the incomplete event of an interrupted attempt."""
-        self.partial = b''
-
-
-def end_of_complete_events(buffered: bytes) -> int:
-    """Return the offset of the end of the last complete event."""
-    if buffered.endswith(EVENT_END):
-        return len(buffered)
-    return max(
-        end_of_last_separator(buffered, EVENT_END),
-        end_of_last_separator(buffered, EVENT_END_CRLF),
-    )
-
-
-def end_of_last_separator(buffered: bytes, separator: bytes) -> int:
-    """Return the offset of the end of the last separator; 0 if none."""
-    start = buffered.rfind(separator)
-    return 0 if start < 0 else start + len(separator)
+        self.buffer.partial.clear()
 
 
 def ends_with_last_event(complete: bytes) -> bool:
--- a/src/pollenloom/gateway/caller_channel.py
+++ b/src/pollenloom/gateway/caller_channel.py
@@ -14,6 +14,7 @@
     MemoryHolder,
 )
 from pollenloom.gateway.raw_request import RawRequest
+from pollenloom.gateway.read_flow import ReadFlow
 from pollenloom.gateway.request_parser import RequestParser
 from pollenloom.kernel.clock import Clock
 from pollenloom.routing.caller_limits import CallerLimits
@@ -38,6 +39,7 @@
         state_changed: Set when bytes arrive or the caller disconnects.
         may_stay_open: Whether it may serve another request.
         may_write: Set while the write buffer has room.
+        flow: Pauses reading while enough requests wait.
     """
 
     def __init__(
@@ -68,6 +70,10 @@
         # uvloop's transports do not derive from asyncio.Transport.
         self.transport = cast('asyncio.Transport', transport)
         self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self.flow = ReadFlow(
+            self.transport,
+            lambda: len(self.parser.requests) <= MAX_PIPELINED_REQUESTS,
+        )
 
     def connection_lost(self, _error: Exception | None) -> None:
         """Report that the caller has disconnected."""
@@ -102,8 +108,7 @@
         if self.parser.interim_response:
             self.transport.write(self.parser.interim_response)
             self.parser.interim_response = b''
-        if len(self.parser.requests) > MAX_PIPELINED_REQUESTS:
-            self.transport.pause_reading()
+        self.flow.after_read(len(chunk))
         self.state_changed.set()
 
     async def next_request(self, idle_seconds: float) -> RawRequest | None:
@@ -123,10 +128,10 @@
                     await self.state_changed.wait()
             except TimeoutError:
                 return None
-        if not self.transport.is_reading():
-            self.parser.restart_head(self.clock.monotonic())
-            self.transport.resume_reading()
         request = self.parser.take_request()
+        if self.flow.is_blocked:
+            self.parser.restart_head(self.clock.monotonic())
+            self.flow.resume()
         if self.held_bytes:
             self.count_memory()
         return request
--- a/src/pollenloom/gateway/event_splitter.py
+++ b/src/pollenloom/gateway/event_splitter.py
@@ -1,11 +1,11 @@
 """Splits an event stream at event boundaries."""
 
-import re
 from typing import Final
 
-EVENT_END: Final = re.compile(rb'\r?\n\r?\n')
-EVENT_ID: Final = re.compile(rb'(?m)^id: ?([^\r\n]*)')
-EVENT_END_LF: Final = b'\n\n'
+from pollenloom.core.event_buffer import EventBuffer
+
+EVENT_ID: Final = b'id:'
+EVENT_ID_LINE: Final = b'\nid:'
 # An event holds a few tokens; a server that sends more without the end of an
 # event sends no events.
 MAX_EVENT_BYTES: Final = 262_144
@@ -17,33 +17,31 @@
     Attributes:
         initial_event_id: Id of the event after which the stream starts; empty
             if it starts from its beginning.
-        partial: Start of an event whose end has not arrived.
-        identified_events: Last relayed events that contain an id.
+        buffer: Start of an event whose end has not arrived.
+        id_line: Last line with an id in the relayed events; None before one.
     """
 
     def __init__(self, last_event_id: str) -> None:
         self.initial_event_id = last_event_id
-        self.partial = b''
-        self.identified_events = b''
+        self.buffer = EventBuffer()
+        self.id_line: bytes | None = None
 
-    def feed(self, chunk: bytes) -> bytes:
+    def feed(self, part: bytes) -> bytes:
         """Add bytes of the stream; return the events that are complete."""
-        buffered = self.partial + chunk if self.partial else chunk
-        if buffered.endswith(EVENT_END_LF):
-            end = len(buffered)
-        else:
-            end = 0
-            for found in EVENT_END.finditer(buffered):
-                end = found.end()
-        events = buffered[:end]
-        self.partial = buffered[end:]
-        self.remember_identified(events)
+        events = self.buffer.feed(part)
+        self.remember_id(events)
         return events
 
-    def remember_identified(self, events: bytes) -> None:
-        """Keep the events if they may contain an event id."""
-        if events.startswith(b'id:') or b'\nid:' in events:
-            self.identified_events = events
+    def remember_id(self, events: bytes) -> None:
+        """Keep the last line that has an event id."""
+        start = events.rfind(EVENT_ID_LINE) + 1
+        if events.startswith(EVENT_ID, start):
+            self.id_line = events[start : events.find(b'\n', start)]
+
+    @property
+    def partial(self) -> bytearray:
+        """Start of an event whose end has not arrived."""
+        return self.buffer.partial
 
     @property
     def is_too_long(self) -> bool:
@@ -53,9 +51,11 @@
     @property
     def last_event_id(self) -> str:
         """Id of the last event that was relayed."""
-        ids = EVENT_ID.findall(self.identified_events)
-        return ids[-1].decode('latin-1') if ids else self.initial_event_id
+        if self.id_line is None:
+            return self.initial_event_id
+        event_id = self.id_line.removeprefix(EVENT_ID).partition(b'\r')[0]
+        return event_id.removeprefix(b' ').decode('latin-1')
 
     def drop_partial(self) -> None:
         """Discard the start of an event that will not be completed."""
-        self.partial = b''
+        self.partial.clear()
--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -18,7 +18,7 @@
     AttemptState,
     make_unanswered_end,
 )
-from pollenloom.gateway.embedded_response import has_embedded_response
+from pollenloom.gateway.embedded_response import EmbeddedResponseSearch
 from pollenloom.gateway.event_splitter import EventSplitter
 from pollenloom.gateway.header_codec import HeaderCodec
 from pollenloom.gateway.headers import (
@@ -324,6 +324,7 @@
         channel: ServerChannel,
     ) -> AttemptEnd:
         """Relay the events of a stream as they arrive."""
+        search = EmbeddedResponseSearch(self.header_codec)
         while True:
             event = await channel.next_event()
             if isinstance(event, ChannelEnd):
@@ -333,8 +334,7 @@
             if isinstance(event, bytes):
                 self.call.count_body(event)
                 self.record_first_byte()
-                started = self.splitter.partial + event
-                if has_embedded_response(started, self.header_codec):
+                if search.feed(event):
                     return self.fail_stream(ChannelEnd.MIXED)
                 await self.write_events(head, self.splitter.feed(event))
                 channel.queue.keep_only(len(self.splitter.partial))
@@ -349,7 +349,7 @@
         """Complete the response to the caller, unless it was broken off."""
         if self.ends_inside_event(head):
             return self.fail_stream(ChannelEnd.CLOSED)
-        await self.write_events(head, self.splitter.partial)
+        await self.write_events(head, bytes(self.splitter.partial))
         if not self.writer.has_started:
             await self.writer.start(head)
         self.outcome = Outcome.SERVED
@@ -460,9 +460,8 @@
     end: ChannelEnd, body: list[bytes], header_codec: HeaderCodec
 ) -> ChannelEnd:
     """Return how a response ended, which may contain bytes of another one."""
-    if end is ChannelEnd.COMPLETE and has_embedded_response(
-        b''.join(body), header_codec
-    ):
+    search = EmbeddedResponseSearch(header_codec)
+    if end is ChannelEnd.COMPLETE and search.feed(b''.join(body)):
         return ChannelEnd.MIXED
     return end
 
--- a/src/pollenloom/gateway/response_queue.py
+++ b/src/pollenloom/gateway/response_queue.py
@@ -9,20 +9,28 @@
     ResponseBuffers,
     ResponseHolder,
 )
-from pollenloom.gateway.server_event import ChannelEnd, ServerEvent
+from pollenloom.gateway.server_event import (
+    ChannelEnd,
+    ResponseHead,
+    ServerEvent,
+)
 
-# Events, and bytes of them, that are queued for a slow caller before reading
-# pauses. One read more may follow, which has up to 256 KiB.
-MAX_QUEUED_EVENTS: Final = 64
-MAX_QUEUED_BYTES: Final = 262_144
+# Bytes that are queued for a slow caller before reading pauses. One read more
+# may follow, which has up to 256 KiB.
+MAX_QUEUED_BYTES: Final = 65_536
 
 
 class ResponseQueue(ResponseHolder):
     """Queues events and counts the bytes that are not yet passed on.
 
+    Parts of the body are joined until they are taken, since a server may send
+    very short ones: an object for each takes up to 28 times the memory of the
+    bytes, and a task that takes them one by one keeps all others waiting.
+
     Attributes:
         buffers: Counts the bytes of all responses.
         events: Events that were not consumed yet.
+        parts: Parts of the body in the current read, joined.
         queued_bytes: Bytes of the body in these events.
         end_connection: Closes the connection that the response arrives on.
         end_caller: Disconnects the caller if the whole response was written.
@@ -32,27 +40,38 @@
         self, buffers: ResponseBuffers, end_connection: Callable[[], None]
     ) -> None:
         self.buffers = buffers
-        self.events: deque[ServerEvent] = deque()
+        self.events: deque[ResponseHead | bytearray | ChannelEnd] = deque()
+        self.parts = bytearray()
         self.queued_bytes = 0
         self.has_events = asyncio.Event()
         self.end_connection = end_connection
         self.end_caller: Callable[[], None] = do_nothing
 
-    @property
-    def is_full(self) -> bool:
-        """Whether reading pauses until events are consumed."""
-        return (
-            len(self.events) > MAX_QUEUED_EVENTS
-            or self.queued_bytes > MAX_QUEUED_BYTES
-        )
+    def has_room(self) -> bool:
+        """Whether more may be read."""
+        return self.queued_bytes <= MAX_QUEUED_BYTES
 
-    def put(self, event: ServerEvent) -> None:
-        """Queue an event and wake the waiting task."""
+    def put(self, event: ResponseHead | ChannelEnd) -> None:
+        """Queue an event behind the parts of the body; wake the task."""
+        self.join_parts()
         self.events.append(event)
         self.has_events.set()
-        if isinstance(event, bytes):
-            self.queued_bytes += len(event)
-            self.buffers.add(self, len(event))
+
+    def join_parts(self) -> None:
+        """Queue the parts of a read, together with a body that waits."""
+        size = len(self.parts)
+        if not size:
+            return
+        last = self.events[-1] if self.events else None
+        if isinstance(last, bytearray):
+            last += self.parts
+            self.parts.clear()
+        else:
+            self.events.append(self.parts)
+            self.parts = bytearray()
+        self.has_events.set()
+        self.queued_bytes += size
+        self.buffers.add(self, size)
 
     async def take(self) -> ServerEvent:
         """Wait for the next event and return it."""
@@ -60,8 +79,9 @@
             self.has_events.clear()
             await self.has_events.wait()
         event = self.events.popleft()
-        if isinstance(event, bytes):
+        if isinstance(event, bytearray):
             self.queued_bytes -= len(event)
+            return bytes(event)
         return event
 
     def keep_only(self, size: int) -> None:
@@ -75,6 +95,7 @@
     def clear(self) -> None:
         """Drop what is left of the response."""
         self.events.clear()
+        self.parts.clear()
         self.has_events.clear()
         self.queued_bytes = 0
         self.end_caller = do_nothing
--- a/src/pollenloom/gateway/server_channel.py
+++ b/src/pollenloom/gateway/server_channel.py
@@ -21,6 +21,7 @@
     find_header,
     keep_alive_seconds,
 )
+from pollenloom.gateway.read_flow import ReadFlow
 from pollenloom.gateway.response_buffers import ResponseBuffers
 from pollenloom.gateway.response_queue import ResponseQueue
 from pollenloom.gateway.server_event import (
@@ -42,7 +43,7 @@
     aborted if bytes arrive while no request is in progress.
 
     Attributes:
-        is_paused: Whether reading has stopped until events are consumed.
+        flow: Pauses reading while the queue is full.
         queue: Events of the response.
         is_reusable: Whether another request may be sent.
         idle_timeout_seconds: How long the server keeps the connection open
@@ -61,7 +62,6 @@
         self.queue = ResponseQueue(buffers, self.abort)
         self.is_open = False
         self.is_reusable = True
-        self.is_paused = False
         self.idle_timeout_seconds: float | None = None
         self.idle_since: float = 0
         self.request = ExpectedResponse()
@@ -75,6 +75,7 @@
         """Store the transport."""
         # uvloop's transports do not derive from asyncio.Transport.
         self.transport = cast('asyncio.Transport', transport)
+        self.flow = ReadFlow(self.transport, self.queue.has_room)
         self.is_open = True
 
     def expect_response(
@@ -99,11 +100,10 @@
             self.parser.feed_data(chunk)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.reject(ChannelEnd.MALFORMED)
+        self.queue.join_parts()
         if self.request.is_overhead_too_long:
             self.reject(ChannelEnd.TOO_LONG)
-        if self.queue.is_full and self.is_open:
-            self.is_paused = True
-            self.transport.pause_reading()
+        self.flow.after_read(len(chunk))
 
     def reject(self, end: ChannelEnd) -> None:
         """End the response and close, since a server may send without end."""
@@ -202,10 +202,10 @@
         )
 
     def on_body(self, part: bytes) -> None:
-        """Queue a part of the body."""
+        """Keep a part of the body until the read is parsed."""
         if not self.is_skipping and not self.response_ended:
             self.request.body_received()
-            self.queue.put(part)
+            self.queue.parts += part
 
     def on_message_complete(self) -> None:
         """End the response unless it is skipped or interim."""
@@ -228,9 +228,8 @@
     async def next_event(self) -> ServerEvent:
         """Wait for the next event of the response and return it."""
         event = await self.queue.take()
-        if self.is_paused and not self.queue.is_full and self.is_open:
-            self.is_paused = False
-            self.transport.resume_reading()
+        if self.flow.is_blocked:
+            self.flow.resume()
         return event
 
     def abort(self) -> None:
--- a/tests/gateway/test_event_splitter.py
+++ b/tests/gateway/test_event_splitter.py
@@ -18,7 +18,8 @@
     )
     assert splitter.last_event_id == '4'
     assert splitter.feed(b'ta: b\r\n\r\nid: 6') == b'id: 5\ndata: b\r\n\r\n'
-    assert (splitter.last_event_id, splitter.partial) == ('5', b'id: 6')
+    assert splitter.last_event_id == '5'
+    assert bytes(splitter.partial) == b'id: 6'
 
 
 @pytest.mark.parametrize(
--- a/tests/gateway/test_server_channel.py
+++ b/tests/gateway/test_server_channel.py
@@ -13,7 +13,6 @@
 from pollenloom.gateway.server_event import (
     ChannelEnd,
     ResponseHead,
-    ServerEvent,
 )
 
 REQUEST_ID = b'a1'
@@ -71,9 +70,9 @@
     return channel
 
 
-def body_of(events: list[ServerEvent]) -> bytes:
+def body_of(events: list[ResponseHead | bytearray | ChannelEnd]) -> bytes:
     """Return the body in a list of events."""
-    return b''.join(part for part in events if isinstance(part, bytes))
+    return b''.join(part for part in events if isinstance(part, bytearray))
 
 
 @pytest.mark.parametrize(
