Hold the parts of a response body in one object

Cause: the limits count the bytes of bodies, 8 MiB for one and 16 MiB for all, but each part was an object of its own, which takes up to 28 times the memory of its bytes, and a whole body was copied twice, to search and to write it.

A body of over 64 KiB is written without a copy (body_writing.py, used for requests before). A head and trailers have at most 1,000 lines, since the objects of a line take 40 times its bytes. The own front end reads bodies with read_bounded.

MAX_BODY_BYTES moves to response_body.py; test_endless_responses.py imports it from there. The script of test_response_buffers.py takes the length of a chunk from the path; its earlier tests send the same bytes as before.

--- a/src/pollenloom/dispatch/http_backend_client.py
+++ b/src/pollenloom/dispatch/http_backend_client.py
@@ -219,15 +219,11 @@
     fault = check_response(call, response)
     if fault is not None:
         return Error(fault)
-    pieces: list[bytes] = []
-    size = 0
-    async for piece in response.content.iter_any():
-        pieces.append(piece)
-        size += len(piece)
-        if size > MAX_RESPONSE_BYTES:
-            return Error(protocol_failure('the response is longer than 16 MiB'))
+    try:
+        body = await read_bounded(response, MAX_RESPONSE_BYTES)
+    except BodyTooLongError:
+        return Error(protocol_failure('the response is longer than 16 MiB'))
     use.response_complete = True
-    body = b''.join(pieces)
     refusal = read_refusal(response.status, body)
     if refusal is not None:
         return Error(refusal)
--- a/src/pollenloom/gateway/caller_channel.py
+++ b/src/pollenloom/gateway/caller_channel.py
@@ -8,6 +8,7 @@
 
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
+from pollenloom.gateway.body_writing import write_message
 from pollenloom.gateway.caller_memory import (
     UNCOUNTED_BYTES,
     CallerMemory,
@@ -156,11 +157,14 @@
         )
         self.count_memory()
 
-    async def write(self, chunk: bytes) -> bool:
-        """Write bytes; return whether the caller is still connected."""
+    async def write(self, chunk: bytes, body: bytes | bytearray = b'') -> bool:
+        """Write bytes and a body; return whether the caller is connected.
+
+        The body must not change after.
+        """
         if self.is_disconnected:
             return False
-        self.transport.write(chunk)
+        write_message(self.transport, chunk, body)
         if not self.may_write.is_set():
             await self.may_write.wait()
         return not self.is_disconnected
--- a/src/pollenloom/gateway/relay.py
+++ b/src/pollenloom/gateway/relay.py
@@ -29,6 +29,7 @@
 from pollenloom.gateway.raw_request import RawRequest
 from pollenloom.gateway.request_attempt import RequestAttempt
 from pollenloom.gateway.request_event_log import RequestEventLog
+from pollenloom.gateway.response_body import ResponseBody
 from pollenloom.gateway.response_writer import ResponseWriter
 from pollenloom.gateway.server_checks import ServerChecks
 from pollenloom.gateway.server_connection_pool import ServerConnectionPool
@@ -244,6 +245,7 @@
             server_checks=self.server_checks,
             stop_limits=self.stop_limits,
             began_at=self.kernel.clock.uptime(),
+            body=ResponseBody(self.header_codec),
         )
         end = await request_attempt.run(self.connection_pool)
         if end.state is not AttemptState.ANSWERED:
--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from contextlib import ExitStack
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Final
 
@@ -18,6 +18,7 @@
     AttemptState,
     make_unanswered_end,
 )
+from pollenloom.gateway.body_writing import write_message
 from pollenloom.gateway.embedded_response import EmbeddedResponseSearch
 from pollenloom.gateway.event_splitter import EventSplitter
 from pollenloom.gateway.header_codec import HeaderCodec
@@ -30,6 +31,7 @@
 )
 from pollenloom.gateway.pending_call import PendingCall
 from pollenloom.gateway.prompt_guard import PromptGuard
+from pollenloom.gateway.response_body import ResponseBody
 from pollenloom.gateway.response_trace import Framing, ResponseTrace
 from pollenloom.gateway.response_writer import ResponseWriter
 from pollenloom.gateway.server_channel import ServerChannel
@@ -45,10 +47,6 @@
 HEAD_METHOD: Final = b'HEAD'
 EVENT_STREAM: Final = b'text/event-stream'
 FIRST_SERVER_ERROR_STATUS: Final = 500
-# A response that is not a stream is held in memory until it is complete.
-MAX_BODY_BYTES: Final = 8_388_608
-# One write costs less than the copy of a body up to this size.
-COPIED_BODY_BYTES: Final = 65_536
 # Bodies of rejections are short; a longer wait for one delays the next attempt.
 REJECTION_BODY_SECONDS: Final = 0.25
 # A grant is used within this time, also if the machine was suspended, which
@@ -86,6 +84,7 @@
         stop_limits: Whether the request may still be passed on; a planned stop
             can end that while a connection is being opened.
         began_at: Time of the grant, seconds since the start of the machine.
+        body: Body received so far, unless it is streamed.
         outcome: Outcome that the settlement will report.
         sent_at: Monotonic time in seconds when the request was written.
         first_byte_seconds: Seconds from `sent_at` to the first byte of a
@@ -95,7 +94,6 @@
         is_misdirected: Whether the address belongs to another server now.
         may_have_run_before: Whether an earlier attempt may have run.
         answer: Number of the begun answer for the prompt guard.
-        body: Parts of the body received so far, unless it is streamed.
         streamed_bytes: Bytes of the events relayed so far.
     """
 
@@ -110,6 +108,7 @@
     server_checks: ServerChecks
     stop_limits: StopLimits
     began_at: float
+    body: ResponseBody
     outcome: Outcome = Outcome.UNUSED
     sent_at: float = 0
     first_byte_seconds: float | None = None
@@ -117,7 +116,6 @@
     is_misdirected: bool = False
     may_have_run_before: bool = False
     answer: int | None = None
-    body: list[bytes] = field(default_factory=list)
     streamed_bytes: int = 0
 
     async def run(self, connection_pool: ServerConnectionPool) -> AttemptEnd:
@@ -155,7 +153,7 @@
     ) -> None:
         """Return a connection to the pool after a complete response."""
         has_events = bool(channel.queue.events)
-        self.body.clear()
+        self.body.drop()
         channel.queue.clear()
         if channel.response_ended and not has_events:
             connection_pool.release(self.grant.server, channel)
@@ -205,7 +203,7 @@
         return await self.handle_response(event, channel)
 
     def write_request(self, channel: ServerChannel) -> None:
-        """Write the request; a large body is not copied for that."""
+        """Write the request."""
         request = self.call.request
         headers: list[Header] = self.header_codec.server_headers(
             request,
@@ -220,11 +218,9 @@
         ):
             headers.append((CONTENT_LENGTH, b'%d' % len(request.body)))
         start_line = b'%b %b HTTP/1.1' % (request.method, request.target)
-        head = render(start_line, headers)
-        if len(request.body) > COPIED_BODY_BYTES:
-            channel.transport.writelines((head, request.body))
-        else:
-            channel.transport.write(head + request.body)
+        write_message(
+            channel.transport, render(start_line, headers), request.body
+        )
 
     async def handle_rejection(
         self,
@@ -250,7 +246,7 @@
             and end is ChannelEnd.COMPLETE
             and not self.writer.has_started
         ):
-            await self.writer.write_response(head, b''.join(self.body))
+            await self.writer.write_response(head, self.body.content)
             return AttemptEnd(AttemptState.ANSWERED, status=head.status)
         detail = (
             f'{self.grant.server.server}: rejected with status {head.status}'
@@ -283,7 +279,6 @@
         )
         if end is not ChannelEnd.COMPLETE:
             return self.fail_response('incomplete response', end)
-        body = b''.join(self.body)
         self.record_first_byte()
         if head.status in PROMISE_STATUSES:
             return self.fail_attempt(
@@ -299,22 +294,20 @@
         if self.call.request.method == HEAD_METHOD:
             content_length = find_header(head.headers, CONTENT_LENGTH)
         await self.writer.write_response(
-            head, body, content_length=content_length
+            head, self.body.content, content_length=content_length
         )
         return AttemptEnd(AttemptState.ANSWERED, status=head.status)
 
     async def read_body(self, channel: ServerChannel) -> ChannelEnd:
         """Read a response into `body`; close one that is too long."""
-        received_bytes = 0
         while True:
             event = await channel.next_event()
             if isinstance(event, ChannelEnd):
-                return check_body(event, self.body, self.header_codec)
+                return self.body.check_end(event)
             if isinstance(event, bytes):
-                received_bytes += len(event)
                 self.call.count_body(event)
-                self.body.append(event)
-            if received_bytes > MAX_BODY_BYTES:
+                self.body.add(event)
+            if self.body.is_too_long:
                 channel.abort()
                 return ChannelEnd.TOO_LONG
 
@@ -456,16 +449,6 @@
     return 'used for unexpected bytes'
 
 
-def check_body(
-    end: ChannelEnd, body: list[bytes], header_codec: HeaderCodec
-) -> ChannelEnd:
-    """Return how a response ended, which may contain bytes of another one."""
-    search = EmbeddedResponseSearch(header_codec)
-    if end is ChannelEnd.COMPLETE and search.feed(b''.join(body)):
-        return ChannelEnd.MIXED
-    return end
-
-
 def is_event_stream(head: ResponseHead) -> bool:
     """Whether the body of a response is an event stream."""
     content_type = find_header(head.headers, CONTENT_TYPE) or b''
--- a/src/pollenloom/gateway/response_buffers.py
+++ b/src/pollenloom/gateway/response_buffers.py
@@ -4,7 +4,8 @@
 from typing import Final
 
 # Of all responses together. A router runs on machines with 150 MB, of which it
-# takes 60 MB under load, and a body is copied up to twice when it is written.
+# takes 60 MB under load. The rest is for requests and connections of callers,
+# and for room that the heap has lost to fragmentation.
 MAX_HELD_BYTES: Final = 16_777_216
 
 
--- a/src/pollenloom/gateway/response_writer.py
+++ b/src/pollenloom/gateway/response_writer.py
@@ -36,7 +36,7 @@
     async def write_response(
         self,
         head: ResponseHead,
-        body: bytes,
+        body: bytes | bytearray,
         *,
         content_length: bytes | None = None,
     ) -> None:
@@ -49,7 +49,7 @@
         headers.append((CONTENT_LENGTH, content_length or b'%d' % len(body)))
         self.has_started = True
         self.is_complete = True
-        await self.channel.write(self.render_head(head.status, headers) + body)
+        await self.channel.write(self.render_head(head.status, headers), body)
 
     async def start(self, head: ResponseHead) -> None:
         """Write the head of a response with a chunked body."""
--- a/src/pollenloom/gateway/server_channel.py
+++ b/src/pollenloom/gateway/server_channel.py
@@ -34,6 +34,9 @@
 BODILESS_STATUSES: Final = frozenset(
     (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED),
 )
+# Lines of a head and of trailers. Heads of servers have about ten; the objects
+# of a line take 40 times the memory of its bytes.
+MAX_HEADER_LINES: Final = 1000
 
 
 class ServerChannel(asyncio.Protocol):
@@ -153,8 +156,13 @@
         self.finish(ChannelEnd.RESET)
 
     def on_header(self, name: bytes, text: bytes) -> None:
-        """Store one header."""
-        self.headers.append((name.lower(), text))
+        """Store one header; end a response that has too many."""
+        if self.response_ended:
+            return
+        if len(self.headers) < MAX_HEADER_LINES:
+            self.headers.append((name.lower(), text))
+        else:
+            self.reject(ChannelEnd.TOO_LONG)
 
     def on_headers_complete(self) -> None:
         """Queue the head if the response belongs to the request."""
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -8,7 +8,7 @@
 
 from pollenloom.gateway.event_splitter import MAX_EVENT_BYTES
 from pollenloom.gateway.expected_response import MAX_OVERHEAD_BYTES
-from pollenloom.gateway.request_attempt import MAX_BODY_BYTES
+from pollenloom.gateway.response_body import MAX_BODY_BYTES
 from pollenloom_standins.worker.scripted_backend import (
     ReceivedRequest,
     ScriptedBackend,
--- a/tests/gateway/test_response_buffers.py
+++ b/tests/gateway/test_response_buffers.py
@@ -16,7 +16,11 @@
 from pollenloom.core.host_port import split_address
 from pollenloom.gateway.response_buffers import ResponseBuffers, ResponseHolder
 from pollenloom_standins.node_soak.soak_node import SoakNode
-from pollenloom_standins.worker.responses import sealed_response, server_entry
+from pollenloom_standins.worker.responses import (
+    chunk,
+    sealed_response,
+    server_entry,
+)
 from pollenloom_standins.worker.scripted_backend import (
     ReceivedRequest,
     ScriptedBackend,
@@ -33,7 +37,9 @@
 CALLERS = 50
 SOUND_REQUESTS = 60
 PIECE = b'x' * 65_536
-CHUNK = b'%x\r\n%b\r\n' % (len(PIECE), PIECE)
+# Endless responses in short parts at the same time: each costs the router as
+# much processor time as hundreds of sound requests.
+SHORT_PART_CALLERS = 2
 # Machines have 150 MB and more.
 MAX_PEAK_MEGABYTES = 150
 KILOBYTES_PER_MEGABYTE = 1024
@@ -42,6 +48,8 @@
 SERVERS = MappingProxyType(
     {'i-1': 'app', 'i-2': 'app', 'i-3': 'sound', 'i-4': 'sound'}
 )
+# Long enough for a whole body of the largest size in parts of one byte.
+TIMEOUT_MS = 6000
 # A body may end at its limit rather than go on until the time is up.
 ENDED = frozenset((502, 503, 504))
 
@@ -83,12 +91,17 @@
 async def send_endless(
     request: ReceivedRequest, writer: asyncio.StreamWriter
 ) -> None:
-    """Send the bytes of the kind in the path until the router closes."""
+    """Send the bytes of the kind in the path until the router closes.
+
+    The path ends with the bytes of a chunk.
+    """
     if '/sound/' in request.start_line:
         writer.write(complete_response(request))
         await writer.drain()
         return
     request_id = request.headers['x-pollenloom-attempt-id']
+    part_bytes = int(request.start_line.split()[1].rpartition('/')[2])
+    chunks = chunk(b'x' * part_bytes) * (len(PIECE) // part_bytes)
     head = (
         f'HTTP/1.1 200 OK\r\nX-Pollenloom-Attempt-Id: {request_id}\r\n'
         'X-Pollenloom-Response-Seal: seal\r\n'
@@ -96,7 +109,7 @@
     if '/head/' in request.start_line:
         start, repeated = head + b'X-Long: ', PIECE
     else:
-        start, repeated = head + b'Transfer-Encoding: chunked\r\n\r\n', CHUNK
+        start, repeated = head + b'Transfer-Encoding: chunked\r\n\r\n', chunks
     writer.write(start)
     while not writer.is_closing():
         writer.write(repeated)
@@ -160,13 +173,16 @@
     stack: AsyncExitStack,
     directory: Path,
     script: Script,
+    timeout_ms: int = 1500,
 ) -> RouterProcess:
     """Start a router with two servers of each service."""
     store, address = await open_store(stack)
     configuration = make_configuration()
     configuration['routes'] = [
-        make_route('idempotent', '/body/', name='r-1'),
-        make_route('non_idempotent', '/order/', name='r-2'),
+        make_route('idempotent', '/body/', name='r-1', timeout_ms=timeout_ms),
+        make_route(
+            'non_idempotent', '/order/', name='r-2', timeout_ms=timeout_ms
+        ),
         make_route('streaming', '/event/', name='r-3'),
         make_route('idempotent', '/head/', name='r-4'),
         make_route('idempotent', '/sound/', name='r-5', service='sound'),
@@ -193,7 +209,9 @@
 ) -> None:
     router = await start_router(stack, tmp_path, send_endless)
     endless = [
-        asyncio.create_task(router.fetch(f'/{kind}/x', f'endless-{number}'))
+        asyncio.create_task(
+            router.fetch(f'/{kind}/{len(PIECE)}', f'endless-{number}')
+        )
         for number in range(CALLERS)
     ]
     statuses = [
@@ -207,6 +225,34 @@
     assert router.node.is_running
 
 
+@pytest.mark.parametrize('part_bytes', [1, 2, 9, 100])
+@pytest.mark.parametrize('kind', ['body', 'order', 'event'])
+async def test_endless_short_parts_leave_memory_and_other_callers_alone(
+    stack: AsyncExitStack, tmp_path: Path, kind: str, part_bytes: int
+) -> None:
+    """Guards against limits that count bytes but not the objects they are in.
+
+    One body in chunks of two bytes took over 150 MB, and one event in short
+    chunks stopped the router for more than 15 s.
+    """
+    router = await start_router(stack, tmp_path, send_endless, TIMEOUT_MS)
+    endless = [
+        asyncio.create_task(
+            router.fetch(f'/{kind}/{part_bytes}', f'endless-{number}')
+        )
+        for number in range(SHORT_PART_CALLERS)
+    ]
+    statuses = [
+        await router.fetch('/sound/x', f'sound-{number}')
+        for number in range(SOUND_REQUESTS)
+    ]
+    ended = await asyncio.gather(*endless)
+    assert router.peak_megabytes() < MAX_PEAK_MEGABYTES
+    assert set(statuses) == {200}
+    assert set(ended) <= ENDED
+    assert router.node.is_running
+
+
 async def test_slow_callers_of_long_responses_leave_memory_alone(
     stack: AsyncExitStack, tmp_path: Path
 ) -> None:
