Read the body of a request that offers another protocol

Cause: httptools reports a request with such an offer as complete at the end of its head and raises HttpParserUpgrade only then; the request was queued by that time, and its body was taken for further requests.

Change: Http1Parser ignores the offer, as HTTP asks (RFC 9110, section 7.8): it does not take that end, and a new parser with only the framing headers reads the body. HTTP2-Settings concerns one connection and is not passed on. CONNECT, where httptools stops too, is refused with 400; it was passed on as a request before.

--- a/src/pollenloom/gateway/headers.py
+++ b/src/pollenloom/gateway/headers.py
@@ -24,6 +24,7 @@
         b'te',
         b'trailer',
         b'upgrade',
+        b'http2-settings',
         b'expect',
     )
 )
--- a/src/pollenloom/gateway/request_parser.py
+++ b/src/pollenloom/gateway/request_parser.py
@@ -9,6 +9,11 @@
 from pollenloom.core.error_kind import ErrorKind
 from pollenloom.core.failure import Failure
 from pollenloom.gateway.headers import CONTENT_LENGTH, Header, find_header
+from pollenloom.gateway.http1_parser import (
+    Http1Parser,
+    RequestCallbacks,
+    TunnelRequestedError,
+)
 from pollenloom.gateway.raw_request import RawRequest
 from pollenloom.kernel.clock import Clock
 from pollenloom.routing.caller_limits import CallerLimits
@@ -27,7 +32,7 @@
 REQUEST_OBJECT_BYTES: Final = 512
 
 
-class RequestParser:
+class RequestParser(RequestCallbacks):
     """Parses the requests of one connection, in order.
 
     The `on_...` methods are callbacks of httptools. A read may hold several
@@ -61,7 +66,7 @@
     ) -> None:
         self.clock = clock
         self.limits = limits
-        self.parser = httptools.HttpRequestParser(self)
+        self.http = Http1Parser(self)
         self.requests: deque[RawRequest] = deque()
         self.failure: Failure | None = None
         self.interim_response = b''
@@ -95,14 +100,8 @@
             self.read_started_at = self.clock.monotonic()
         self.framing_bytes += len(chunk)
         try:
-            self.parser.feed_data(chunk)
-        except httptools.HttpParserUpgrade:
-            # No protocol other than HTTP/1 is supported.
-            self.fail(
-                ErrorKind.INVALID_REQUEST,
-                'protocol upgrade is not supported',
-            )
-        except httptools.HttpParserError as error:
+            self.http.feed(chunk)
+        except (httptools.HttpParserError, TunnelRequestedError) as error:
             self.fail(ErrorKind.INVALID_REQUEST, str(error))
         self.check_head_size(self.framing_bytes)
 
@@ -148,7 +147,8 @@
 
     def on_url(self, part: bytes) -> None:
         """Append a part of the request target."""
-        self.target += part
+        if self.head_received_at is None:
+            self.target += part
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Store one header; drop a trailer.
@@ -166,8 +166,11 @@
             self.check_head_size(least_bytes + SHORTEST_LINE_BYTES)
 
     def on_headers_complete(self) -> None:
-        """Check the sizes; set the interim response if one is expected."""
-        if self.failure is not None:
+        """Check the sizes; set the interim response if one is expected.
+
+        `Http1Parser` may report the end of a head twice.
+        """
+        if self.failure is not None or self.head_received_at is not None:
             return
         self.head_received_at = self.clock.monotonic()
         self.request_limits = self.limits()
@@ -186,7 +189,7 @@
         The size is without optional white space.
         """
         start_line = b' '.join(
-            (self.parser.get_method(), self.target, b'HTTP/1.1\r\n')
+            (self.http.parser.get_method(), self.target, b'HTTP/1.1\r\n')
         )
         size = len(start_line) + len('\r\n')
         size += len(self.headers) * len(':\r\n')
@@ -222,15 +225,15 @@
         A request that failed is never queued, since a part of it may be
         missing.
         """
-        if self.failure is not None:
+        if self.failure is not None or self.http.is_stopped:
             return
         request = RawRequest(
-            method=self.parser.get_method(),
+            method=self.http.parser.get_method(),
             target=self.target,
             headers=tuple(self.headers),
             body=bytes(self.body),
             received_at=self.head_received_at or self.clock.monotonic(),
-            keeps_alive=self.parser.should_keep_alive(),
+            keeps_alive=self.http.parser.should_keep_alive(),
             held_bytes=REQUEST_OBJECT_BYTES
             + self.head_held_bytes
             + len(self.body),
--- a/tests/gateway/test_request_parser.py
+++ b/tests/gateway/test_request_parser.py
@@ -195,6 +195,70 @@
     assert parser.requests[0].body == b'w'
 
 
+OFFER = ('Connection: Upgrade, HTTP2-Settings', 'Upgrade: h2c')
+
+
+@pytest.mark.parametrize('part_bytes', [1, 7, 1000])
+@pytest.mark.parametrize('size', [0, 1, 300])
+@pytest.mark.parametrize('is_chunked', [False, True])
+def test_offer_of_another_protocol_leaves_the_body_whole(
+    parse: Parse, size: int, part_bytes: int, *, is_chunked: bool
+) -> None:
+    """Guards against an order that runs without its body.
+
+    The parser stops behind the head of a request with such an offer, and what
+    followed it was taken for a request that got a 400 of its own.
+    """
+    body = b'w' * size
+    offer = head(*OFFER, f'Content-Length: {size}') + body
+    if is_chunked:
+        chunks = b'%x\r\n%b\r\n' % (size, body) if size else b''
+        offer = head(*OFFER, 'Transfer-Encoding: chunked') + chunks
+        offer += b'0\r\n\r\n'
+    content = offer + order(b'next') + offer
+    parser = parse(
+        *(
+            content[start : start + part_bytes]
+            for start in range(0, len(content), part_bytes)
+        )
+    )
+    assert parser.failure is None
+    assert [request.body for request in parser.requests] == [
+        body,
+        b'next',
+        body,
+    ]
+    assert {request.target for request in parser.requests} == {b'/order/1'}
+    assert {request.method for request in parser.requests} == {b'POST'}
+    assert all(request.keeps_alive for request in parser.requests)
+    assert (b'upgrade', b'h2c') in parser.requests[0].headers
+
+
+def test_offer_of_another_protocol_keeps_the_end_of_the_connection(
+    parse: Parse,
+) -> None:
+    """Guards against a connection that is kept though the caller closes it."""
+    lines = ('Connection: Upgrade, close', 'Upgrade: h2c')
+    parser = parse(head(*lines, 'Content-Length: 4') + b'last')
+    assert not parser.requests[0].keeps_alive
+
+
+def test_offer_of_another_protocol_keeps_the_limits(parse: Parse) -> None:
+    """Guards against bodies without a limit behind such an offer."""
+    size = BODY_LIMIT + 1
+    chunks = b'%x\r\n%b\r\n' % (size, b'w' * size)
+    parser = parse(head(*OFFER, 'Transfer-Encoding: chunked') + chunks)
+    assert failure_kind(parser) is ErrorKind.BODY_TOO_LARGE
+    assert not parser.requests
+
+
+def test_request_for_a_tunnel_is_refused(parse: Parse) -> None:
+    """Guards against a CONNECT that is passed on as a request."""
+    parser = parse(b'CONNECT shop.example:80 HTTP/1.1\r\nHost: a\r\n\r\n')
+    assert failure_kind(parser) is ErrorKind.INVALID_REQUEST
+    assert not parser.requests
+
+
 async def echo(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
     """Respond with the body of the request."""
     writer.write(complete_response(request, request.body))
--- a/tests/standins/wire/test_conversations.py
+++ b/tests/standins/wire/test_conversations.py
@@ -45,8 +45,6 @@
     in KNOWN-RED.txt.
     """
     server = conversation.server
-    if conversation.client.offers_upgrade:
-        return False
     if server.framing is Framing.CLOSE:
         return server.fate in {Fate.RUNS, Fate.GONE}
     return not (
