--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,10 +1,13 @@
-"""A route is removed; a client asks for it with HEAD on a kept channel.
+"""A machine is stopped while a worker with a long queue resets new channels.
 
-The next request on the channel is an order on a route that stays. With
-TROUBLE=0 no route is removed.
+Streams that began before go on at the worker, name no length and end with
+their channels. With TROUBLE=0 the worker takes new channels.
 """
 
 import asyncio
+import signal
+import socket
+import struct
 import time
 from pathlib import Path
 
@@ -12,41 +15,80 @@
     Client,
     Node,
     Store,
-    Worker,
     answer_head,
     configuration,
     entry,
     has_trouble,
+    read_headers,
     route,
     run_case,
 )
 
 HERE = Path(__file__).resolve().parent
-SERVICE = 'werkbank-app'
-ORDERED = b'ordered: 12 walnut boards\n'
-# `config_apply_ms` of the small deployments, and a margin.
-APPLY_SECONDS = 2.5
+SERVICE = 'loom-servers'
+STREAMS = 6
+EVENTS = 40
+GAP_SECONDS = 0.1
+LAST = f'data: {EVENTS} of {EVENTS}'
+TERM_SECONDS = 1.0
+GRACE_SECONDS = 8.0
 
 
-async def respond(head, headers, writer):
-    """Answer as a sound worker: no body to HEAD."""
-    lines = (f'Content-Length: {len(ORDERED)}', 'Content-Type: text/plain')
-    body = b'' if head.startswith('HEAD ') else ORDERED
-    writer.write(answer_head(headers, *lines) + body)
+class FullWorker:
+    """A worker that serves its channels and may reset new ones."""
+
+    def __init__(self, record):
+        self.record = record
+        self.is_full = False
+        self.resets = 0
+        self.runs = []
+        self.finished = {}
+        self.address = ''
+
+    async def start(self):
+        """Listen on a free port."""
+        self.server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+
+    async def serve(self, reader, writer):
+        """Answer the one request of a channel, or reset the channel."""
+        if self.is_full:
+            self.resets += 1
+            writer.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+            writer.transport.abort()
+            return
+        try:
+            head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
+            headers = read_headers(head)
+            await reader.readexactly(int(headers.get('content-length', 0)))
+            request_id = headers['x-pollenloom-attempt-id']
+            self.runs.append(request_id)
+            writer.write(
+                answer_head(headers, 'Content-Type: text/event-stream')
+            )
+            for number in range(1, EVENTS + 1):
+                await asyncio.sleep(GAP_SECONDS)
+                event = f'id: {number}\ndata: {number} of {EVENTS}\n\n'
+                writer.write(event.encode())
+                await writer.drain()
+            self.finished[request_id] = time.monotonic()
+            self.record.line(f'the worker has ended {request_id}')
+        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
+            """The channel or the script has ended."""
+        finally:
+            writer.close()
 
 
 async def case(record, folder, stack):
-    """Return whether the client got bytes that are no answer."""
+    """Return whether answers that the worker had ended were cut."""
     store = Store()
     address = await store.start()
-    worker = Worker(respond)
+    worker = FullWorker(record)
     await worker.start()
-    routes = [
-        route('timber-order', 'non_idempotent', '/order/', SERVICE,
-              timeout_ms=1000, target_latency_ms=125),
-        route('stock-read', 'idempotent', '/stock/', SERVICE,
-              timeout_ms=1000, target_latency_ms=125),
-    ]
+    routes = [route('minutes-draft', 'streaming', '/draft/', SERVICE)]
     store.write('keyed.op', 'config', configuration(1, routes, [SERVICE]))
     born = int(time.time() * 1000)
     store.write(
@@ -57,33 +99,43 @@
     node.start()
     if not await node.ready():
         return None
-    client = Client(node.callers)
-    await client.connect()
-    stack.callback(client.close)
-
-    async def request(method, path, request_id):
-        record.line(f'client sends {request_id}: {method} {path}')
-        answer = await client.fetch(
-            path, request_id, 5, method=method, deadline_ms=1000
+    fetched = {}
+    for number in range(STREAMS):
+        request_id = f'stream-{number}'
+        client = Client(node.callers)
+        stack.callback(client.close)
+        fetched[request_id] = asyncio.create_task(
+            client.fetch(f'/draft/{number}', request_id)
         )
-        ran = worker.runs.count(request_id)
-        record.line(f'client got {request_id}: {answer}; worker runs: {ran}')
-        return answer
-
-    first = await request('HEAD', '/stock/7', 'head-1')
-    second = await request('POST', '/order/1', 'order-1')
-    if (first.status, second.body) != (200, ORDERED):
-        return None
-    if has_trouble():
-        changed = configuration(2, routes[:1], [SERVICE])
-        store.write('keyed.op', 'config', changed)
-        record.line('the store has taken version 2: route stock-read removed')
-    await asyncio.sleep(APPLY_SECONDS)
-    await request('HEAD', '/stock/7', 'head-2')
-    got = await request('POST', '/order/2', 'order-2')
-    if worker.runs.count('order-2') != 1:
+    await asyncio.sleep(TERM_SECONDS)
+    if len(worker.runs) != STREAMS:
         return None
-    return (got.status, got.body) != (200, ORDERED)
+    record.line(f'{STREAMS} streams run')
+    worker.is_full = has_trouble()
+    if worker.is_full:
+        record.line('the queue of the worker is long: it resets new channels')
+    stopped_at = time.monotonic()
+    node.process.send_signal(signal.SIGTERM)
+    record.line('SIGTERM to the machine')
+    lost = 0
+    for request_id, task in fetched.items():
+        answer = await task
+        is_whole = answer.is_complete and LAST in answer.body.decode()
+        ended = worker.finished.get(request_id)
+        after = 'not ended' if ended is None else f'{ended - stopped_at:.2f} s'
+        record.line(
+            f'client got {request_id}: {answer}; the worker had ended it: '
+            f'{after} after SIGTERM'
+        )
+        # The last sixth of the grace is excused, and a worker that broke off.
+        if ended is None or ended - stopped_at > GRACE_SECONDS * 5 / 6:
+            return None
+        lost += not is_whole
+    record.line(
+        f'{worker.resets} new channels were reset; '
+        f'{lost} of {STREAMS} whole answers were cut'
+    )
+    return lost > 0
 
 
 run_case(case, HERE)
