--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -1,8 +1,7 @@
 """Stand-ins for the platform's store, a worker and a client, for review/11 on.
 
 They follow PROTOCOL.md, use the standard library only, and listen on loopback
-addresses. A worker is a process of its own, so that its end is that of a
-process; store and client run in the process of the script.
+addresses, in the process of the script.
 """
 
 import asyncio
