Complete whole answers of servers that reset new connections

The router asked for a new connection to learn whether the server still runs, and took a reset, like no answer in time, for its end.

A new connection shows that something listens, not which process. What identifies it is another connection from before: still open, the process runs; closed at the same moment, it has ended. Then the request is sent to another server, or the router waits for a report of the same start of the server. The log line of a request has the verdict and what it rests on.

--- a/src/pollenloom/console/node_process.py
+++ b/src/pollenloom/console/node_process.py
@@ -23,6 +23,7 @@
 from pollenloom.duties.proof_check import ProofCheck
 from pollenloom.duties.store_duty_keeper import StoreDutyKeeper
 from pollenloom.gateway.gateway_server import GatewayServer
+from pollenloom.gateway.liveness_connections import LivenessConnections
 from pollenloom.gateway.loop_monitor import LoopMonitor
 from pollenloom.gateway.probe_server import ProbeServer
 from pollenloom.gateway.prompt_guard import PromptGuard
@@ -99,6 +100,7 @@
         FactExchange(kernel, settings.vm),
         BlockStore(kernel),
         ServerConnectionPool(kernel, header_codec),
+        LivenessConnections(kernel),
         ServerChecks(kernel),
         StoreMoves(kernel, settings),
         PromptGuard(kernel),
--- a/src/pollenloom/gateway/request_attempt.py
+++ b/src/pollenloom/gateway/request_attempt.py
@@ -33,6 +33,7 @@
 from pollenloom.gateway.prompt_guard import PromptGuard
 from pollenloom.gateway.response_body import ResponseBody
 from pollenloom.gateway.response_trace import Framing, ResponseTrace
+from pollenloom.gateway.response_watch import ResponseWatch
 from pollenloom.gateway.response_writer import ResponseWriter
 from pollenloom.gateway.server_channel import ServerChannel
 from pollenloom.gateway.server_checks import ServerChecks
@@ -202,7 +203,10 @@
         self.admission.observe_notice(self.grant, notice)
         if notice.is_rejection:
             return await self.handle_rejection(event, channel)
-        return await self.handle_response(event, channel)
+        with self.server_checks.watch(
+            self.call, self.grant.server, channel, event
+        ) as watch:
+            return await self.handle_response(event, watch)
 
     def write_request(self, channel: ServerChannel) -> None:
         """Write the request."""
@@ -262,7 +266,7 @@
     async def handle_response(
         self,
         head: ResponseHead,
-        channel: ServerChannel,
+        watch: ResponseWatch,
     ) -> AttemptEnd:
         """Relay the response to a request that ran."""
         is_success = head.status < HTTPStatus.MULTIPLE_CHOICES
@@ -275,9 +279,9 @@
                 f'status {head.status} without response seal'
             )
         if is_success and self.call.is_stream:
-            return await self.relay_stream(head, channel)
+            return await self.relay_stream(head, watch)
         end = await self.server_checks.confirm_end(
-            self.grant.server, channel, head, await self.read_body(channel)
+            watch, await self.read_body(watch.channel)
         )
         if end is not ChannelEnd.COMPLETE:
             return self.fail_response('incomplete response', end)
@@ -320,23 +324,21 @@
     async def relay_stream(
         self,
         head: ResponseHead,
-        channel: ServerChannel,
+        watch: ResponseWatch,
     ) -> AttemptEnd:
         """Relay the events of a stream as they arrive."""
         search = EmbeddedResponseSearch(self.header_codec)
         while True:
-            event = await channel.next_event()
+            event = await watch.channel.next_event()
             if isinstance(event, ChannelEnd):
-                event = await self.server_checks.confirm_end(
-                    self.grant.server, channel, head, event
-                )
+                event = await self.server_checks.confirm_end(watch, event)
             if isinstance(event, bytes):
                 self.call.count_body(event)
                 self.record_first_byte()
                 if search.feed(event):
                     return self.fail_stream(ChannelEnd.MIXED)
                 await self.write_events(head, self.splitter.feed(event))
-                channel.queue.keep_only(len(self.splitter.partial))
+                watch.channel.queue.keep_only(len(self.splitter.partial))
                 if self.splitter.is_too_long:
                     return self.fail_stream(ChannelEnd.TOO_LONG)
             elif event is ChannelEnd.COMPLETE:
--- a/src/pollenloom/gateway/request_event_log.py
+++ b/src/pollenloom/gateway/request_event_log.py
@@ -206,8 +206,17 @@
     """Return the fields on how a response arrived; empty without one."""
     if trace is None:
         return {}
-    return {
+    fields: dict[str, EventValue] = {
         'framing': trace.framing,
         'kept_connection': trace.is_kept_connection,
         'body_bytes': trace.body_bytes,
     }
+    evidence = trace.end_evidence
+    if evidence is not None and trace.end_verdict is not None:
+        fields |= {
+            'end': trace.end_verdict,
+            'new_connection': evidence.new_connection,
+            'earlier_connections': evidence.earlier_connections,
+            'is_leaving': evidence.is_leaving,
+        }
+    return fields
--- a/src/pollenloom/gateway/response_trace.py
+++ b/src/pollenloom/gateway/response_trace.py
@@ -5,6 +5,7 @@
 from typing import Self
 
 from pollenloom.gateway.headers import TRANSFER_ENCODING, find_header
+from pollenloom.gateway.response_end import EndEvidence, EndVerdict
 from pollenloom.gateway.server_event import ResponseHead
 
 
@@ -39,8 +40,13 @@
         is_kept_connection: Whether the connection carried another request
             before.
         body_bytes: Bytes of the body that were received.
+        end_evidence: What was found about a response that does not mark its
+            end once it had ended; None before, and for others.
+        end_verdict: What was concluded from that.
     """
 
     framing: Framing
     is_kept_connection: bool
     body_bytes: int = 0
+    end_evidence: EndEvidence | None = None
+    end_verdict: EndVerdict | None = None
--- a/src/pollenloom/gateway/server_channel.py
+++ b/src/pollenloom/gateway/server_channel.py
@@ -26,6 +26,7 @@
 from pollenloom.gateway.response_queue import ResponseQueue
 from pollenloom.gateway.server_event import (
     ChannelEnd,
+    CloseCause,
     ResponseHead,
     ServerEvent,
     UnrequestedBytes,
@@ -122,11 +123,12 @@
         reset may follow.
         """
         self.is_reusable = False
-        is_started = bool(self.headers)
-        if not is_started or self.is_framed or self.is_skipping:
+        if not self.may_end_response():
+            self.history.note_close(CloseCause.SERVER)
             self.finish(ChannelEnd.CLOSED)
             return False
-        if self.was_reset():
+        self.history.note_close(CloseCause.RESPONSE_END)
+        if was_reset(self.transport):
             self.finish(ChannelEnd.RESET)
             return False
         if has_unacknowledged(self.transport):
@@ -135,9 +137,10 @@
         self.finish(ChannelEnd.COMPLETE)
         return True
 
-    def was_reset(self) -> bool:
-        """Whether the connection ended by a reset."""
-        return was_reset(self.transport)
+    def may_end_response(self) -> bool:
+        """Whether closing the connection is how the response ends."""
+        is_started = bool(self.headers) and not self.response_ended
+        return is_started and not self.is_framed and not self.is_skipping
 
     def may_be_kept(self) -> bool:
         """Whether the next request would not wait behind the rest of this one.
@@ -156,6 +159,7 @@
         self.is_open = False
         self.is_reusable = False
         self.finish(ChannelEnd.RESET)
+        self.history.connection_lost()
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Store one header; end a response that has too many."""
@@ -246,6 +250,7 @@
     def abort(self) -> None:
         """Close at once, which makes the server stop the request."""
         self.is_reusable = False
+        self.history.note_close(CloseCause.ROUTER)
         if self.is_open:
             self.transport.abort()
 
--- a/src/pollenloom/gateway/server_checks.py
+++ b/src/pollenloom/gateway/server_checks.py
@@ -1,6 +1,8 @@
 """Checks whether backend servers still run."""
 
 import asyncio
+from collections.abc import Generator
+from contextlib import ExitStack, contextmanager
 from typing import ClassVar, Final
 
 from pollenloom.catalogue.catalogue import Catalogue
@@ -8,9 +10,21 @@
 from pollenloom.catalogue.load_exchange import LoadExchange
 from pollenloom.core.backend_server import BackendServer
 from pollenloom.core.ids import DataCentreId, ServerId
+from pollenloom.gateway.connection_state import was_reset
+from pollenloom.gateway.liveness_connections import LivenessConnections
 from pollenloom.gateway.loss_verdict import LossVerdict
+from pollenloom.gateway.pending_call import PendingCall
+from pollenloom.gateway.response_end import (
+    EndEvidence,
+    EndVerdict,
+    NewConnection,
+)
+from pollenloom.gateway.response_watch import ResponseWatch
 from pollenloom.gateway.server_channel import ServerChannel
-from pollenloom.gateway.server_connection_pool import ServerConnectionPool
+from pollenloom.gateway.server_connection_pool import (
+    DROP_SECONDS,
+    ServerConnectionPool,
+)
 from pollenloom.gateway.server_event import ChannelEnd, ResponseHead
 from pollenloom.kernel.kernel import Kernel
 from pollenloom.kernel.kernel_service import KernelService
@@ -23,6 +37,13 @@
 # it, so that the path to the data centre is not cut.
 TOUCH_MARGIN_SECONDS: Final = 0.1
 TOUCH_POLL_SECONDS: Final = 0.1
+# Servers report every 1.2 s, and reports take some time to arrive. One that
+# comes sooner than the margin may have been sent before the response ended.
+REPORT_WAIT_SECONDS: Final = 2.0
+REPORT_MARGIN_SECONDS: Final = 0.5
+REPORT_POLL_SECONDS: Final = 0.05
+# Time in which a retry is refused and a failure reaches the caller.
+REPLY_SECONDS: Final = 0.25
 
 
 class ServerChecks(KernelService):
@@ -44,6 +65,10 @@
             KernelServiceName.SERVER_CONNECTION_POOL,
             ServerConnectionPool,
         )
+        self.liveness_connections = self.kernel.find(
+            KernelServiceName.LIVENESS_CONNECTIONS,
+            LivenessConnections,
+        )
         self.catalogue = self.kernel.find(
             KernelServiceName.CATALOGUE, Catalogue
         )
@@ -61,7 +86,8 @@
 
     async def judge(self, server: BackendServer) -> LossVerdict:
         """Return what follows from a lost connection to a server."""
-        if not await self.connection_pool.is_refused(server):
+        new_connection = await self.connection_pool.probe(server)
+        if new_connection is not NewConnection.REFUSED:
             return LossVerdict.RUNNING
         if self.has_left(server.server):
             return LossVerdict.LEFT
@@ -69,35 +95,106 @@
             return LossVerdict.CRASHED
         return LossVerdict.OUT_OF_TOUCH
 
-    async def confirm_end(
+    @contextmanager
+    def watch(
         self,
+        call: PendingCall,
         server: BackendServer,
         channel: ServerChannel,
         head: ResponseHead,
-        end: ChannelEnd,
+    ) -> Generator[ResponseWatch, None, None]:
+        """Watch the server of a response until the response has ended."""
+        known = self.catalogue.directory.servers.get(server.server)
+        watch = ResponseWatch(
+            call,
+            server,
+            channel,
+            head.is_framed,
+            None if known is None else known.entry.started_at,
+        )
+        with ExitStack() as stack:
+            if not head.is_framed:
+                stack.enter_context(self.liveness_connections.held(server))
+            yield watch
+
+    async def confirm_end(
+        self, watch: ResponseWatch, end: ChannelEnd
     ) -> ChannelEnd:
         """Return how a response ended, which its server may have broken off.
 
         The end of a server closes its connections like the end of a response
-        that does not mark its own, so such a response is complete only if the
-        server is seen to run and no reset has followed the close. A server that
-        leaves as planned completes its responses before.
+        that does not mark its own; `EndEvidence` tells the two apart, and its
+        values become a part of the request's log line.
 
         Args:
-            server: Server that sent the response.
-            channel: Connection of the response.
-            head: Head of the response.
+            watch: The response and its server.
             end: How the connection ended the response.
         """
-        if head.is_framed or end is not ChannelEnd.COMPLETE:
+        if watch.is_framed or end is not ChannelEnd.COMPLETE:
             return end
-        is_running = await self.connection_pool.keeps_connection(server)
-        if channel.was_reset():
+        evidence = await self.collect_evidence(watch)
+        verdict = evidence.evaluate()
+        if verdict is EndVerdict.UNKNOWN and not self.may_retry(watch):
+            verdict = await self.wait_for_report(watch)
+        if watch.call.trace is not None:
+            watch.call.trace.end_evidence = evidence
+            watch.call.trace.end_verdict = verdict
+        if was_reset(watch.channel.transport):
             return ChannelEnd.RESET
-        if is_running or self.has_left(server.server):
+        if verdict is EndVerdict.WHOLE:
             return end
         return ChannelEnd.SERVER_LOST
 
+    async def collect_evidence(self, watch: ResponseWatch) -> EndEvidence:
+        """Return what shows whether the server of a response still runs."""
+        clock = self.kernel.clock
+        ended_at = clock.monotonic()
+        open_connections = self.connection_pool.open_connections
+        server = watch.server.server
+        beside = open_connections.beside(server, watch.channel)
+        new_connection = await self.connection_pool.probe(watch.server)
+        # A refusal comes at once, maybe before the other connections are seen
+        # to be closed.
+        await asyncio.sleep(max(0, ended_at + DROP_SECONDS - clock.monotonic()))
+        return EndEvidence(
+            new_connection,
+            open_connections.judge(server, beside, ended_at),
+            is_leaving=self.has_left(server),
+        )
+
+    async def wait_for_report(self, watch: ResponseWatch) -> EndVerdict:
+        """Wait until a server reports that it runs since before its response.
+
+        Its entry in the store names the start of its process, and is written
+        again with each report. The wait ends in time for a failure to reach the
+        caller.
+        """
+        ended_at = self.kernel.clock.monotonic()
+        latest = min(
+            ended_at + REPORT_WAIT_SECONDS,
+            watch.call.deadline - REPLY_SECONDS,
+        )
+        remaining = latest - ended_at
+        while remaining > 0:
+            known = self.catalogue.directory.servers.get(watch.server.server)
+            if known is None or known.entry.started_at != watch.started_at:
+                return EndVerdict.BROKEN_OFF
+            if known.read_at > ended_at + REPORT_MARGIN_SECONDS:
+                return EndVerdict.WHOLE
+            await asyncio.sleep(min(remaining, REPORT_POLL_SECONDS))
+            remaining = latest - self.kernel.clock.monotonic()
+        return EndVerdict.UNKNOWN
+
+    def may_retry(self, watch: ResponseWatch) -> bool:
+        """Whether another server can complete the request of a response."""
+        now = self.kernel.clock.monotonic()
+        if not watch.call.may_retry(now):
+            return False
+        usable = self.catalogue.directory.usable(watch.server.service, now)
+        return any(
+            known.entry.server != watch.server.server for known in usable
+        )
+
     def has_left(self, server: ServerId) -> bool:
         """Whether a server leaves as planned, or is not registered."""
         known = self.catalogue.directory.servers.get(server)
--- a/src/pollenloom/gateway/server_connection_pool.py
+++ b/src/pollenloom/gateway/server_connection_pool.py
@@ -14,7 +14,9 @@
 from pollenloom.core.host_port import split_address
 from pollenloom.core.ids import ServerId
 from pollenloom.gateway.header_codec import HeaderCodec
+from pollenloom.gateway.open_connections import OpenConnections
 from pollenloom.gateway.response_buffers import ResponseBuffers
+from pollenloom.gateway.response_end import NewConnection
 from pollenloom.gateway.server_channel import ServerChannel
 from pollenloom.gateway.server_event import UnrequestedBytes
 from pollenloom.kernel.kernel import Kernel
@@ -57,6 +59,7 @@
 
     Attributes:
         buffers: Bytes of the responses on all connections.
+        open_connections: All open connections, idle or not.
         idle: Idle connections of each server, the most recently used last.
         unrequested_at: When servers last sent bytes that answered no request,
             monotonic seconds.
@@ -69,6 +72,7 @@
         self.kernel = kernel
         self.header_codec = header_codec
         self.buffers = ResponseBuffers()
+        self.open_connections = OpenConnections()
         self.idle: dict[ServerId, deque[ServerChannel]] = defaultdict(deque)
         self.unrequested_at: dict[ServerId, float] = {}
         self.unrequested_lines = LineBudget()
@@ -109,10 +113,17 @@
         return opened
 
     def watch(self, server: ServerId, channel: ServerChannel) -> None:
-        """Get told of bytes on a connection that answer no request."""
+        """Get told of unrequested bytes on a connection and of its close."""
         channel.history.on_unrequested = partial(
             self.unrequested_received, server, channel
         )
+        channel.history.on_closed = partial(self.closed, server, channel)
+        self.open_connections.add(server, channel)
+
+    def closed(self, server: ServerId, channel: ServerChannel) -> None:
+        """Record that a connection was closed."""
+        now = self.kernel.clock.monotonic()
+        self.open_connections.closed(server, channel, now)
 
     def unrequested_received(
         self,
@@ -147,31 +158,19 @@
             return Error(Failure(ErrorKind.NO_CAPACITY, detail))
         return Ok(opened.ok)
 
-    async def is_refused(self, server: BackendServer) -> bool:
-        """Whether a server refuses a new connection, as after a crash.
-
-        One that it accepts is kept for requests.
-        """
-        opened = await self.open_channel(server.address)
-        if opened.is_ok():
-            self.watch(server.server, opened.ok)
-            self.release(server, opened.ok)
-            return False
-        return isinstance(opened.error, ConnectionRefusedError)
-
-    async def keeps_connection(self, server: BackendServer) -> bool:
-        """Whether a server accepts a new connection and does not drop it.
+    async def probe(self, server: BackendServer) -> NewConnection:
+        """Return what a server does with a new connection.
 
-        Such a connection is kept for requests.
+        One that it keeps is used for requests.
         """
         opened = await self.open_channel(server.address)
         if opened.is_error():
-            return False
+            return classify_error(opened.error)
         self.watch(server.server, opened.ok)
         await asyncio.sleep(DROP_SECONDS)
         is_kept = opened.ok.is_open
         self.release(server, opened.ok)
-        return is_kept
+        return NewConnection.KEPT if is_kept else NewConnection.DROPPED
 
     async def open_channel(
         self, address: str
@@ -219,6 +218,18 @@
         channel.idle_since = now
         self.idle[server.server].append(channel)
 
+    def give_back(self, server: BackendServer, channel: ServerChannel) -> None:
+        """Keep a connection that was taken but not used, or close it.
+
+        The server counts its idle time on.
+        """
+        now = self.kernel.clock.monotonic()
+        is_usable = self.is_usable(channel, now, is_repeatable=True)
+        if is_usable and not self.is_single_use(server.server, now):
+            self.idle[server.server].appendleft(channel)
+        else:
+            channel.abort()
+
     def is_single_use(self, server: ServerId, now: float) -> bool:
         """Whether connections to a server carry one request each."""
         received_at = self.unrequested_at.get(server)
@@ -268,6 +279,7 @@
             now = self.kernel.clock.monotonic()
             for server in tuple(self.idle):
                 self.close_unusable(server, now)
+            self.open_connections.forget(now)
             for server in tuple(self.unrequested_at):
                 if not self.is_single_use(server, now):
                     self.unrequested_at.pop(server)
@@ -295,6 +307,15 @@
             return
 
 
+def classify_error(error: OSError) -> NewConnection:
+    """Return what an error in opening a connection says of the server."""
+    if isinstance(error, ConnectionRefusedError):
+        return NewConnection.REFUSED
+    if isinstance(error, ConnectionResetError):
+        return NewConnection.DROPPED
+    return NewConnection.UNANSWERED
+
+
 def close_unused(
     connecting: 'asyncio.Task[tuple[asyncio.Transport, ServerChannel]]',
 ) -> None:
--- a/src/pollenloom/gateway/server_event.py
+++ b/src/pollenloom/gateway/server_event.py
@@ -32,6 +32,20 @@
     MIXED = 'used for another response'
 
 
+@unique
+class CloseCause(Enum):
+    """Why a connection to a server was closed."""
+
+    # It was not closed.
+    NONE = 'none'
+    # By this router.
+    ROUTER = 'router'
+    # By the server, as the end of a response that does not mark its own.
+    RESPONSE_END = 'response end'
+    # By the server, for any other reason.
+    SERVER = 'server'
+
+
 @unique
 class UnrequestedBytes(Enum):
     """Where bytes arrived that answer no request in progress."""
--- a/src/pollenloom/kernel/kernel_service_name.py
+++ b/src/pollenloom/kernel/kernel_service_name.py
@@ -21,6 +21,7 @@
     FRONTEND = 'frontend'
     GATEWAY = 'gateway'
     KEYED_STORE = 'keyed_store'
+    LIVENESS_CONNECTIONS = 'liveness_connections'
     LOAD_EXCHANGE = 'load_exchange'
     LOG = 'log'
     LOOP_MONITOR = 'loop_monitor'
--- a/src/pollenloom/observability/event_name.py
+++ b/src/pollenloom/observability/event_name.py
@@ -83,7 +83,9 @@
         REQUEST_ENDED: A request of a caller ended. Subject request: route,
             service, account, server, outcome, status, attempts, reason,
             revision, waited_ms, first_byte_ms, total_ms; with a response of a
-            server also framing, kept_connection, body_bytes.
+            server also framing, kept_connection, body_bytes; with one that
+            ended with its connection also end, new_connection,
+            earlier_connections, is_leaving.
         WORK_PLACED: Requests were placed by learned speeds or by data centre
             within the last second. Subject service: sent, preferred,
             elsewhere, elsewhere_preferred, slow_servers, slow.
@@ -109,7 +111,8 @@
         ATTEMPT_FAILED: An attempt at a request on a backend server failed.
             Subject request: server, reason, run, entry_version, entry_age_ms,
             answered_ms, parts; with the head of a response also framing,
-            kept_connection, body_bytes.
+            kept_connection, body_bytes; with one that ended with its connection
+            also end, new_connection, earlier_connections, is_leaving.
         SERVER_LIMITED: A backend server named a new limit on the requests that
             it takes from the fleet in a second, or no longer names one.
             Subject server: rate, before.
