Doubt a new connection as proof of a server after a pause

A connection that is kept says that something listens, not that it is the same process.

After a turn of the event loop that took half a second or more, a new connection proves nothing without an earlier one; a report of the same start of the server does.

--- a/src/pollenloom/gateway/loop_monitor.py
+++ b/src/pollenloom/gateway/loop_monitor.py
@@ -14,6 +14,9 @@
 from pollenloom.routing.overload_detector import OverloadDetector
 
 SAMPLE_INTERVAL_SECONDS: Final = 0.05
+# A process needs longer to end and to start again. The time for which the
+# machine was suspended counts.
+PAUSE_SECONDS: Final = 0.5
 
 
 class LoopMonitor(KernelService):
@@ -25,6 +28,8 @@
     Attributes:
         intake: Requests that wait to begin.
         largest_delay: Largest delay since it was last taken, seconds.
+        pause_ended_at: When the event loop last ran again after a pause,
+            monotonic seconds.
     """
 
     name: ClassVar[KernelServiceName] = KernelServiceName.LOOP_MONITOR
@@ -35,6 +40,7 @@
         self.detector = OverloadDetector()
         self.intake = RequestIntake()
         self.largest_delay: float = 0
+        self.pause_ended_at = float('-inf')
 
     async def start(self) -> None:
         """Start the measuring task."""
@@ -49,13 +55,21 @@
         clock = self.kernel.clock
         while True:
             due = clock.monotonic() + SAMPLE_INTERVAL_SECONDS
+            pause_begins_at = clock.uptime() + PAUSE_SECONDS
             await asyncio.sleep(SAMPLE_INTERVAL_SECONDS)
             wait = self.intake.take_longest_wait()
-            delay = max(0, clock.monotonic() - due, wait)
+            now = clock.monotonic()
+            if clock.uptime() >= pause_begins_at:
+                self.pause_ended_at = now
+            delay = max(0, now - due, wait)
             self.largest_delay = max(self.largest_delay, delay)
             if self.detector.observe(delay):
                 self.record_state()
 
+    def has_paused_since(self, earliest: float) -> bool:
+        """Whether a pause has ended since a monotonic time in seconds."""
+        return self.pause_ended_at >= earliest
+
     def take_largest_delay(self) -> float:
         """Return the largest delay since the last call, seconds."""
         largest = self.largest_delay
--- a/src/pollenloom/gateway/request_event_log.py
+++ b/src/pollenloom/gateway/request_event_log.py
@@ -218,5 +218,6 @@
             'new_connection': evidence.new_connection,
             'earlier_connections': evidence.earlier_connections,
             'is_leaving': evidence.is_leaving,
+            'has_paused': evidence.has_paused,
         }
     return fields
--- a/src/pollenloom/gateway/response_end.py
+++ b/src/pollenloom/gateway/response_end.py
@@ -55,11 +55,14 @@
         earlier_connections: What became of the others to the same server.
         is_leaving: Whether the server's entry says that it leaves, or it has
             none. Such a server stops listening before it ends.
+        has_paused: Whether the router stood still, so that a server may have
+            ended and started again since the response ended.
     """
 
     new_connection: NewConnection
     earlier_connections: EarlierConnections
     is_leaving: bool
+    has_paused: bool
 
     def evaluate(self) -> EndVerdict:
         """Return how the response ended.
@@ -76,6 +79,6 @@
             return EndVerdict.BROKEN_OFF
         if self.earlier_connections is EarlierConnections.OPEN:
             return EndVerdict.WHOLE
-        if self.new_connection is NewConnection.KEPT:
+        if self.new_connection is NewConnection.KEPT and not self.has_paused:
             return EndVerdict.WHOLE
         return EndVerdict.UNKNOWN
--- a/src/pollenloom/gateway/server_checks.py
+++ b/src/pollenloom/gateway/server_checks.py
@@ -12,6 +12,7 @@
 from pollenloom.core.ids import DataCentreId, ServerId
 from pollenloom.gateway.connection_state import was_reset
 from pollenloom.gateway.liveness_connections import LivenessConnections
+from pollenloom.gateway.loop_monitor import LoopMonitor
 from pollenloom.gateway.loss_verdict import LossVerdict
 from pollenloom.gateway.pending_call import PendingCall
 from pollenloom.gateway.response_end import (
@@ -44,6 +45,8 @@
 REPORT_POLL_SECONDS: Final = 0.05
 # Time in which a retry is refused and a failure reaches the caller.
 REPLY_SECONDS: Final = 0.25
+# Time in which a router reads the ends of connections after a pause.
+PAUSE_MARGIN_SECONDS: Final = 0.5
 
 
 class ServerChecks(KernelService):
@@ -69,6 +72,9 @@
             KernelServiceName.LIVENESS_CONNECTIONS,
             LivenessConnections,
         )
+        self.loop_monitor = self.kernel.find(
+            KernelServiceName.LOOP_MONITOR, LoopMonitor
+        )
         self.catalogue = self.kernel.find(
             KernelServiceName.CATALOGUE, Catalogue
         )
@@ -160,6 +166,9 @@
             new_connection,
             open_connections.judge(server, beside, ended_at),
             is_leaving=self.has_announced_end(server),
+            has_paused=self.loop_monitor.has_paused_since(
+                ended_at - PAUSE_MARGIN_SECONDS
+            ),
         )
 
     async def wait_for_report(self, watch: ResponseWatch) -> EndVerdict:
--- a/src/pollenloom/observability/event_name.py
+++ b/src/pollenloom/observability/event_name.py
@@ -85,7 +85,7 @@
             revision, waited_ms, first_byte_ms, total_ms; with a response of a
             server also framing, kept_connection, body_bytes; with one that
             ended with its connection also end, new_connection,
-            earlier_connections, is_leaving.
+            earlier_connections, is_leaving, has_paused.
         WORK_PLACED: Requests were placed by learned speeds or by data centre
             within the last second. Subject service: sent, preferred,
             elsewhere, elsewhere_preferred, slow_servers, slow.
@@ -112,7 +112,8 @@
             Subject request: server, reason, run, entry_version, entry_age_ms,
             answered_ms, parts; with the head of a response also framing,
             kept_connection, body_bytes; with one that ended with its connection
-            also end, new_connection, earlier_connections, is_leaving.
+            also end, new_connection, earlier_connections, is_leaving,
+            has_paused.
         SERVER_LIMITED: A backend server named a new limit on the requests that
             it takes from the fleet in a second, or no longer names one.
             Subject server: rate, before.
--- a/tests/gateway/test_response_end.py
+++ b/tests/gateway/test_response_end.py
@@ -44,7 +44,9 @@
     It comes from a server with a long queue, or from what took the place of one
     that has ended.
     """
-    evidence = EndEvidence(new_connection, earlier, is_leaving=False)
+    evidence = EndEvidence(
+        new_connection, earlier, is_leaving=False, has_paused=False
+    )
     assert evidence.evaluate() is verdict
 
 
@@ -56,7 +58,9 @@
 
     An idle connection can look open for seconds after that.
     """
-    evidence = EndEvidence(NewConnection.REFUSED, earlier, is_leaving=False)
+    evidence = EndEvidence(
+        NewConnection.REFUSED, earlier, is_leaving=False, has_paused=False
+    )
     assert evidence.evaluate() is EndVerdict.BROKEN_OFF
 
 
@@ -69,11 +73,13 @@
         new_connection,
         EarlierConnections.ABSENT,
         is_leaving=True,
+        has_paused=False,
     )
     assert evidence.evaluate() is EndVerdict.WHOLE
 
 
-def test_leaving_server_may_end_within_a_response() -> None:
+@pytest.mark.parametrize('has_paused', [False, True])
+def test_leaving_server_may_end_within_a_response(has_paused: bool) -> None:
     """Guards against half a response of a server that leaves too early.
 
     The end of its process closes its other connections at the same moment.
@@ -82,18 +88,34 @@
         NewConnection.REFUSED,
         EarlierConnections.CLOSED,
         is_leaving=True,
+        has_paused=has_paused,
     )
     assert evidence.evaluate() is EndVerdict.BROKEN_OFF
 
 
+def test_new_connection_after_a_pause_shows_nothing() -> None:
+    """Guards against half a response of a server that is back after a freeze.
+
+    Its successor accepts connections at the same address.
+    """
+    evidence = EndEvidence(
+        NewConnection.KEPT,
+        EarlierConnections.ABSENT,
+        is_leaving=False,
+        has_paused=True,
+    )
+    assert evidence.evaluate() is EndVerdict.UNKNOWN
+
+
 def test_loss_of_an_earlier_connection_never_ends_a_response() -> None:
     """Guards against an exception for one kind of server or connection."""
-    for new_connection, is_leaving in itertools.product(
-        NewConnection, (False, True)
+    for new_connection, is_leaving, has_paused in itertools.product(
+        NewConnection, (False, True), (False, True)
     ):
         evidence = EndEvidence(
             new_connection,
             EarlierConnections.CLOSED,
             is_leaving=is_leaving,
+            has_paused=has_paused,
         )
         assert evidence.evaluate() is not EndVerdict.WHOLE
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -40,6 +40,7 @@
         resets_connections: Whether new connections are reset from then on.
         ends: Whether the process ends then. Its address stays open, as another
             process takes its place.
+        pause_seconds: How long the router stands still meanwhile.
         is_troubled: Whether the trouble has begun.
     """
 
@@ -48,6 +49,7 @@
     event_seconds: float = EVENT_SECONDS
     resets_connections: bool = False
     ends: bool = False
+    pause_seconds: float = 0
     is_troubled: bool = False
 
     async def start(self) -> None:
@@ -90,6 +92,8 @@
             for other in tuple(self.backend.writers):
                 other.close()
         writer.close()
+        # The loop is blocked on purpose, and the router with it.
+        time.sleep(self.pause_seconds)
 
 
 async def fetch(
@@ -220,3 +224,22 @@
     server.listener.close()
     response = await fetching
     assert not response.is_complete
+
+
+async def test_server_back_within_a_pause_completes_no_response(
+    environment: RouterEnvironment,
+) -> None:
+    """Guards against half a response whose server ended while a router paused.
+
+    When the router runs again, the successor accepts connections.
+    """
+    server = PortServer(
+        environment,
+        events=EVENTS - 1,
+        event_seconds=0,
+        ends=True,
+        pause_seconds=0.7,
+    )
+    await server.start()
+    response = await fetch(environment)
+    assert not response.is_complete
