Take only a newer report as proof that a server runs

A router that does not know how an answer without a length ended waits for a report of its server. Any entry that was read later counted, also one that the store lists again after it was away, and one without the time of the start, which a successor may have written.

Measured: the two cases of test_entry_that_is_no_report_completes_no_response pass; found by reading, so no caller has seen it.

--- a/src/pollenloom/gateway/server_checks.py
+++ b/src/pollenloom/gateway/server_checks.py
@@ -174,24 +174,29 @@
     async def wait_for_report(self, watch: ResponseWatch) -> EndVerdict:
         """Wait until a server reports that it runs since before its response.
 
-        Its entry in the store names the start of its process, and is written
-        again with each report. The wait ends in time for a failure to reach the
-        caller.
+        Its entry in the store names the start of its process, and has a number
+        that rises with each report. The wait ends in time for a failure to
+        reach the caller.
         """
-        ended_at = self.kernel.clock.monotonic()
+        if not watch.started_at:
+            return EndVerdict.UNKNOWN
+        clock = self.kernel.clock
+        now = clock.monotonic()
         latest = min(
-            ended_at + REPORT_WAIT_SECONDS,
-            watch.call.deadline - REPLY_SECONDS,
+            now + REPORT_WAIT_SECONDS, watch.call.deadline - REPLY_SECONDS
         )
-        remaining = latest - ended_at
-        while remaining > 0:
+        await asyncio.sleep(max(0, min(REPORT_MARGIN_SECONDS, latest - now)))
+        before = self.catalogue.directory.servers.get(watch.server.server)
+        while clock.monotonic() < latest:
             known = self.catalogue.directory.servers.get(watch.server.server)
-            if known is None or known.entry.started_at != watch.started_at:
+            if before is None or known is None:
+                return EndVerdict.UNKNOWN
+            if known.entry.started_at != watch.started_at:
                 return EndVerdict.BROKEN_OFF
-            if known.read_at > ended_at + REPORT_MARGIN_SECONDS:
+            if known.entry.is_later_than(before.entry):
                 return EndVerdict.WHOLE
-            await asyncio.sleep(min(remaining, REPORT_POLL_SECONDS))
-            remaining = latest - self.kernel.clock.monotonic()
+            remaining = latest - clock.monotonic()
+            await asyncio.sleep(max(0, min(remaining, REPORT_POLL_SECONDS)))
         return EndVerdict.UNKNOWN
 
     def may_retry(self, watch: ResponseWatch) -> bool:
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -27,6 +27,7 @@
 # Between events, so that the router has time for a second connection.
 EVENT_SECONDS = 0.15
 REPORT_SECONDS = 0.2
+BORN = 1_700_000_000_000
 
 
 @dataclass
@@ -42,6 +43,7 @@
             process takes its place.
         pause_seconds: How long the router stands still meanwhile.
         is_troubled: Whether the trouble has begun.
+        born: When the process started, Unix milliseconds.
     """
 
     environment: RouterEnvironment
@@ -51,6 +53,7 @@
     ends: bool = False
     pause_seconds: float = 0
     is_troubled: bool = False
+    born: int = BORN
 
     async def start(self) -> None:
         """Listen and register."""
@@ -65,7 +68,8 @@
 
     async def report(self, **entry: object) -> None:
         """Write an entry to the store, as servers do every second."""
-        await self.environment.register(self.backend, **entry)
+        named = {'born': self.born, **entry}
+        await self.environment.register(self.backend, **named)
 
     async def accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -179,14 +183,39 @@
     )
     await server.start()
     fetching = asyncio.create_task(fetch(environment, path))
-    born = int(time.time() * 1000)
     for seq in range(2, 8):
         await asyncio.sleep(REPORT_SECONDS)
-        await server.report(seq=seq, born=born)
+        await server.report(seq=seq, born=BORN + 1)
     response = await fetching
     assert response.status == 502 or not response.is_complete
 
 
+@pytest.mark.parametrize('changes', [{'seq': 1}, {'born': 0}])
+async def test_entry_that_is_no_report_completes_no_response(
+    environment: RouterEnvironment, changes: dict[str, int]
+) -> None:
+    """Guards against half a response for which an old entry vouches.
+
+    A store that comes back writes entries again; an entry without the time of
+    the start may be that of a successor.
+    """
+    server = PortServer(
+        environment,
+        events=EVENTS - 1,
+        event_seconds=0,
+        ends=True,
+        resets_connections=True,
+        born=changes.get('born', BORN),
+    )
+    await server.start()
+    fetching = asyncio.create_task(fetch(environment))
+    for seq in range(2, 8):
+        await asyncio.sleep(REPORT_SECONDS)
+        await server.report(**{'seq': seq, **changes})
+    response = await fetching
+    assert not response.is_complete
+
+
 async def test_other_server_completes_a_request_at_once(
     environment: RouterEnvironment,
 ) -> None:
