Count an announced close as no sign of a server's end

A server that closes each connection behind its answer, as it announces with Connection: close, looked like one that ends if another answer without a length ended within 0.1 s: that answer waited for a report or was cut.

Such a close now has the same cause as the end of a response. Found by reading.

Measured: test_announced_close_is_no_end_of_its_server failed before (closed instead of absent) and passes.

--- a/src/pollenloom/gateway/server_channel.py
+++ b/src/pollenloom/gateway/server_channel.py
@@ -122,9 +122,12 @@
         Then the connection stays open on this side until it is released, as a
         reset may follow.
         """
+        is_announced = self.response_ended and not self.is_reusable
         self.is_reusable = False
         if not self.may_end_response():
-            self.history.note_close(CloseCause.SERVER)
+            self.history.note_close(
+                CloseCause.RESPONSE_END if is_announced else CloseCause.SERVER
+            )
             self.finish(ChannelEnd.CLOSED)
             return False
         self.history.note_close(CloseCause.RESPONSE_END)
--- a/src/pollenloom/gateway/server_event.py
+++ b/src/pollenloom/gateway/server_event.py
@@ -40,7 +40,8 @@
     NONE = 'none'
     # By this router.
     ROUTER = 'router'
-    # By the server, as the end of a response that does not mark its own.
+    # By the server, as the end of a response that does not mark its own, or
+    # behind one that announced it (`Connection: close`).
     RESPONSE_END = 'response end'
     # By the server, for any other reason.
     SERVER = 'server'
--- a/tests/gateway/test_open_connections.py
+++ b/tests/gateway/test_open_connections.py
@@ -15,6 +15,10 @@
 SERVER = ServerId('i-0')
 REQUEST_ID = b'a1'
 UNFRAMED = b'HTTP/1.1 200 OK\r\nX-Id: a1\r\n\r\nhalf'
+ANNOUNCED = (
+    b'HTTP/1.1 200 OK\r\nX-Id: a1\r\nConnection: close\r\n'
+    b'Content-Length: 4\r\n\r\ndone'
+)
 NOW = 100.0
 ESTABLISHED = 1
 CLOSE_WAIT = 8
@@ -147,6 +151,19 @@
     assert judge(connections, response) is EarlierConnections.ABSENT
 
 
+def test_announced_close_is_no_end_of_its_server(
+    connections: OpenConnections,
+) -> None:
+    """Guards against failures beside servers that close after each response."""
+    response = begin_response(connections)
+    other = open_channel(connections)
+    other.expect_response(REQUEST_ID, is_head_request=False)
+    other.data_received(ANNOUNCED)
+    close(other)
+    close(response)
+    assert judge(connections, response) is EarlierConnections.ABSENT
+
+
 def test_connection_to_a_successor_shows_nothing_of_its_predecessor(
     connections: OpenConnections,
 ) -> None:
