Count only connections that a server had kept as a sign of its end

A full server resets new connections, among them the one that the router opens to learn how an answer ended. That reset counted as a connection that the server closed with the answer, so an answer of a leaving server that drops new connections waited for a report or was cut.

Only connections that were open for 0.1 s count as closed with an answer; any that was opened before the end counts as open.

Measured: test_connection_that_was_never_kept_shows_nothing failed before (two cases) and passes.

--- a/src/pollenloom/gateway/open_connections.py
+++ b/src/pollenloom/gateway/open_connections.py
@@ -1,6 +1,5 @@
 """Connections to backend servers that are open, and those they closed."""
 
-import itertools
 from collections import defaultdict
 from typing import Final
 
@@ -13,29 +12,31 @@
 # The end of a process closes its connections together; the kernels of both
 # sides and the event loop need a moment to pass that on.
 CLOSED_TOGETHER_SECONDS: Final = 0.1
+# A server with a long queue drops a new connection sooner.
+KEPT_SECONDS: Final = 0.1
 
 
 class OpenConnections:
     """Knows the open connections of each server.
 
+    Times are monotonic seconds.
+
     Attributes:
-        channels: Open connections of each server, with their numbers in the
-            order in which they were opened.
-        ended_before: For a response whose server had closed its connection
-            unread by the router, the number of the next connection.
-        closed_at: When each server last closed a connection for another reason
-            than the end of a response, monotonic seconds.
+        opened_at: When the open connections of each server were opened.
+        replaced_at: For a response whose server had closed its connection
+            unread by the router, when the next connection was opened.
+        closed_at: When each server last closed a connection that it had kept,
+            for another reason than the end of a response.
     """
 
     def __init__(self) -> None:
-        self.numbers = itertools.count()
-        self.channels: dict[ServerId, dict[ServerChannel, int]] = defaultdict(
-            dict
+        self.opened_at: dict[ServerId, dict[ServerChannel, float]] = (
+            defaultdict(dict)
         )
-        self.ended_before: dict[ServerChannel, int] = {}
+        self.replaced_at: dict[ServerChannel, float] = {}
         self.closed_at: dict[ServerId, float] = {}
 
-    def add(self, server: ServerId, channel: ServerChannel) -> None:
+    def add(self, server: ServerId, channel: ServerChannel, now: float) -> None:
         """Record an open connection.
 
         It says nothing about responses that have ended before, of which the
@@ -43,32 +44,32 @@
         """
         if not channel.is_open:
             return
-        number = next(self.numbers)
-        for other in self.channels[server]:
+        for other in self.opened_at[server]:
             if other.may_end_response() and is_peer_closed(other.transport):
-                self.ended_before.setdefault(other, number)
-        self.channels[server][channel] = number
+                self.replaced_at.setdefault(other, now)
+        self.opened_at[server][channel] = now
 
     def closed(
         self, server: ServerId, channel: ServerChannel, now: float
     ) -> None:
         """Record that a connection was closed, by either side."""
-        self.ended_before.pop(channel, None)
-        self.channels[server].pop(channel, None)
-        if not self.channels[server]:
-            self.channels.pop(server)
-        if channel.history.close_cause is CloseCause.SERVER:
+        self.replaced_at.pop(channel, None)
+        opened_at = self.opened_at[server].pop(channel, now)
+        if not self.opened_at[server]:
+            self.opened_at.pop(server)
+        is_kept = now - opened_at >= KEPT_SECONDS
+        if is_kept and channel.history.close_cause is CloseCause.SERVER:
             self.closed_at[server] = now
 
     def beside(
-        self, server: ServerId, channel: ServerChannel
+        self, server: ServerId, channel: ServerChannel, now: float
     ) -> tuple[ServerChannel, ...]:
-        """Return the connections of a server that were open beside another."""
-        last = self.ended_before.get(channel, float('inf'))
+        """Return the connections that were opened before another was closed."""
+        replaced_at = self.replaced_at.get(channel, now)
         return tuple(
             other
-            for other, number in self.channels.get(server, {}).items()
-            if other is not channel and number < last
+            for other, opened_at in self.opened_at.get(server, {}).items()
+            if other is not channel and opened_at < replaced_at
         )
 
     def judge(
@@ -87,8 +88,15 @@
         if any(map(is_kept, beside)):
             return EarlierConnections.OPEN
         closed_at = self.closed_at.get(server, float('-inf'))
-        is_together = closed_at >= ended_at - CLOSED_TOGETHER_SECONDS
-        if is_together or any(map(is_closed_unread, beside)):
+        if closed_at >= ended_at - CLOSED_TOGETHER_SECONDS:
+            return EarlierConnections.CLOSED
+        opened_at = self.opened_at.get(server, {})
+        is_closed = any(
+            is_closed_unread(channel)
+            and opened_at.get(channel, ended_at) <= ended_at - KEPT_SECONDS
+            for channel in beside
+        )
+        if is_closed:
             return EarlierConnections.CLOSED
         return EarlierConnections.ABSENT
 
--- a/src/pollenloom/gateway/server_checks.py
+++ b/src/pollenloom/gateway/server_checks.py
@@ -157,7 +157,7 @@
         ended_at = clock.monotonic()
         open_connections = self.connection_pool.open_connections
         server = watch.server.server
-        beside = open_connections.beside(server, watch.channel)
+        beside = open_connections.beside(server, watch.channel, ended_at)
         new_connection = await self.connection_pool.probe(watch.server)
         # A refusal comes at once, maybe before the other connections are seen
         # to be closed.
--- a/src/pollenloom/gateway/server_connection_pool.py
+++ b/src/pollenloom/gateway/server_connection_pool.py
@@ -118,7 +118,8 @@
             self.unrequested_received, server, channel
         )
         channel.history.on_closed = partial(self.closed, server, channel)
-        self.open_connections.add(server, channel)
+        now = self.kernel.clock.monotonic()
+        self.open_connections.add(server, channel, now)
 
     def closed(self, server: ServerId, channel: ServerChannel) -> None:
         """Record that a connection was closed."""
--- a/tests/gateway/test_open_connections.py
+++ b/tests/gateway/test_open_connections.py
@@ -20,6 +20,7 @@
     b'Content-Length: 4\r\n\r\ndone'
 )
 NOW = 100.0
+EARLIER = 90.0
 ESTABLISHED = 1
 CLOSE_WAIT = 8
 
@@ -55,13 +56,15 @@
         """Do nothing; tests tell the channel that it is closed."""
 
 
-def open_channel(connections: OpenConnections) -> ServerChannel:
+def open_channel(
+    connections: OpenConnections, opened_at: float = EARLIER
+) -> ServerChannel:
     """Return an idle connection to the server."""
     channel = ServerChannel(b'x-id', ResponseBuffers())
     transport = cast('Any', FakeTransport())
     channel.connection_made(transport)
     channel.history.on_closed = lambda: connections.closed(SERVER, channel, NOW)
-    connections.add(SERVER, channel)
+    connections.add(SERVER, channel, opened_at)
     return channel
 
 
@@ -89,7 +92,7 @@
     connections: OpenConnections, channel: ServerChannel, ended_at: float = NOW
 ) -> EarlierConnections:
     """Return what the connections beside a response show."""
-    beside = connections.beside(SERVER, channel)
+    beside = connections.beside(SERVER, channel, ended_at)
     return connections.judge(SERVER, beside, ended_at)
 
 
@@ -151,6 +154,18 @@
     assert judge(connections, response) is EarlierConnections.ABSENT
 
 
+@pytest.mark.parametrize('close_other', [close, close_unread])
+def test_connection_that_was_never_kept_shows_nothing(
+    connections: OpenConnections,
+    close_other: Callable[[ServerChannel], None],
+) -> None:
+    """Guards against responses that fail as a full server drops another."""
+    response = begin_response(connections)
+    close_other(open_channel(connections, opened_at=NOW - 0.02))
+    close(response)
+    assert judge(connections, response) is EarlierConnections.ABSENT
+
+
 def test_announced_close_is_no_end_of_its_server(
     connections: OpenConnections,
 ) -> None:
@@ -174,7 +189,7 @@
     """
     response = begin_response(connections)
     close_unread(response)
-    open_channel(connections)
+    open_channel(connections, opened_at=NOW - 5)
     close(response)
     assert judge(connections, response) is EarlierConnections.ABSENT
 
@@ -184,5 +199,5 @@
     close(open_channel(connections))
     connections.forget(NOW + 1)
     assert not connections.closed_at
-    assert not connections.channels
-    assert not connections.ended_before
+    assert not connections.opened_at
+    assert not connections.replaced_at
