End the wait for a server's report before callers give up

The wait for a report began only after the new connection had been tried, and could end 2.5 s after a stream; callers give up a stream after a gap of two seconds. Both the wait and its margin now count from the end of the response, and the wait takes 1.8 s. Servers report every 1.2 s.

Found by reading.

--- a/src/pollenloom/gateway/server_checks.py
+++ b/src/pollenloom/gateway/server_checks.py
@@ -40,7 +40,8 @@
 TOUCH_POLL_SECONDS: Final = 0.1
 # Servers report every 1.2 s, and reports take some time to arrive. One that
 # comes sooner than the margin may have been sent before the response ended.
-REPORT_WAIT_SECONDS: Final = 2.0
+# Callers give up a stream after a gap of two seconds.
+REPORT_WAIT_SECONDS: Final = 1.8
 REPORT_MARGIN_SECONDS: Final = 0.5
 REPORT_POLL_SECONDS: Final = 0.05
 # Time in which a retry is refused and a failure reaches the caller.
@@ -138,10 +139,11 @@
         """
         if watch.is_framed or end is not ChannelEnd.COMPLETE:
             return end
-        evidence = await self.collect_evidence(watch)
+        ended_at = self.kernel.clock.monotonic()
+        evidence = await self.collect_evidence(watch, ended_at)
         verdict = evidence.evaluate()
         if verdict is EndVerdict.UNKNOWN and not self.may_retry(watch):
-            verdict = await self.wait_for_report(watch)
+            verdict = await self.wait_for_report(watch, ended_at)
         if watch.call.trace is not None:
             watch.call.trace.end_evidence = evidence
             watch.call.trace.end_verdict = verdict
@@ -151,10 +153,14 @@
             return end
         return ChannelEnd.SERVER_LOST
 
-    async def collect_evidence(self, watch: ResponseWatch) -> EndEvidence:
-        """Return what shows whether the server of a response still runs."""
+    async def collect_evidence(
+        self, watch: ResponseWatch, ended_at: float
+    ) -> EndEvidence:
+        """Return what shows whether the server of a response still runs.
+
+        `ended_at` is when the response ended, monotonic seconds.
+        """
         clock = self.kernel.clock
-        ended_at = clock.monotonic()
         open_connections = self.connection_pool.open_connections
         server = watch.server.server
         beside = open_connections.beside(server, watch.channel, ended_at)
@@ -171,7 +177,9 @@
             ),
         )
 
-    async def wait_for_report(self, watch: ResponseWatch) -> EndVerdict:
+    async def wait_for_report(
+        self, watch: ResponseWatch, ended_at: float
+    ) -> EndVerdict:
         """Wait until a server reports that it runs since before its response.
 
         Its entry in the store names the start of its process, and has a number
@@ -181,11 +189,12 @@
         if not watch.started_at:
             return EndVerdict.UNKNOWN
         clock = self.kernel.clock
-        now = clock.monotonic()
         latest = min(
-            now + REPORT_WAIT_SECONDS, watch.call.deadline - REPLY_SECONDS
+            ended_at + REPORT_WAIT_SECONDS,
+            watch.call.deadline - REPLY_SECONDS,
         )
-        await asyncio.sleep(max(0, min(REPORT_MARGIN_SECONDS, latest - now)))
+        earliest = min(ended_at + REPORT_MARGIN_SECONDS, latest)
+        await asyncio.sleep(max(0, earliest - clock.monotonic()))
         before = self.catalogue.directory.servers.get(watch.server.server)
         while clock.monotonic() < latest:
             known = self.catalogue.directory.servers.get(watch.server.server)
